Add: [Signals] Structured event log: one JSON line for each change of state

Cause: changes of state were logged as free text, so that a reader had to parse prose. Ruled out: writing on the duty's own thread; a standard error that nobody reads would stop the control duty and let the lease lapse. Lines go through a bounded queue that drops on overflow. Conclusion: logEvent(LogEvent::TermWon, {{"term", ...}}) may be called from any duty.

--- /dev/null
+++ b/src/adapter/log/event_log.cpp
@@ -0,0 +1,100 @@
+/** @file event_log.cpp Structured log over Boost.Log. */
+
+#include "adapter/log/event_log.h"
+
+#include <array>
+#include <atomic>
+#include <boost/core/null_deleter.hpp>
+#include <boost/json.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+#include <boost/smart_ptr/shared_ptr.hpp>
+#include <ctime>
+
+namespace wisteriahoist {
+
+namespace {
+
+namespace logging = boost::log;
+
+constexpr size_t QueuedLines = 1024;
+
+// Lines are written by a thread of their own. A blocked standard error (a pipe nobody reads) would
+// otherwise stop the control duty and let the lease lapse; with the bound, lines are lost instead.
+using Backend = logging::sinks::text_ostream_backend;
+using Queue = logging::sinks::bounded_fifo_queue<QueuedLines, logging::sinks::drop_on_overflow>;
+using Sink = logging::sinks::asynchronous_sink<Backend, Queue>;
+
+std::atomic<LogSeverity> leastSeverity{LogSeverity::Info};
+std::atomic<bool> outputPresent{false};
+boost::shared_ptr<Sink> sink; ///< Set and reset by LogOutput only.
+
+std::string formatTime(std::chrono::system_clock::time_point time)
+{
+    const auto sinceEpoch = time.time_since_epoch();
+    const auto whole = std::chrono::duration_cast<std::chrono::seconds>(sinceEpoch);
+    const auto fraction = std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch - whole);
+    const std::time_t seconds = whole.count();
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> day{};
+    std::strftime(day.data(), day.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::string digits = std::to_string(fraction.count());
+    digits.insert(0, 6 - digits.size(), '0');
+    return std::string(day.data()) + "." + digits + "Z";
+}
+
+} // namespace
+
+std::string formatLogLine(LogEvent event, LogFields fields,
+                          std::chrono::system_clock::time_point time)
+{
+    boost::json::object line;
+    line["time"] = formatTime(time);
+    line["severity"] = logSeverityName(logEventSeverity(event));
+    line["event"] = logEventName(event);
+    for (const LogField &field : fields) {
+        std::visit([&line, &field](const auto &value) { line[field.name] = value; }, field.value);
+    }
+    return boost::json::serialize(line);
+}
+
+void logEvent(LogEvent event, LogFields fields)
+{
+    if (!outputPresent.load(std::memory_order_acquire)
+        || logEventSeverity(event) < leastSeverity.load(std::memory_order_relaxed)) {
+        return;
+    }
+    logging::sources::logger_mt logger;
+    BOOST_LOG(logger) << formatLogLine(event, fields, std::chrono::system_clock::now());
+}
+
+LogOutput::LogOutput(std::ostream &stream, LogSeverity least)
+{
+    auto backend = boost::make_shared<Backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&stream, boost::null_deleter()));
+    backend->auto_flush(true);
+    sink = boost::make_shared<Sink>(backend);
+    sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
+    logging::core::get()->add_sink(sink);
+    leastSeverity.store(least, std::memory_order_relaxed);
+    outputPresent.store(true, std::memory_order_release);
+}
+
+LogOutput::~LogOutput()
+{
+    outputPresent.store(false, std::memory_order_release);
+    logging::core::get()->remove_sink(sink);
+    sink->stop();
+    sink->flush();
+    sink.reset();
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/adapter/log/log_type.cpp
@@ -0,0 +1,88 @@
+/** @file log_type.cpp Names and severities of the events. */
+
+#include "adapter/log/log_type.h"
+
+#include <array>
+
+namespace wisteriahoist {
+
+namespace {
+
+struct EventRow {
+    LogEvent event;
+    std::string_view name;
+    LogSeverity severity;
+};
+
+constexpr std::array<EventRow, static_cast<size_t>(LogEvent::Last) + 1> EventTable{{
+        {LogEvent::NodeStarted, "node-started", LogSeverity::Info},
+        {LogEvent::NodeStopping, "node-stopping", LogSeverity::Info},
+        {LogEvent::NodeStopped, "node-stopped", LogSeverity::Info},
+        {LogEvent::TermWon, "term-won", LogSeverity::Info},
+        {LogEvent::TermLost, "term-lost", LogSeverity::Warning},
+        {LogEvent::TermObserved, "term-observed", LogSeverity::Info},
+        {LogEvent::CampaignLost, "campaign-lost", LogSeverity::Info},
+        {LogEvent::LeaseGained, "lease-gained", LogSeverity::Info},
+        {LogEvent::LeaseLost, "lease-lost", LogSeverity::Warning},
+        {LogEvent::RosterChanged, "roster-changed", LogSeverity::Info},
+        {LogEvent::MemberLost, "member-lost", LogSeverity::Warning},
+        {LogEvent::AssignmentWritten, "assignment-written", LogSeverity::Info},
+        {LogEvent::AssignmentInForce, "assignment-in-force", LogSeverity::Info},
+        {LogEvent::ConfigAccepted, "config-accepted", LogSeverity::Info},
+        {LogEvent::ConfigInForce, "config-in-force", LogSeverity::Info},
+        {LogEvent::ConfigRefused, "config-refused", LogSeverity::Warning},
+        {LogEvent::BackendAnnounced, "backend-announced", LogSeverity::Info},
+        {LogEvent::BackendDraining, "backend-draining", LogSeverity::Info},
+        {LogEvent::BackendSilent, "backend-silent", LogSeverity::Warning},
+        {LogEvent::DrainStarted, "drain-started", LogSeverity::Info},
+        {LogEvent::DrainFinished, "drain-finished", LogSeverity::Info},
+        {LogEvent::PlatformUnavailable, "platform-unavailable", LogSeverity::Error},
+        {LogEvent::PlatformBack, "platform-back", LogSeverity::Info},
+        {LogEvent::PeerRefused, "peer-refused", LogSeverity::Warning},
+        {LogEvent::OperatorRefused, "operator-refused", LogSeverity::Warning},
+        {LogEvent::OperatorChange, "operator-change", LogSeverity::Info},
+        {LogEvent::TraceExportFailing, "trace-export-failing", LogSeverity::Warning},
+        {LogEvent::TraceExportBack, "trace-export-back", LogSeverity::Info},
+}};
+
+constexpr bool isTableInOrder()
+{
+    for (size_t index = 0; index < EventTable.size(); ++index) {
+        if (static_cast<size_t>(EventTable[index].event) != index) {
+            return false;
+        }
+    }
+    return true;
+}
+static_assert(isTableInOrder(), "each event needs its row, in the enumeration's order");
+
+constexpr std::array<std::string_view, 4> SeverityNames{"debug", "info", "warning", "error"};
+
+} // namespace
+
+std::string_view logEventName(LogEvent event)
+{
+    return EventTable[static_cast<size_t>(event)].name;
+}
+
+LogSeverity logEventSeverity(LogEvent event)
+{
+    return EventTable[static_cast<size_t>(event)].severity;
+}
+
+std::string_view logSeverityName(LogSeverity severity)
+{
+    return SeverityNames[static_cast<size_t>(severity)];
+}
+
+std::optional<LogSeverity> parseLogSeverity(std::string_view name)
+{
+    for (size_t index = 0; index < SeverityNames.size(); ++index) {
+        if (SeverityNames[index] == name) {
+            return static_cast<LogSeverity>(index);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/adapter/log/log_type.h
@@ -0,0 +1,95 @@
+/** @file log_type.h The events a node logs, their severities and fields. */
+
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <variant>
+
+namespace wisteriahoist {
+
+/** How much an operator should care. */
+enum class LogSeverity {
+    Debug,
+    Info,    ///< An expected change of state.
+    Warning, ///< Something works less well than declared.
+    Error,   ///< Something that was asked for does not work.
+};
+
+/** Each change of state that is logged. A name and a severity for each stand in log_type.cpp. */
+enum class LogEvent {
+    NodeStarted,
+    NodeStopping,
+    NodeStopped,
+    TermWon,
+    TermLost,
+    TermObserved, ///< Another node coordinates the cell.
+    CampaignLost,
+    LeaseGained,
+    LeaseLost,
+    RosterChanged,
+    MemberLost,
+    AssignmentWritten,
+    AssignmentInForce,
+    ConfigAccepted, ///< Written to the platform.
+    ConfigInForce,  ///< Taken over by this node.
+    ConfigRefused,  ///< Older than what is held, or malformed.
+    BackendAnnounced,
+    BackendDraining,
+    BackendSilent,
+    DrainStarted,
+    DrainFinished,
+    PlatformUnavailable,
+    PlatformBack,
+    PeerRefused, ///< A stranger's or an outdated credential.
+    OperatorRefused,
+    OperatorChange,
+    TraceExportFailing,
+    TraceExportBack,
+    Last = TraceExportBack,
+};
+
+/** The value of one field. */
+using LogValue = std::variant<std::string, int64_t, uint64_t, double, bool>;
+
+/** One field of an event. */
+struct LogField {
+    template <typename T>
+    LogField(std::string_view fieldName, T fieldValue) : name(fieldName), value(convert(fieldValue))
+    { }
+
+    std::string_view name; ///< A literal.
+    LogValue value;
+
+private:
+    template <typename T>
+    static LogValue convert(const T &raw)
+    {
+        if constexpr (std::is_same_v<T, bool>) {
+            return raw;
+        } else if constexpr (std::is_floating_point_v<T>) {
+            return static_cast<double>(raw);
+        } else if constexpr (std::is_integral_v<T> && std::is_signed_v<T>) {
+            return static_cast<int64_t>(raw);
+        } else if constexpr (std::is_integral_v<T>) {
+            return static_cast<uint64_t>(raw);
+        } else {
+            return std::string(raw);
+        }
+    }
+};
+
+using LogFields = std::initializer_list<LogField>;
+
+std::string_view logEventName(LogEvent event);
+LogSeverity logEventSeverity(LogEvent event);
+std::string_view logSeverityName(LogSeverity severity);
+
+/** @return The severity of that name: debug, info, warning or error. */
+std::optional<LogSeverity> parseLogSeverity(std::string_view name);
+
+} // namespace wisteriahoist
--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -4,13 +4,13 @@
 
 #include "adapter/codec/declaration_codec.h"
 #include "adapter/codec/ownership_codec.h"
+#include "adapter/log/event_log.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/log/trivial.hpp>
 
 namespace wisteriahoist {
 
@@ -105,7 +105,7 @@
 
 asio::awaitable<void> ControlDuty::becomeCoordinator(TermRecord record, ObjectVersion version)
 {
-    BOOST_LOG_TRIVIAL(info) << "coordinator: won term " << record.term.value() << " of " << cell_;
+    logEvent(LogEvent::TermWon, {{"term", record.term.value()}, {"cell", cell_}});
     coordinator_ = std::make_unique<Coordinator>(times_, record, version);
     member_.onCampaignWon(version, record, clock_.now());
     asio::co_spawn(context_, watchConfig(record.term), asio::detached);
@@ -175,7 +175,7 @@
         coordinator_->onTermWritten(written.assume_value(), clock_.now());
         co_return;
     }
-    BOOST_LOG_TRIVIAL(info) << "coordinator: lost term " << term.value();
+    logEvent(LogEvent::TermLost, {{"term", term.value()}, {"cell", cell_}});
     coordinator_.reset();
     co_await readTerm();
 }
@@ -193,7 +193,7 @@
         coordinator_->onAssignmentWritten(written.assume_value(), clock_.now());
         co_return;
     }
-    BOOST_LOG_TRIVIAL(info) << "coordinator: lost term " << term.value();
+    logEvent(LogEvent::TermLost, {{"term", term.value()}, {"cell", cell_}});
     coordinator_.reset();
     co_await readTerm();
 }
@@ -273,7 +273,8 @@
     self.grantMode = backend.grantMode;
     self.draining = backend.draining;
     member_.updateSelf(self);
-    BOOST_LOG_TRIVIAL(info) << "backend server announced itself for " << backend.service;
+    logEvent(LogEvent::BackendAnnounced,
+             {{"service", backend.service}, {"draining", backend.draining}});
 }
 
 asio::awaitable<AdminReply> ControlDuty::onAdmin(AdminCall call)
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -2,8 +2,9 @@
 
 #include "program/node_program.h"
 
+#include "adapter/log/event_log.h"
+
 #include <boost/asio/signal_set.hpp>
-#include <boost/log/trivial.hpp>
 #include <iostream>
 
 namespace wisteriahoist {
@@ -92,6 +93,7 @@
         }
         return 2;
     }
+    const LogOutput log(std::cerr, LogSeverity::Info);
     try {
         NodeProgram node(settings);
         asio::io_context signals;
@@ -101,8 +103,12 @@
         std::cout << "node " << settings.id.value() << " caller_port=" << node.address().callerPort
                   << " peer_port=" << node.address().peerPort
                   << " admin_port=" << node.address().adminPort << std::endl;
+        logEvent(LogEvent::NodeStarted,
+                 {{"node", settings.id.value()}, {"build", WISTERIAHOIST_VERSION}});
         signals.run();
+        logEvent(LogEvent::NodeStopping);
         node.stop();
+        logEvent(LogEvent::NodeStopped);
     } catch (const boost::system::system_error &error) {
         std::cerr << "cannot start: " << error.what() << '\n';
         return 1;
