Add: [Signals] Metrics, health and readiness on the admin address

Cause: a node told nothing of what it does. Counters and gauges are relaxed atomics, distributions run Boost.Accumulators (P-square) on the observing duty and publish atomics for each window. Ruled out: a ring of samples drained at a scrape; it fills between scrapes and loses the tail. Conclusion: no lock on the request's way; /metrics, /healthz and /readyz are read by the admin duty. Not run yet: unit tests for this part.

--- a/src/adapter/http2/http2_session.cpp
+++ b/src/adapter/http2/http2_session.cpp
@@ -2,6 +2,8 @@
 
 #include "adapter/http2/http2_session.h"
 
+#include "adapter/http2/transport_bytes.h"
+
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -271,6 +273,7 @@
     while (open_ && !outgoing_.empty()) {
         const std::string chunk = std::move(outgoing_);
         outgoing_.clear();
+        peerBytesSent().fetch_add(chunk.size(), std::memory_order_relaxed);
         beast::error_code error;
         co_await asio::async_write(socket_, asio::buffer(chunk),
                                    asio::redirect_error(asio::use_awaitable, error));
@@ -292,6 +295,7 @@
         if (error) {
             break;
         }
+        peerBytesReceived().fetch_add(count, std::memory_order_relaxed);
         if (nghttp2_session_mem_recv(session_, chunk.data(), count) < 0) {
             break;
         }
--- /dev/null
+++ b/src/adapter/metrics/metric_registry.cpp
@@ -0,0 +1,184 @@
+/** @file metric_registry.cpp Metrics by name, in the Prometheus text format. */
+
+#include "adapter/metrics/metric_registry.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace wisteriahoist {
+
+namespace {
+
+std::string_view kindName(MetricKind kind)
+{
+    switch (kind) {
+    case MetricKind::Counter:
+        return "counter";
+    case MetricKind::Gauge:
+        return "gauge";
+    case MetricKind::Summary:
+        return "summary";
+    }
+    return "untyped";
+}
+
+std::string formatValue(double value)
+{
+    if (std::isnan(value)) {
+        return "NaN";
+    }
+    if (std::isinf(value)) {
+        return value > 0 ? "+Inf" : "-Inf";
+    }
+    std::array<char, 32> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value);
+    return {digits.data(), end.ptr};
+}
+
+std::string escape(const std::string &text, bool quotes)
+{
+    std::string escaped;
+    escaped.reserve(text.size());
+    for (const char character : text) {
+        if (character == '\n') {
+            escaped += "\\n";
+        } else if (character == '\\' || (quotes && character == '"')) {
+            escaped += '\\';
+            escaped += character;
+        } else {
+            escaped += character;
+        }
+    }
+    return escaped;
+}
+
+} // namespace
+
+std::string escapeHelp(const std::string &text)
+{
+    return escape(text, false);
+}
+
+std::string escapeLabel(const std::string &text)
+{
+    return escape(text, true);
+}
+
+void MetricRegistry::add(MetricHead head, Reader reader)
+{
+    const auto found
+            = std::find_if(families_.begin(), families_.end(),
+                           [&head](const Family &family) { return family.head.name == head.name; });
+    Family &family = found != families_.end() ? *found : families_.emplace_back();
+    family.head = std::move(head);
+    family.readers.push_back(std::move(reader));
+}
+
+Counter &MetricRegistry::addCounter(const std::string &name, const std::string &help,
+                                    MetricLabels labels)
+{
+    Counter &counter = counters_.emplace_back();
+    add({name, help, MetricKind::Counter},
+        [&counter, labels = std::move(labels)](TimePoint, std::vector<Sample> &samples) {
+            samples.push_back({"", labels, static_cast<double>(counter.value())});
+        });
+    return counter;
+}
+
+Gauge &MetricRegistry::addGauge(const std::string &name, const std::string &help,
+                                MetricLabels labels)
+{
+    Gauge &gauge = gauges_.emplace_back();
+    add({name, help, MetricKind::Gauge},
+        [&gauge, labels = std::move(labels)](TimePoint, std::vector<Sample> &samples) {
+            samples.push_back({"", labels, gauge.value()});
+        });
+    return gauge;
+}
+
+LabelledCounter &MetricRegistry::addLabelled(const std::string &name, const std::string &help,
+                                             const std::string &label)
+{
+    LabelledCounter &counter = labelled_.emplace_back();
+    add({name, help, MetricKind::Counter},
+        [&counter, label](TimePoint, std::vector<Sample> &samples) {
+            counter.forEach([&](const std::string &value, uint64_t count) {
+                samples.push_back({"", {{label, value}}, static_cast<double>(count)});
+            });
+        });
+    return counter;
+}
+
+Distribution &MetricRegistry::addDistribution(const std::string &name, const std::string &help)
+{
+    Distribution &distribution = distributions_.emplace_back();
+    add({name, help, MetricKind::Summary}, [&distribution](TimePoint now,
+                                                           std::vector<Sample> &samples) {
+        const DistributionReading reading = distribution.read(now);
+        for (size_t index = 0; index < reading.quantiles.size(); ++index) {
+            samples.push_back({"",
+                               {{"quantile", formatValue(DistributionReading::Quantiles[index])}},
+                               reading.recent ? reading.quantiles[index] : std::nan("")});
+        }
+        samples.push_back({"_sum", {}, reading.sum});
+        samples.push_back({"_count", {}, static_cast<double>(reading.count)});
+    });
+    add({name + "_max", help + " Maximum of the latest window.", MetricKind::Gauge},
+        [&distribution](TimePoint now, std::vector<Sample> &samples) {
+            const DistributionReading reading = distribution.read(now);
+            samples.push_back({"", {}, reading.recent ? reading.max : std::nan("")});
+        });
+    add({name + "_per_second", help + " Values per second in the latest window.",
+         MetricKind::Gauge},
+        [&distribution](TimePoint now, std::vector<Sample> &samples) {
+            samples.push_back({"", {}, distribution.read(now).perSecond});
+        });
+    return distribution;
+}
+
+void MetricRegistry::addComputed(MetricHead head, MetricLabels labels,
+                                 std::function<double(TimePoint)> read)
+{
+    add(std::move(head), [read = std::move(read),
+                          labels = std::move(labels)](TimePoint now, std::vector<Sample> &samples) {
+        samples.push_back({"", labels, read(now)});
+    });
+}
+
+std::string MetricRegistry::formatSample(const std::string &name, const Sample &sample)
+{
+    std::string line = name + sample.suffix;
+    char separator = '{';
+    for (const MetricLabel &label : sample.labels) {
+        line += separator;
+        line += label.name + "=\"" + escapeLabel(label.value) + "\"";
+        separator = ',';
+    }
+    if (separator == ',') {
+        line += '}';
+    }
+    return line + " " + formatValue(sample.value) + "\n";
+}
+
+std::string MetricRegistry::render(TimePoint now) const
+{
+    std::string page;
+    std::vector<Sample> samples;
+    for (const Family &family : families_) {
+        samples.clear();
+        for (const Reader &reader : family.readers) {
+            reader(now, samples);
+        }
+        page += "# HELP " + family.head.name + " " + escapeHelp(family.head.help) + "\n";
+        page += "# TYPE " + family.head.name + " ";
+        page += kindName(family.head.kind);
+        page += '\n';
+        for (const Sample &sample : samples) {
+            page += formatSample(family.head.name, sample);
+        }
+    }
+    return page;
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/adapter/metrics/metric_type.cpp
@@ -0,0 +1,96 @@
+/** @file metric_type.cpp Counters and distributions. */
+
+#include "adapter/metrics/metric_type.h"
+
+namespace wisteriahoist {
+
+namespace {
+
+/** Below as many values the P-square markers are not set up yet: two per quantile and three. */
+constexpr size_t MinimumForQuantiles = 2 * DistributionReading::Quantiles.size() + 3;
+
+} // namespace
+
+void LabelledCounter::add(std::string_view value)
+{
+    const size_t used = used_.load(std::memory_order_relaxed);
+    for (size_t index = 0; index < used; ++index) {
+        if (slots_[index].label == value) {
+            slots_[index].count.add();
+            return;
+        }
+    }
+    if (used == MaxValues) {
+        other_.add();
+        return;
+    }
+    slots_[used].label = value;
+    slots_[used].count.add();
+    used_.store(used + 1, std::memory_order_release);
+}
+
+Distribution::Distribution(Duration window)
+    : window_(window), accumulator_(makeAccumulator()),
+      publishedAt_(NeverTime.time_since_epoch().count())
+{ }
+
+Distribution::Accumulator Distribution::makeAccumulator()
+{
+    namespace tag = boost::accumulators::tag;
+    return Accumulator(tag::extended_p_square::probabilities = DistributionReading::Quantiles);
+}
+
+void Distribution::observe(double value, TimePoint now)
+{
+    if (windowStart_ == NeverTime) {
+        windowStart_ = now;
+    }
+    if (now - windowStart_ >= window_) {
+        publish(now);
+        accumulator_ = makeAccumulator();
+        windowStart_ = now;
+    }
+    accumulator_(value);
+    count_.add();
+    sum_.add(value);
+}
+
+void Distribution::publish(TimePoint windowEnd)
+{
+    namespace accumulators = boost::accumulators;
+    const size_t count = accumulators::count(accumulator_);
+    if (count == 0) {
+        return;
+    }
+    const double max = accumulators::max(accumulator_);
+    const auto markers = accumulators::extended_p_square(accumulator_);
+    for (size_t index = 0; index < quantiles_.size(); ++index) {
+        // With few values the maximum stands in: an upper bound is honest, a half-built marker not.
+        quantiles_[index].set(
+                count < MinimumForQuantiles ? max : markers[static_cast<std::ptrdiff_t>(index)]);
+    }
+    max_.set(max);
+    const std::chrono::duration<double> length = windowEnd - windowStart_;
+    perSecond_.set(static_cast<double>(count) / length.count());
+    publishedAt_.store(windowEnd.time_since_epoch().count(), std::memory_order_release);
+}
+
+DistributionReading Distribution::read(TimePoint now) const
+{
+    DistributionReading reading;
+    const TimePoint published(Duration(publishedAt_.load(std::memory_order_acquire)));
+    reading.count = count_.value();
+    reading.sum = sum_.value();
+    reading.recent = published != NeverTime && now - published <= 2 * window_;
+    if (!reading.recent) {
+        return reading;
+    }
+    for (size_t index = 0; index < quantiles_.size(); ++index) {
+        reading.quantiles[index] = quantiles_[index].value();
+    }
+    reading.max = max_.value();
+    reading.perSecond = perSecond_.value();
+    return reading;
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/adapter/metrics/platform_meter.cpp
@@ -0,0 +1,112 @@
+/** @file platform_meter.cpp Counts the calls to the platform. */
+
+#include "adapter/metrics/platform_meter.h"
+
+#include "adapter/log/event_log.h"
+
+namespace wisteriahoist {
+
+namespace {
+
+/** @return Whether @p code is an answer of the platform rather than the lack of one. */
+bool isAnswer(FailureCode code)
+{
+    return code == FailureCode::VersionConflict || code == FailureCode::NotFound
+           || code == FailureCode::TooLarge || code == FailureCode::BadArgument;
+}
+
+} // namespace
+
+PlatformMetrics::PlatformMetrics(MetricRegistry &registry)
+    : calls(registry.addLabelled("wisteriahoist_platform_calls_total",
+                                 "Calls to the platform's object API.", "call")),
+      failures(registry.addLabelled("wisteriahoist_platform_failures_total",
+                                    "Calls to the platform that failed, by type.", "type")),
+      bytesWritten(registry.addCounter("wisteriahoist_platform_written_bytes_total",
+                                       "Contents of the objects written to the platform.")),
+      bytesRead(registry.addCounter("wisteriahoist_platform_read_bytes_total",
+                                    "Contents of the objects read from the platform.")),
+      available(registry.addGauge("wisteriahoist_platform_available",
+                                  "1 if the latest call to the platform was answered."))
+{
+    available.set(1);
+}
+
+PlatformMeter::PlatformMeter(PlatformStore &inner, PlatformMetrics &metrics)
+    : inner_(inner), metrics_(metrics)
+{ }
+
+template <typename T>
+void PlatformMeter::account(const Result<T> &result)
+{
+    if (!result) {
+        metrics_.failures.add(failureName(result.assume_error().code));
+    }
+    const bool answered = result || isAnswer(result.assume_error().code);
+    if (answered == available_) {
+        return;
+    }
+    available_ = answered;
+    metrics_.available.set(answered ? 1 : 0);
+    if (answered) {
+        logEvent(LogEvent::PlatformBack);
+    } else {
+        logEvent(LogEvent::PlatformUnavailable,
+                 {{"failure", failureName(result.assume_error().code)}});
+    }
+}
+
+void PlatformMeter::accountObject(const Result<VersionedObject> &result)
+{
+    account(result);
+    if (result) {
+        metrics_.bytesRead.add(result.assume_value().content.size());
+    }
+}
+
+PlatformStore::Pending<VersionedObject> PlatformMeter::read(std::string name)
+{
+    metrics_.calls.add("read");
+    Result<VersionedObject> result = co_await inner_.read(std::move(name));
+    accountObject(result);
+    co_return result;
+}
+
+PlatformStore::Pending<ObjectVersion> PlatformMeter::write(std::string name, ObjectVersion expected,
+                                                           std::string content)
+{
+    metrics_.calls.add("write");
+    metrics_.bytesWritten.add(content.size());
+    Result<ObjectVersion> result
+            = co_await inner_.write(std::move(name), expected, std::move(content));
+    account(result);
+    co_return result;
+}
+
+PlatformStore::Pending<ObjectVersion> PlatformMeter::remove(std::string name,
+                                                            ObjectVersion expected)
+{
+    metrics_.calls.add("remove");
+    Result<ObjectVersion> result = co_await inner_.remove(std::move(name), expected);
+    account(result);
+    co_return result;
+}
+
+PlatformStore::Pending<std::vector<std::string>> PlatformMeter::list(std::string prefix)
+{
+    metrics_.calls.add("list");
+    Result<std::vector<std::string>> result = co_await inner_.list(std::move(prefix));
+    account(result);
+    co_return result;
+}
+
+PlatformStore::Pending<VersionedObject> PlatformMeter::watch(std::string name, ObjectVersion known,
+                                                             milliseconds wait)
+{
+    metrics_.calls.add("watch");
+    Result<VersionedObject> result = co_await inner_.watch(std::move(name), known, wait);
+    accountObject(result);
+    co_return result;
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/decision/health/health_decision.cpp
@@ -0,0 +1,51 @@
+/** @file health_decision.cpp Whether a node is alive and whether it can serve. */
+
+#include "decision/health/health_decision.h"
+
+namespace wisteriahoist {
+
+std::vector<std::string_view> findStuckDuties(const std::vector<LoopTurn> &turns, TimePoint now)
+{
+    std::vector<std::string_view> stuck;
+    for (const LoopTurn &turn : turns) {
+        if (now - turn.at > LoopTurnBound) {
+            stuck.push_back(turn.duty);
+        }
+    }
+    return stuck;
+}
+
+std::string_view notReadyReasonName(NotReadyReason reason)
+{
+    switch (reason) {
+    case NotReadyReason::NoLease:
+        return "no-lease";
+    case NotReadyReason::NoRouting:
+        return "no-routing";
+    case NotReadyReason::NoBackend:
+        return "no-backend";
+    case NotReadyReason::Draining:
+        return "draining";
+    }
+    return "unknown";
+}
+
+std::vector<NotReadyReason> findNotReadyReasons(const ReadinessInput &input, TimePoint now)
+{
+    std::vector<NotReadyReason> reasons;
+    if (now >= input.leaseUntil) {
+        reasons.push_back(NotReadyReason::NoLease);
+    }
+    if (!input.routingPresent) {
+        reasons.push_back(NotReadyReason::NoRouting);
+    }
+    if (!input.backendAnnounced) {
+        reasons.push_back(NotReadyReason::NoBackend);
+    }
+    if (input.draining) {
+        reasons.push_back(NotReadyReason::Draining);
+    }
+    return reasons;
+}
+
+} // namespace wisteriahoist
--- a/src/duty/admin_duty.cpp
+++ b/src/duty/admin_duty.cpp
@@ -44,11 +44,11 @@
 } // namespace
 
 AdminDuty::AdminDuty(asio::io_context &context, const std::string &ip, uint16_t port,
-                     AdminLink &control)
-    : control_(control), server_(std::make_shared<HttpServer>(
-                                 context, ip, port, HttpLimits{}, [this](HttpRequest request) {
-                                     return onRequest(std::move(request));
-                                 }))
+                     AdminLink &control, const NodeSignals &signals)
+    : control_(control), signals_(signals),
+      server_(std::make_shared<HttpServer>(
+              context, ip, port, HttpLimits{},
+              [this](HttpRequest request) { return onRequest(std::move(request)); }))
 { }
 
 void AdminDuty::start()
@@ -89,9 +89,26 @@
     co_return co_await passOn(std::move(call));
 }
 
+HttpResponse AdminDuty::onGet(const std::string &target) const
+{
+    if (target == "/metrics") {
+        return signals_.metricsPage();
+    }
+    if (target == "/healthz") {
+        return signals_.healthPage();
+    }
+    if (target == "/readyz") {
+        return signals_.readyPage();
+    }
+    return makeProblemResponse({http::status::not_found, "not-found", target});
+}
+
 asio::awaitable<HttpResponse> AdminDuty::onRequest(HttpRequest request)
 {
     const std::string target(request.target());
+    if (request.method() == http::verb::get) {
+        co_return onGet(target);
+    }
     if (request.method() != http::verb::post) {
         co_return makeProblemResponse({http::status::not_found, "not-found", target});
     }
--- a/src/duty/admin_duty.h
+++ b/src/duty/admin_duty.h
@@ -4,6 +4,7 @@
 
 #include "adapter/http/http_server.h"
 #include "duty/duty_message.h"
+#include "duty/node_signals.h"
 
 namespace wisteriahoist {
 
@@ -11,7 +12,8 @@
 class AdminDuty
 {
 public:
-    AdminDuty(asio::io_context &context, const std::string &ip, uint16_t port, AdminLink &control);
+    AdminDuty(asio::io_context &context, const std::string &ip, uint16_t port, AdminLink &control,
+              const NodeSignals &signals);
 
     void start();
     void stop();
@@ -20,9 +22,11 @@
 private:
     asio::awaitable<HttpResponse> onRequest(HttpRequest request);
     asio::awaitable<HttpResponse> onAnnounce(const HttpRequest &request);
+    HttpResponse onGet(const std::string &target) const;
     asio::awaitable<HttpResponse> passOn(AdminCall call);
 
     AdminLink &control_;
+    const NodeSignals &signals_;
     std::shared_ptr<HttpServer> server_;
 };
 
--- a/src/duty/duty_link.h
+++ b/src/duty/duty_link.h
@@ -59,6 +59,7 @@
                                 caller_, std::chrono::steady_clock::time_point::max()),
                         std::make_shared<std::optional<Reply>>()};
         waiting_.emplace(id, waiting);
+        depth_.store(waiting_.size(), std::memory_order_relaxed);
         requests_.push(Envelope<Request>{id, std::make_shared<Request>(std::move(request))});
         boost::asio::post(server_, [this]() { drainRequests(); });
         boost::system::error_code ignored;
@@ -70,6 +71,9 @@
         co_return std::move(waiting.reply->value());
     }
 
+    /** @return Calls without an answer yet; may be read by any thread. */
+    size_t depth() const { return depth_.load(std::memory_order_relaxed); }
+
     uint64_t refusedCount() const { return refused_.load(std::memory_order_relaxed); }
     size_t outstanding() const { return waiting_.size(); }
 
@@ -107,6 +111,7 @@
             found->second.reply->emplace(std::move(*envelope.content));
             found->second.timer->cancel();
             waiting_.erase(found);
+            depth_.store(waiting_.size(), std::memory_order_relaxed);
         }
     }
 
@@ -119,6 +124,7 @@
     std::unordered_map<uint64_t, Waiting> waiting_; ///< Caller's thread only; at most capacity_.
     uint64_t lastId_ = 0;
     std::atomic<uint64_t> refused_{0};
+    std::atomic<size_t> depth_{0}; ///< Size of waiting_, for readers on other threads.
 };
 
 } // namespace wisteriahoist
--- /dev/null
+++ b/src/duty/node_signals.cpp
@@ -0,0 +1,293 @@
+/** @file node_signals.cpp The metrics and the health of one node. */
+
+#include "duty/node_signals.h"
+
+#include "adapter/http2/transport_bytes.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+namespace wisteriahoist {
+
+namespace {
+
+constexpr milliseconds LoopTurnInterval{1000}; ///< A third of LoopTurnBound.
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+std::string_view outcomeName(v1::HopOutcome outcome)
+{
+    switch (outcome) {
+    case v1::HOP_OUTCOME_DONE:
+        return "done";
+    case v1::HOP_OUTCOME_NOT_RUN:
+        return "not-run";
+    default:
+        return "unknown";
+    }
+}
+
+HttpResponse makeStatePage(const char *yes, const char *no, const boost::json::array &reasons)
+{
+    const bool good = reasons.empty();
+    boost::json::object body;
+    body["status"] = good ? yes : no;
+    body["reasons"] = reasons;
+    body["build"] = WISTERIAHOIST_VERSION;
+    HttpResponse response(good ? http::status::ok : http::status::service_unavailable, 11);
+    response.set(http::field::content_type, "application/json");
+    response.set(http::field::cache_control, "no-store");
+    response.body() = boost::json::serialize(body);
+    return response;
+}
+
+/** @return How many ranges of @p after have another owner than the same points had before. */
+uint64_t countOwnerChanges(const SliceTable &before, const SliceTable &after)
+{
+    uint64_t changes = 0;
+    for (const Slice &slice : after.slices()) {
+        const Slice *old = before.find(slice.first);
+        if (old != nullptr && old->owner != InvalidNode && old->owner != slice.owner) {
+            ++changes;
+        }
+    }
+    return changes;
+}
+
+/** @return The largest number of ranges of one owner over the mean; 1 is even. */
+double findShareImbalance(const std::map<std::string, SliceTable> &tables)
+{
+    double worst = 1;
+    for (const auto &[service, table] : tables) {
+        std::map<NodeId, double> owned;
+        for (const Slice &slice : table.slices()) {
+            ++owned[slice.owner];
+        }
+        double most = 0;
+        for (const auto &[owner, count] : owned) {
+            most = std::max(most, count);
+        }
+        const auto total = static_cast<double>(table.slices().size());
+        if (total > 0) {
+            worst = std::max(worst, most * static_cast<double>(owned.size()) / total);
+        }
+    }
+    return worst;
+}
+
+} // namespace
+
+IngressMetrics::IngressMetrics(MetricRegistry &registry)
+    : requests(registry.addLabelled("wisteriahoist_requests_total",
+                                    "Callers' requests answered by this node, by outcome.",
+                                    "outcome")),
+      notRun(registry.addLabelled("wisteriahoist_requests_not_run_total",
+                                  "Callers' requests that were not run, by reason.", "reason")),
+      duration(registry.addDistribution("wisteriahoist_request_duration_seconds",
+                                        "Time from a caller's whole request to its answer.")),
+      forwarded(registry.addCounter("wisteriahoist_requests_forwarded_total",
+                                    "Requests sent on to another node.")),
+      retries(registry.addCounter("wisteriahoist_retries_total",
+                                  "Requests sent a second time, within the retry budget.")),
+      connections(registry.addGauge("wisteriahoist_caller_connections",
+                                    "Open connections from callers."))
+{ }
+
+GateMetrics::GateMetrics(MetricRegistry &registry)
+    : requests(registry.addLabelled("wisteriahoist_gate_requests_total",
+                                    "Requests that the owner gate ended, by outcome.", "outcome")),
+      hops(registry.addCounter("wisteriahoist_gate_hops_total",
+                               "Requests that reached the gate from other nodes.")),
+      duration(registry.addDistribution(
+              "wisteriahoist_gate_duration_seconds",
+              "Time in the gate, with the wait for a slot and the backend server.")),
+      replays(registry.addCounter("wisteriahoist_deduplication_hits_total",
+                                  "Requests answered from the stored answer of their key.")),
+      running(registry.addGauge("wisteriahoist_gate_running",
+                                "Requests now at the backend server.")),
+      queued(registry.addGauge("wisteriahoist_gate_queue_depth",
+                               "Requests now waiting for a slot."))
+{ }
+
+OwnershipMetrics::OwnershipMetrics(MetricRegistry &registry)
+    : term(registry.addGauge("wisteriahoist_term", "Term of the latest assignment known.")),
+      coordinating(registry.addGauge("wisteriahoist_coordinating",
+                                     "1 if this node coordinates its cell.")),
+      assignmentVersion(registry.addGauge("wisteriahoist_assignment_version",
+                                          "Version of the assignment in force here.")),
+      configVersion(registry.addGauge("wisteriahoist_config_version",
+                                      "Version of the declarations in force here.")),
+      ownedRanges(registry.addGauge("wisteriahoist_owned_ranges", "Ranges assigned to this node.")),
+      members(registry.addGauge("wisteriahoist_members", "Members of the cell's roster.")),
+      shareImbalance(
+              registry.addGauge("wisteriahoist_share_imbalance",
+                                "Largest over mean number of ranges of one owner; 1 is even.")),
+      loadImbalance(registry.addGauge(
+              "wisteriahoist_load_imbalance",
+              "Largest over mean load of one owner, on the coordinator; 0 elsewhere.")),
+      ownerChanges(registry.addCounter("wisteriahoist_owner_changes_total",
+                                       "Churn: ranges whose owner changed, as seen here.")),
+      unavailableSeconds(
+              registry.addGauge("wisteriahoist_unavailable_seconds",
+                                "Time in which this node was assigned ranges but held no lease."))
+{ }
+
+NodeSignals::NodeSignals(const Clock &clock, NodeId self)
+    : clock_(clock), self_(self), ingress_(registry_), gate_(registry_), ownership_(registry_),
+      platform_(registry_), leaseUntil_(NeverTime.time_since_epoch().count())
+{
+    registry_.addComputed({"wisteriahoist_lease_left_seconds",
+                           "Time for which this node may still admit requests; 0 without a lease.",
+                           MetricKind::Gauge},
+                          {}, [this](TimePoint now) {
+                              const TimePoint until(Duration(leaseUntil_.load()));
+                              return until > now ? toSeconds(until - now) : 0.0;
+                          });
+    registry_.addComputed({"wisteriahoist_peer_bytes_total", "Bytes on connections between nodes.",
+                           MetricKind::Counter},
+                          {{"direction", "sent"}},
+                          [](TimePoint) { return static_cast<double>(peerBytesSent().load()); });
+    registry_.addComputed({"wisteriahoist_peer_bytes_total", "Bytes on connections between nodes.",
+                           MetricKind::Counter},
+                          {{"direction", "received"}}, [](TimePoint) {
+                              return static_cast<double>(peerBytesReceived().load());
+                          });
+    registry_
+            .addGauge("wisteriahoist_build_info", "Always 1; the build is in the label.",
+                      {{"version", WISTERIAHOIST_VERSION}, {"node", std::to_string(self.value())}})
+            .set(1);
+}
+
+void NodeSignals::watchLoop(std::string_view duty, boost::asio::io_context &context)
+{
+    WatchedLoop &loop = loops_.emplace_back();
+    loop.duty = duty;
+    loop.turnedAt = clock_.now().time_since_epoch().count();
+    boost::asio::co_spawn(context, turnLoop(context, loop), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> NodeSignals::turnLoop(boost::asio::io_context &context,
+                                                   WatchedLoop &loop)
+{
+    boost::asio::steady_timer timer(context);
+    boost::system::error_code ignored;
+    for (;;) {
+        loop.turnedAt.store(clock_.now().time_since_epoch().count(), std::memory_order_relaxed);
+        timer.expires_after(LoopTurnInterval);
+        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+}
+
+void NodeSignals::addRing(const std::string &ring, std::function<double()> depth,
+                          std::function<double()> refused)
+{
+    registry_.addComputed(
+            {"wisteriahoist_ring_depth", "Calls under way between two duties.", MetricKind::Gauge},
+            {{"ring", ring}}, [depth = std::move(depth)](TimePoint) { return depth(); });
+    registry_.addComputed({"wisteriahoist_ring_refused_total",
+                           "Calls refused because the ring was full.", MetricKind::Counter},
+                          {{"ring", ring}},
+                          [refused = std::move(refused)](TimePoint) { return refused(); });
+}
+
+void NodeSignals::onGrant(const GateGrant &grant)
+{
+    const TimePoint now = clock_.now();
+    // The lease lapsed between two grants if the older one ended before this one came.
+    if (ownedRanges_ && grantedAt_ != NeverTime && previousLease_ < now) {
+        ownership_.unavailableSeconds.add(toSeconds(now - std::max(previousLease_, grantedAt_)));
+    }
+    grantedAt_ = now;
+    previousLease_ = grant.leaseUntil;
+    leaseUntil_.store(grant.leaseUntil.time_since_epoch().count(), std::memory_order_relaxed);
+    routingPresent_ = grant.routing && !grant.routing->tables.empty();
+    backendAnnounced_ = grant.backend.port != 0;
+    draining_ = grant.backend.draining;
+    ownedRanges_ = ownership_.ownedRanges.value() > 0;
+}
+
+void NodeSignals::onRouting(const RoutingSnapshot &routing)
+{
+    ownership_.configVersion.set(static_cast<double>(routing.declarations.version));
+    ownership_.members.set(static_cast<double>(routing.members.size()));
+    if (routing.assignmentVersion == previousAssignment_) {
+        return;
+    }
+    uint64_t owned = 0;
+    for (const auto &[service, table] : routing.tables) {
+        for (const Slice &slice : table.slices()) {
+            owned += slice.owner == self_ ? 1 : 0;
+        }
+        ownership_.ownerChanges.add(countOwnerChanges(previousTables_[service], table));
+    }
+    ownership_.ownedRanges.set(static_cast<double>(owned));
+    ownership_.shareImbalance.set(findShareImbalance(routing.tables));
+    ownership_.assignmentVersion.set(static_cast<double>(routing.assignmentVersion.value()));
+    previousTables_ = routing.tables;
+    previousAssignment_ = routing.assignmentVersion;
+}
+
+void NodeSignals::onAnswer(const HttpResponse &response, TimePoint startedAt)
+{
+    const TimePoint now = clock_.now();
+    ingress_.duration.observe(toSeconds(now - startedAt), now);
+    const auto outcome = response["Wisteriahoist-Outcome"];
+    ingress_.requests.add(outcome.empty() ? std::string_view("refused")
+                                          : std::string_view(outcome.data(), outcome.size()));
+}
+
+void NodeSignals::onGateReply(const v1::HopReply &reply, TimePoint startedAt)
+{
+    const TimePoint now = clock_.now();
+    gate_.duration.observe(toSeconds(now - startedAt), now);
+    gate_.requests.add(outcomeName(reply.outcome()));
+}
+
+HttpResponse NodeSignals::metricsPage() const
+{
+    HttpResponse response(http::status::ok, 11);
+    response.set(http::field::content_type, "text/plain; version=0.0.4; charset=utf-8");
+    response.body() = registry_.render(clock_.now());
+    return response;
+}
+
+HttpResponse NodeSignals::healthPage() const
+{
+    std::vector<LoopTurn> turns;
+    for (const WatchedLoop &loop : loops_) {
+        turns.push_back({loop.duty, TimePoint(Duration(loop.turnedAt.load()))});
+    }
+    boost::json::array stuck;
+    for (const std::string_view duty : findStuckDuties(turns, clock_.now())) {
+        stuck.emplace_back(duty);
+    }
+    return makeStatePage("alive", "stuck", stuck);
+}
+
+ReadinessInput NodeSignals::readiness() const
+{
+    ReadinessInput input;
+    input.leaseUntil = TimePoint(Duration(leaseUntil_.load(std::memory_order_relaxed)));
+    input.routingPresent = routingPresent_;
+    input.backendAnnounced = backendAnnounced_;
+    input.draining = draining_;
+    return input;
+}
+
+HttpResponse NodeSignals::readyPage() const
+{
+    boost::json::array reasons;
+    for (const NotReadyReason reason : findNotReadyReasons(readiness(), clock_.now())) {
+        reasons.emplace_back(notReadyReasonName(reason));
+    }
+    return makeStatePage("ready", "not-ready", reasons);
+}
+
+} // namespace wisteriahoist
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -30,7 +30,8 @@
 } // namespace
 
 NodeProgram::NodeProgram(const NodeSettings &settings)
-    : ingressToGate_(ingressThread_.context(), gateThread_.context(), RequestRing),
+    : signals_(clock_, settings.id),
+      ingressToGate_(ingressThread_.context(), gateThread_.context(), RequestRing),
       peerToGate_(peerThread_.context(), gateThread_.context(), RequestRing),
       peerToControl_(peerThread_.context(), controlThread_.context(), ControlRing),
       adminToControl_(adminThread_.context(), controlThread_.context(), ControlRing),
@@ -38,27 +39,58 @@
       controlToGate_(controlThread_.context(), gateThread_.context(), ControlRing),
       platform_(controlThread_.context().get_executor(), settings.platformIp, settings.platformPort,
                 settings.platformTimeout),
+      meteredPlatform_(platform_, signals_.platform()),
       gate_(gateThread_.context(), clock_, settings.id),
       ingress_(ingressThread_.context(), settings.id, settings.address.ip,
                settings.address.callerPort, ingressToGate_),
       peer_(peerThread_.context(), settings.address.ip, settings.address.peerPort, peerToGate_,
             peerToControl_),
       admin_(adminThread_.context(), settings.address.ip, settings.address.adminPort,
-             adminToControl_),
+             adminToControl_, signals_),
       address_{settings.address.ip, ingress_.port(), peer_.port(), admin_.port()}
 {
-    control_ = std::make_unique<ControlDuty>(controlThread_.context(), clock_, platform_,
+    control_ = std::make_unique<ControlDuty>(controlThread_.context(), clock_, meteredPlatform_,
                                              settings.times, makeSelf(settings, address_),
                                              settings.cell, controlToIngress_, controlToGate_);
-    const auto toGate
-            = [this](v1::HopRequest request) { return gate_.onRequest(std::move(request)); };
-    ingressToGate_.serve(toGate);
-    peerToGate_.serve(toGate);
+    ingressToGate_.serve([this](v1::HopRequest request) { return passGate(std::move(request)); });
+    peerToGate_.serve([this](v1::HopRequest request) {
+        signals_.gate().hops.add();
+        return passGate(std::move(request));
+    });
     peerToControl_.serve([this](std::string body) { return control_->onRenew(std::move(body)); });
     adminToControl_.serve([this](AdminCall call) { return control_->onAdmin(std::move(call)); });
-    controlToIngress_.serve(
-            [this](RoutingSnapshotPtr routing) { return ingress_.onRouting(std::move(routing)); });
-    controlToGate_.serve([this](GateGrant grant) { return gate_.onGrant(std::move(grant)); });
+    controlToIngress_.serve([this](RoutingSnapshotPtr routing) {
+        signals_.onRouting(*routing);
+        return ingress_.onRouting(std::move(routing));
+    });
+    controlToGate_.serve([this](GateGrant grant) {
+        signals_.onGrant(grant);
+        return gate_.onGrant(std::move(grant));
+    });
+    watchSignals();
+}
+
+asio::awaitable<v1::HopReply> NodeProgram::passGate(v1::HopRequest request)
+{
+    const TimePoint startedAt = clock_.now();
+    v1::HopReply reply = co_await gate_.onRequest(std::move(request));
+    signals_.onGateReply(reply, startedAt);
+    co_return reply;
+}
+
+void NodeProgram::watchSignals()
+{
+    signals_.watchLoop("ingress", ingressThread_.context());
+    signals_.watchLoop("peer", peerThread_.context());
+    signals_.watchLoop("gate", gateThread_.context());
+    signals_.watchLoop("control", controlThread_.context());
+    signals_.watchLoop("admin", adminThread_.context());
+    signals_.watchRing("ingress-gate", ingressToGate_);
+    signals_.watchRing("peer-gate", peerToGate_);
+    signals_.watchRing("peer-control", peerToControl_);
+    signals_.watchRing("admin-control", adminToControl_);
+    signals_.watchRing("control-ingress", controlToIngress_);
+    signals_.watchRing("control-gate", controlToGate_);
 }
 
 void NodeProgram::start()
--- a/src/program/node_program.h
+++ b/src/program/node_program.h
@@ -10,6 +10,7 @@
 #include "duty/duty_thread.h"
 #include "duty/gate_duty.h"
 #include "duty/ingress_duty.h"
+#include "duty/node_signals.h"
 #include "duty/peer_duty.h"
 
 #include <memory>
@@ -30,7 +31,11 @@
     const NodeAddress &address() const { return address_; }
 
 private:
+    void watchSignals();
+    asio::awaitable<v1::HopReply> passGate(v1::HopRequest request);
+
     BootClockAdapter clock_;
+    NodeSignals signals_; ///< Before the threads, so that it outlives them.
     DutyThread ingressThread_{"ingress"};
     DutyThread peerThread_{"peer"};
     DutyThread gateThread_{"gate"};
@@ -45,6 +50,7 @@
     GrantLink controlToGate_;
 
     PlatformHttpStore platform_;
+    PlatformMeter meteredPlatform_;
     GateDuty gate_;
     IngressDuty ingress_;
     PeerDuty peer_;
