--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,10 @@
 test: install
 	@scripts/test.sh
 
-fault-matrix measure bench:
+bench: release
+	@build/release/tool/bench/wisteriahoist-bench build/release/wisteriahoist build/release/wisteriahoist-standin build/bench
+
+fault-matrix measure:
 	@echo "$@: not there yet" >&2; exit 1
 
 lint: install
