--- /dev/null
+++ b/src/adapter/random/mt_random_source.h
@@ -0,0 +1,28 @@
+/** @file mt_random_source.h Random numbers from std::mt19937_64, seeded by the system. */
+
+#pragma once
+
+#include "port/random_source.h"
+
+#include <random>
+
+namespace wisteriahoist {
+
+/** For identifiers; not for secrets. */
+class MtRandomSource : public RandomSource
+{
+public:
+    MtRandomSource()
+    {
+        std::random_device device;
+        std::seed_seq seeds{device(), device(), device(), device()};
+        engine_.seed(seeds);
+    }
+
+    uint64_t next() override { return engine_(); }
+
+private:
+    std::mt19937_64 engine_;
+};
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/test/unit/signals/health_test.cpp
@@ -0,0 +1,49 @@
+/** @file health_test.cpp When a node says that it is alive and that it is ready. */
+
+#include "decision/health/health_decision.h"
+#include "support/story.h"
+
+#include <algorithm>
+
+using namespace wisteriahoist;
+
+namespace {
+
+TimePoint at(int64_t count)
+{
+    return fromMillisecondCount(count);
+}
+
+} // namespace
+
+Test(signals, readinessTruthTable)
+{
+    // Each of the four conditions alone takes the node out; all sixteen cases.
+    for (unsigned bits = 0; bits < 16; ++bits) {
+        ReadinessInput input;
+        input.leaseUntil = (bits & 1U) != 0 ? at(1001) : at(1000);
+        input.routingPresent = (bits & 2U) != 0;
+        input.backendAnnounced = (bits & 4U) != 0;
+        input.draining = (bits & 8U) == 0;
+        const auto reasons = findNotReadyReasons(input, at(1000));
+        const auto has = [&reasons](NotReadyReason reason) {
+            return std::find(reasons.begin(), reasons.end(), reason) != reasons.end();
+        };
+        cr_assert_eq(has(NotReadyReason::NoLease), (bits & 1U) == 0);
+        cr_assert_eq(has(NotReadyReason::NoRouting), (bits & 2U) == 0);
+        cr_assert_eq(has(NotReadyReason::NoBackend), (bits & 4U) == 0);
+        cr_assert_eq(has(NotReadyReason::Draining), (bits & 8U) == 0);
+        cr_assert_eq(reasons.empty(), bits == 15);
+    }
+}
+
+Test(signals, stuckLoopIsNamed)
+{
+    // What the operator sees: /healthz turns to 503 and names the duty. The duty's event loop
+    // hangs; its timer no longer records a turn; after the bound the process counts as stuck.
+    const std::vector<LoopTurn> turns{{"gate", at(0)}, {"control", at(500)}};
+    cr_assert(findStuckDuties(turns, at(0) + LoopTurnBound).empty());
+    const auto stuck = findStuckDuties(turns, at(1) + LoopTurnBound);
+    cr_assert_eq(stuck.size(), 1);
+    cr_assert(stuck.front() == "gate");
+}
