Add: [Signals] Settings, span of the gate, tests and pages; Fix: [Signals] tests compile

Cause: Criterion's macros break Boost.JSON's headers when they come first, so the two tests of JSON did not compile; test/support/json_text.h now stands before story.h. Not run yet: unit tests after this change; the sources pass the compiler.

--- a/src/adapter/settings/node_settings.cpp
+++ b/src/adapter/settings/node_settings.cpp
@@ -111,6 +111,11 @@
         readTimes(ownership, settings.times);
         ownership.reportUnknown();
     }
+    if (const toml::table *table = reader.table("signals", false)) {
+        TomlReader signals(*table, file, "signals", findings);
+        settings.signals = readSignals(signals);
+        signals.reportUnknown();
+    }
     reader.reportUnknown();
     return settings;
 }
--- a/src/adapter/settings/node_settings.h
+++ b/src/adapter/settings/node_settings.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "adapter/settings/signals_settings.h"
 #include "adapter/settings/toml_reader.h"
 #include "decision/ownership/ownership_type.h"
 
@@ -17,6 +18,7 @@
     uint16_t platformPort = 0;
     milliseconds platformTimeout{1000};
     OwnershipTimes times;
+    SignalsSettings signals;
 };
 
 /**
--- a/src/adapter/trace/span_sink.h
+++ b/src/adapter/trace/span_sink.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "adapter/http/http_client.h"
-#include "core/failure_type.h"
+#include "adapter/trace/trace_settings.h"
 
 #include <memory>
 #include <string>
@@ -20,16 +20,6 @@
     virtual asio::awaitable<bool> write(std::string batch) = 0;
 };
 
-/** Where to export to; both empty: spans are not recorded. */
-struct TraceSettings {
-    double sampleShare = 0; ///< Of the requests that come without a traceparent, from 0 to 1.
-    std::string otlpIp;     ///< Collector's IP number; empty: none.
-    uint16_t otlpPort = 0;
-    std::string file; ///< One batch a line; empty: none.
-
-    bool isEnabled() const { return !otlpIp.empty() || !file.empty(); }
-};
-
 /** @return The sink that @p settings name. @pre settings.isEnabled() */
 std::unique_ptr<SpanSink> makeSpanSink(const TraceSettings &settings,
                                        asio::any_io_executor executor);
--- a/src/duty/node_signals.cpp
+++ b/src/duty/node_signals.cpp
@@ -3,6 +3,7 @@
 #include "duty/node_signals.h"
 
 #include "adapter/http2/transport_bytes.h"
+#include "adapter/random/mt_random_source.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,18 +23,6 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-std::string_view outcomeName(v1::HopOutcome outcome)
-{
-    switch (outcome) {
-    case v1::HOP_OUTCOME_DONE:
-        return "done";
-    case v1::HOP_OUTCOME_NOT_RUN:
-        return "not-run";
-    default:
-        return "unknown";
-    }
-}
-
 HttpResponse makeStatePage(const char *yes, const char *no, const boost::json::array &reasons)
 {
     const bool good = reasons.empty();
@@ -84,6 +73,18 @@
 
 } // namespace
 
+std::string_view hopOutcomeName(v1::HopOutcome outcome)
+{
+    switch (outcome) {
+    case v1::HOP_OUTCOME_DONE:
+        return "done";
+    case v1::HOP_OUTCOME_NOT_RUN:
+        return "not-run";
+    default:
+        return "unknown";
+    }
+}
+
 IngressMetrics::IngressMetrics(MetricRegistry &registry)
     : requests(registry.addLabelled("wisteriahoist_requests_total",
                                     "Callers' requests answered by this node, by outcome.",
@@ -139,9 +140,12 @@
                                 "Time in which this node was assigned ranges but held no lease."))
 { }
 
-NodeSignals::NodeSignals(const Clock &clock, NodeId self)
+NodeSignals::NodeSignals(const Clock &clock, NodeId self, const TraceSettings &trace)
     : clock_(clock), self_(self), ingress_(registry_), gate_(registry_), ownership_(registry_),
-      platform_(registry_), leaseUntil_(NeverTime.time_since_epoch().count())
+      platform_(registry_), trace_(registry_),
+      ingressTracer_(clock, std::make_unique<MtRandomSource>(), trace, trace_.dropped),
+      gateTracer_(clock, std::make_unique<MtRandomSource>(), trace, trace_.dropped),
+      leaseUntil_(NeverTime.time_since_epoch().count())
 {
     registry_.addComputed({"wisteriahoist_lease_left_seconds",
                            "Time for which this node may still admit requests; 0 without a lease.",
@@ -247,7 +251,7 @@
 {
     const TimePoint now = clock_.now();
     gate_.duration.observe(toSeconds(now - startedAt), now);
-    gate_.requests.add(outcomeName(reply.outcome()));
+    gate_.requests.add(hopOutcomeName(reply.outcome()));
 }
 
 HttpResponse NodeSignals::metricsPage() const
--- a/src/duty/node_signals.h
+++ b/src/duty/node_signals.h
@@ -7,6 +7,7 @@
 #include "adapter/metrics/platform_meter.h"
 #include "decision/health/health_decision.h"
 #include "duty/duty_message.h"
+#include "duty/trace_duty.h"
 #include "port/clock.h"
 
 #include <boost/asio/io_context.hpp>
@@ -14,6 +15,9 @@
 
 namespace wisteriahoist {
 
+/** @return done, not-run or unknown. */
+std::string_view hopOutcomeName(v1::HopOutcome outcome);
+
 /** What the ingress duty counts. */
 struct IngressMetrics {
     explicit IngressMetrics(MetricRegistry &registry);
@@ -61,7 +65,8 @@
 class NodeSignals
 {
 public:
-    NodeSignals(const Clock &clock, NodeId self);
+    /** @param trace Share of the requests that are traced, and whether spans are kept at all. */
+    NodeSignals(const Clock &clock, NodeId self, const TraceSettings &trace);
 
     /** Watches the event loop of @p duty: a timer on it records each turn. */
     void watchLoop(std::string_view duty, boost::asio::io_context &context);
@@ -97,6 +102,9 @@
     GateMetrics &gate() { return gate_; }
     OwnershipMetrics &ownership() { return ownership_; }
     PlatformMetrics &platform() { return platform_; }
+    TraceMetrics &trace() { return trace_; }
+    DutyTracer &ingressTracer() { return ingressTracer_; } ///< Ingress duty's thread only.
+    DutyTracer &gateTracer() { return gateTracer_; }       ///< Gate duty's thread only.
 
 private:
     struct WatchedLoop {
@@ -116,6 +124,9 @@
     GateMetrics gate_;
     OwnershipMetrics ownership_;
     PlatformMetrics platform_;
+    TraceMetrics trace_;
+    DutyTracer ingressTracer_;
+    DutyTracer gateTracer_;
     std::deque<WatchedLoop> loops_; ///< A deque, since coroutines keep references.
     std::atomic<int64_t> leaseUntil_;
     std::atomic<bool> routingPresent_{false};
--- a/src/duty/trace_duty.cpp
+++ b/src/duty/trace_duty.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace wisteriahoist {
 
@@ -28,9 +29,10 @@
                                          "Batches of spans that were lost."))
 { }
 
-DutyTracer::DutyTracer(const Clock &clock, std::unique_ptr<RandomSource> random, double share,
-                       Counter &dropped)
-    : clock_(clock), random_(std::move(random)), sampler_(*random_, share), ring_(dropped)
+DutyTracer::DutyTracer(const Clock &clock, std::unique_ptr<RandomSource> random,
+                       const TraceSettings &settings, Counter &dropped)
+    : clock_(clock), recording_(settings.isEnabled()), random_(std::move(random)),
+      sampler_(*random_, recording_ ? settings.sampleShare : 0), ring_(dropped)
 { }
 
 Span DutyTracer::start(SpanStep step, const TraceContext &parent, const std::string &service)
@@ -47,9 +49,25 @@
     return span;
 }
 
+Span DutyTracer::startFromHop(SpanStep step, v1::HopRequest &request)
+{
+    for (v1::HeaderField &field : *request.mutable_headers()) {
+        if (boost::beast::iequals(field.name(), TraceparentHeader)) {
+            Span span = start(step, begin(field.value()), request.service());
+            field.set_value(formatTraceparent(span.context));
+            return span;
+        }
+    }
+    Span span = start(step, begin(""), request.service());
+    v1::HeaderField *field = request.add_headers();
+    field->set_name(std::string(TraceparentHeader));
+    field->set_value(formatTraceparent(span.context));
+    return span;
+}
+
 void DutyTracer::finish(Span span, std::string_view outcome, bool failed)
 {
-    if (!span.context.sampled) {
+    if (!span.context.sampled || !recording_) {
         return;
     }
     span.end = clock_.now();
--- a/src/duty/trace_duty.h
+++ b/src/duty/trace_duty.h
@@ -6,8 +6,10 @@
 #include "adapter/trace/otlp_encoder.h"
 #include "adapter/trace/span_sink.h"
 #include "port/clock.h"
+#include "wisteriahoist/v1/control.pb.h"
 
-#include <deque>
+#include <memory>
+#include <vector>
 
 namespace wisteriahoist {
 
@@ -24,8 +26,9 @@
 class DutyTracer
 {
 public:
-    DutyTracer(const Clock &clock, std::unique_ptr<RandomSource> random, double share,
-               Counter &dropped);
+    /** @param settings If they name no sink, contexts are made and passed on but no span kept. */
+    DutyTracer(const Clock &clock, std::unique_ptr<RandomSource> random,
+               const TraceSettings &settings, Counter &dropped);
 
     /** @return The context that a request came with, or a new one. */
     TraceContext begin(std::string_view traceparent) { return sampler_.begin(traceparent); }
@@ -33,6 +36,12 @@
     /** Starts a step of @p parent's trace; costs nothing worth naming if it is not sampled. */
     Span start(SpanStep step, const TraceContext &parent, const std::string &service);
 
+    /**
+     * Starts a step of a request on its way: the parent is read from its traceparent header field,
+     * which is then replaced, so that the next step becomes a child of this one.
+     */
+    Span startFromHop(SpanStep step, v1::HopRequest &request);
+
     /** Ends the step and hands it to the exporter. */
     void finish(Span span, std::string_view outcome, bool failed);
 
@@ -40,6 +49,7 @@
 
 private:
     const Clock &clock_;
+    const bool recording_;
     std::unique_ptr<RandomSource> random_;
     TraceSampler sampler_;
     SpanRing ring_;
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -30,7 +30,7 @@
 } // namespace
 
 NodeProgram::NodeProgram(const NodeSettings &settings)
-    : signals_(clock_, settings.id),
+    : signals_(clock_, settings.id, settings.signals.trace),
       ingressToGate_(ingressThread_.context(), gateThread_.context(), RequestRing),
       peerToGate_(peerThread_.context(), gateThread_.context(), RequestRing),
       peerToControl_(peerThread_.context(), controlThread_.context(), ControlRing),
@@ -68,13 +68,33 @@
         return gate_.onGrant(std::move(grant));
     });
     watchSignals();
+    if (settings.signals.trace.isEnabled()) {
+        makeTraceDuty(settings);
+    }
+}
+
+void NodeProgram::makeTraceDuty(const NodeSettings &settings)
+{
+    SpanResource resource;
+    resource.node = settings.id;
+    resource.failureDomain = settings.failureDomain;
+    resource.build = WISTERIAHOIST_VERSION;
+    resource.bootAt = std::chrono::system_clock::now() - clock_.now().time_since_epoch();
+    trace_ = std::make_unique<TraceDuty>(
+            traceThread_.context(), std::move(resource),
+            makeSpanSink(settings.signals.trace, traceThread_.context().get_executor()),
+            signals_.trace(),
+            std::vector<DutyTracer *>{&signals_.ingressTracer(), &signals_.gateTracer()});
 }
 
 asio::awaitable<v1::HopReply> NodeProgram::passGate(v1::HopRequest request)
 {
     const TimePoint startedAt = clock_.now();
+    Span span = signals_.gateTracer().startFromHop(SpanStep::Gate, request);
     v1::HopReply reply = co_await gate_.onRequest(std::move(request));
     signals_.onGateReply(reply, startedAt);
+    signals_.gateTracer().finish(std::move(span), hopOutcomeName(reply.outcome()),
+                                 reply.outcome() != v1::HOP_OUTCOME_DONE);
     co_return reply;
 }
 
@@ -104,6 +124,10 @@
     peerThread_.start();
     adminThread_.start();
     controlThread_.start();
+    if (trace_) {
+        trace_->start();
+        traceThread_.start();
+    }
 }
 
 void NodeProgram::stop()
@@ -113,6 +137,7 @@
     adminThread_.stop();
     controlThread_.stop();
     gateThread_.stop();
+    traceThread_.stop();
 }
 
 int runNode(const std::string &settingsFile)
@@ -125,7 +150,7 @@
         }
         return 2;
     }
-    const LogOutput log(std::cerr, LogSeverity::Info);
+    const LogOutput log(std::cerr, settings.signals.severity);
     try {
         NodeProgram node(settings);
         asio::io_context signals;
--- a/src/program/node_program.h
+++ b/src/program/node_program.h
@@ -32,6 +32,7 @@
 
 private:
     void watchSignals();
+    void makeTraceDuty(const NodeSettings &settings);
     asio::awaitable<v1::HopReply> passGate(v1::HopRequest request);
 
     BootClockAdapter clock_;
@@ -41,6 +42,7 @@
     DutyThread gateThread_{"gate"};
     DutyThread controlThread_{"control"};
     DutyThread adminThread_{"admin"};
+    DutyThread traceThread_{"trace"}; ///< Runs only if spans are exported.
 
     GateLink ingressToGate_;
     GateLink peerToGate_;
@@ -56,6 +58,7 @@
     PeerDuty peer_;
     AdminDuty admin_;
     NodeAddress address_;
+    std::unique_ptr<TraceDuty> trace_;     ///< Present if spans are exported.
     std::unique_ptr<ControlDuty> control_; ///< Made last: it needs the bound ports.
 };
 
--- a/test/unit/signals/event_log_test.cpp
+++ b/test/unit/signals/event_log_test.cpp
@@ -1,9 +1,10 @@
 /** @file event_log_test.cpp One JSON line for each change of state. */
 
 #include "adapter/log/event_log.h"
+#include "support/json_text.h"
 #include "support/story.h"
 
-#include <boost/json.hpp>
+#include <algorithm>
 #include <sstream>
 
 using namespace wisteriahoist;
--- a/tool/bench/fleet_measure.cpp
+++ b/tool/bench/fleet_measure.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -27,6 +28,8 @@
 constexpr milliseconds Poll{200};
 constexpr milliseconds SettleTime{1500}; ///< After the fleet is ready, so that joins are over.
 constexpr milliseconds MeasureTime{4000};
+constexpr double CpuBudget = 11;    ///< Milliseconds per second: 1.1% of a core.
+constexpr double ByteBudget = 3000; ///< For control, per second.
 constexpr uint32_t ConfigChanges = 5;
 constexpr milliseconds ChangeInterval{400}; ///< Above a renew interval: each change travels alone.
 
@@ -248,17 +251,25 @@
     return series;
 }
 
+/** How many members a coordinator can have before it passes @p budget. */
+double findCellSize(const Line &line, double budget)
+{
+    return line.perUnit > 0 ? (budget - line.fixed) / line.perUnit : INFINITY;
+}
+
 void reportSlopes(const std::vector<FleetRate> &fleets, const std::string &folder)
 {
-    report(makeSeries("coordinator_cpu_ms_per_s", fleets,
-                      [](const FleetRate &fleet) { return fleet.coordinator.cpuMsPerSecond; }),
-           folder);
+    const Line cpu = report(
+            makeSeries("coordinator_cpu_ms_per_s", fleets,
+                       [](const FleetRate &fleet) { return fleet.coordinator.cpuMsPerSecond; }),
+            folder);
     report(makeSeries("member_cpu_ms_per_s", fleets,
                       [](const FleetRate &fleet) { return fleet.member.cpuMsPerSecond; }),
            folder);
-    report(makeSeries("coordinator_bytes_per_s", fleets,
-                      [](const FleetRate &fleet) { return fleet.coordinator.peerBytesPerSecond; }),
-           folder);
+    const Line bytes = report(
+            makeSeries("coordinator_bytes_per_s", fleets,
+                       [](const FleetRate &fleet) { return fleet.coordinator.peerBytesPerSecond; }),
+            folder);
     report(makeSeries("member_bytes_per_s", fleets,
                       [](const FleetRate &fleet) { return fleet.member.peerBytesPerSecond; }),
            folder);
@@ -272,6 +283,8 @@
                    "coordinator_platform_calls_per_s", fleets,
                    [](const FleetRate &fleet) { return fleet.coordinator.platformCallsPerSecond; }),
            folder);
+    std::cout << "cell size within 1.1% of a core: " << findCellSize(cpu, CpuBudget)
+              << ", within 3 KB/s at the coordinator: " << findCellSize(bytes, ByteBudget) << "\n";
 }
 
 } // namespace
