--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 release: install
 	@cmake -S . -B build/release -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
-	@cmake --build build/release
+	@cmake --build build/release --target wisteriahoist wisteriahoist-standin
 
 demo: release
 	@build/release/wisteriahoist-standin demo --node_binary build/release/wisteriahoist --directory build/demo --declarations examples/poteglad
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,7 +3,7 @@
 # KNOWN-RED.txt (which it prints), and ends with "N passed, N failed".
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cmake -S . -B build/test -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DWH_SANITIZE=address,undefined >/dev/null
+cmake -S . -B build/test -G Ninja -DCMAKE_BUILD_TYPE=Debug -DWH_SANITIZE=address,undefined >/dev/null
 cmake --build build/test
 passed=0
 failed=0
--- a/src/standin/backend_standin.cpp
+++ b/src/standin/backend_standin.cpp
@@ -2,6 +2,7 @@
 
 #include "standin/backend_standin.h"
 
+#include "adapter/clock/boot_clock_adapter.h"
 #include "core/hash_func.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -30,6 +31,12 @@
     return value;
 }
 
+int64_t bootMicroseconds()
+{
+    const TimePoint now = BootClockAdapter().now();
+    return std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count();
+}
+
 HttpResponse makeNotRun(std::string_view type)
 {
     HttpResponse response = makeProblemResponse(
@@ -116,7 +123,7 @@
 asio::awaitable<HttpResponse> BackendStandin::run(HttpRequest request)
 {
     const bool cold = std::chrono::steady_clock::now() - started_ < behaviour_.coldStart;
-    if (behaviour_.draining || cold || running_ >= behaviour_.slots) {
+    if (behaviour_.shedding || cold || running_ >= behaviour_.slots) {
         ++shed_;
         co_return makeNotRun("shed");
     }
@@ -133,7 +140,8 @@
     ++running_;
     const size_t index = runs_.size();
     const std::string requestId = headerText(request, "Request-Id");
-    runs_.push_back({requestId, headerText(request, "Idempotency-Key"), key, epoch, false});
+    runs_.push_back({requestId, headerText(request, "Idempotency-Key"), key, epoch,
+                     bootMicroseconds(), false});
     asio::steady_timer timer(context_, behaviour_.workTime);
     beast::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -154,6 +162,7 @@
         entry["idempotency_key"] = run.idempotencyKey;
         entry["key"] = run.key;
         entry["epoch"] = run.epoch;
+        entry["started_us"] = run.startedUs;
         entry["finished"] = run.finished;
         runs.push_back(std::move(entry));
     }
@@ -185,6 +194,9 @@
     if (const auto *draining = object.if_contains("draining")) {
         behaviour_.draining = draining->as_bool();
     }
+    if (const auto *shedding = object.if_contains("shedding")) {
+        behaviour_.shedding = shedding->as_bool();
+    }
     if (const auto *work = object.if_contains("work_ms")) {
         behaviour_.workTime = milliseconds(work->to_number<int64_t>());
     }
--- a/src/standin/backend_standin.h
+++ b/src/standin/backend_standin.h
@@ -19,7 +19,8 @@
     milliseconds workTime{1};  ///< Time that one request takes.
     milliseconds coldStart{0}; ///< Requests are shed until it has passed.
     bool fenced = true;        ///< Checks epoch and expiry of the grant of each request.
-    bool draining = false;     ///< Sheds every request.
+    bool draining = false;     ///< Announces that it leaves; what reaches it still runs.
+    bool shedding = false;     ///< Sheds every request.
     int32_t claimedLoad = -1;  ///< What the health endpoint says; -1: the truth.
 };
 
@@ -29,6 +30,7 @@
     std::string idempotencyKey;
     std::string key;
     uint64_t epoch = 0;
+    int64_t startedUs = 0; ///< On the machine's boot clock, shared by all stand-ins.
     bool finished = false;
 };
 
--- a/src/standin/request_audit.cpp
+++ b/src/standin/request_audit.cpp
@@ -2,20 +2,30 @@
 
 #include "standin/request_audit.h"
 
+#include <algorithm>
+
 namespace wisteriahoist {
 
 namespace {
 
-uint64_t countWrongOwners(const std::vector<ServerRecord> &runs)
+/**
+ * A run is by a wrong owner if another server ran the key under the same epoch, or had started a
+ * run of the key under a higher epoch before this one started.
+ */
+uint64_t countWrongOwners(std::vector<ServerRecord> runs)
 {
+    std::erase_if(runs, [](const ServerRecord &run) { return run.key.empty(); });
+    std::sort(runs.begin(), runs.end(), [](const ServerRecord &left, const ServerRecord &right) {
+        return left.startedUs < right.startedUs;
+    });
     uint64_t wrong = 0;
     std::map<std::pair<std::string, uint64_t>, uint64_t> owners;
+    std::map<std::string, uint64_t> highestEpoch;
     for (const ServerRecord &run : runs) {
-        if (run.key.empty()) {
-            continue;
-        }
-        const auto [entry, fresh] = owners.try_emplace({run.key, run.epoch}, run.server);
-        wrong += !fresh && entry->second != run.server ? 1 : 0;
+        const auto entry = owners.try_emplace({run.key, run.epoch}, run.server).first;
+        uint64_t &highest = highestEpoch[run.key];
+        wrong += entry->second != run.server || run.epoch < highest ? 1 : 0;
+        highest = std::max(highest, run.epoch);
     }
     return wrong;
 }
--- a/src/standin/request_audit.h
+++ b/src/standin/request_audit.h
@@ -25,6 +25,7 @@
     std::string requestId;
     std::string key;
     uint64_t epoch = 0;
+    int64_t startedUs = 0; ///< On a clock that all servers share.
     bool finished = false;
 };
 
@@ -37,7 +38,7 @@
     uint64_t lost = 0;         ///< Told done, but in no log or with another's bytes.
     uint64_t duplicated = 0;   ///< Run more than once.
     uint64_t notRunButRan = 0; ///< Told not run, but in a log.
-    uint64_t wrongOwner = 0;   ///< Runs of one key and epoch by more than one server.
+    uint64_t wrongOwner = 0;   ///< Runs of a key by a server that had been superseded.
     bool clean() const
     {
         return lost == 0 && duplicated == 0 && notRunButRan == 0 && wrongOwner == 0;
