Codechange: [Operators] Operators' calls leave the control duty

Cause: the control duty is rewritten by the ownership work; the operators' calls need a file of their own to grow in. The admin duty now passes the schema's method name on, so that a further call needs no line in the control duty. Ruled out: a link of its own between admin and operator service: the calls read the member's state, which lives on the control thread. Conclusion: apply() and status() stand in operator_service.cpp.

--- a/src/duty/admin_duty.cpp
+++ b/src/duty/admin_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "duty/admin_duty.h"
 
+#include <array>
 #include <boost/json.hpp>
 
 namespace wisteriahoist {
@@ -9,6 +10,7 @@
 namespace {
 
 const std::string RpcPrefix = "/wisteriahoist.v1.OperatorService/";
+constexpr std::array<std::string_view, 2> Methods{"Apply", "Status"};
 
 /** @return The announcement in @p text, or Malformed with the field at fault. */
 Result<BackendInfo> parseAnnouncement(const std::string &text)
@@ -100,13 +102,12 @@
     }
     AdminCall call;
     call.body = request.body();
-    if (target == RpcPrefix + "Apply") {
-        call.kind = AdminCall::Kind::Apply;
-        co_return co_await passOn(std::move(call));
-    }
-    if (target == RpcPrefix + "Status") {
-        call.kind = AdminCall::Kind::Status;
-        co_return co_await passOn(std::move(call));
+    for (const std::string_view method : Methods) {
+        if (target == RpcPrefix + std::string(method)) {
+            call.kind = AdminCall::Kind::Operator;
+            call.method = method;
+            co_return co_await passOn(std::move(call));
+        }
     }
     co_return makeProblemResponse({http::status::not_found, "no-such-method", target});
 }
--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -35,7 +35,7 @@
                          RoutingLink &ingress, GrantLink &gate)
     : context_(context), clock_(clock), platform_(platform), times_(times), cell_(std::move(cell)),
       ingress_(ingress), gate_(gate), peers_(context), member_(times, std::move(self)),
-      random_(std::random_device{}())
+      operators_(clock, platform, member_), random_(std::random_device{}())
 { }
 
 void ControlDuty::start()
@@ -283,64 +283,11 @@
     case AdminCall::Kind::Announce:
         onAnnounce(call.backend);
         break;
-    case AdminCall::Kind::Apply:
-        reply.body = co_await apply(std::move(call.body));
-        break;
-    case AdminCall::Kind::Status:
-        reply.body = status();
+    case AdminCall::Kind::Operator:
+        reply.body = co_await operators_.call(std::move(call.method), std::move(call.body));
         break;
     }
     co_return reply;
 }
 
-asio::awaitable<std::string> ControlDuty::apply(std::string body)
-{
-    v1::ApplyRequest request;
-    v1::ApplyReply reply;
-    const auto fail = [&reply](const Failure &failure) {
-        v1::Problem *problem = reply.add_problems();
-        problem->set_code(std::string(failureName(failure.code)));
-        problem->set_message(failure.context);
-        return reply.SerializeAsString();
-    };
-    if (!request.ParseFromString(body)) {
-        co_return fail({FailureCode::Malformed, "apply request"});
-    }
-    Result<VersionedObject> stored = co_await platform_.read(ConfigObject);
-    if (!stored) {
-        co_return fail(stored.assume_error());
-    }
-    Declarations declarations = decodeConfiguration(request.configuration());
-    Result<Declarations> current = decodeDeclarations(stored.assume_value().content);
-    declarations.version = current ? current.assume_value().version + 1 : 1;
-    Result<ObjectVersion> written = co_await platform_.write(
-            ConfigObject, stored.assume_value().version, encodeDeclarations(declarations));
-    if (!written) {
-        co_return fail(written.assume_error());
-    }
-    reply.set_version(declarations.version);
-    co_return reply.SerializeAsString();
-}
-
-std::string ControlDuty::status() const
-{
-    v1::StatusReply reply;
-    reply.set_node_id(member_.self().id.value());
-    if (member_.term()) {
-        reply.set_term(member_.term()->term.value());
-        reply.set_coordinator_node(member_.term()->coordinator.value());
-    }
-    reply.set_config_version(member_.declarations().version);
-    reply.set_assignment_version(member_.assignmentVersion().value());
-    const auto left = std::chrono::duration_cast<milliseconds>(member_.leaseUntil() - clock_.now());
-    reply.set_lease_left_ms(std::max<int64_t>(0, left.count()));
-    for (const MemberInfo &info : member_.roster()) {
-        *reply.add_roster() = encodeMember(info);
-    }
-    const v1::AssignmentObject assignment = encodeAssignmentMessage(member_.assignment());
-    *reply.mutable_services() = assignment.services();
-    reply.set_build(WISTERIAHOIST_VERSION);
-    return reply.SerializeAsString();
-}
-
 } // namespace wisteriahoist
--- a/src/duty/control_duty.h
+++ b/src/duty/control_duty.h
@@ -6,6 +6,7 @@
 #include "decision/ownership/coordinator.h"
 #include "decision/ownership/member.h"
 #include "duty/duty_message.h"
+#include "duty/operator_service.h"
 #include "port/clock.h"
 #include "port/platform_store.h"
 
@@ -44,8 +45,6 @@
     asio::awaitable<void> writeAssignment(AssignmentRecord record);
     asio::awaitable<void> watchConfig(Term term);
     asio::awaitable<void> publish();
-    asio::awaitable<std::string> apply(std::string body);
-    std::string status() const;
     void onAnnounce(const BackendInfo &backend);
     void stepCoordinator();
     bool isCoordinating(Term term) const;
@@ -59,6 +58,7 @@
     GrantLink &gate_;
     PeerCaller peers_;
     Member member_;
+    OperatorService operators_;
     std::unique_ptr<Coordinator>
             coordinator_; ///< Present while this node believes it holds a term.
     BackendInfo backend_;
--- a/src/duty/duty_message.h
+++ b/src/duty/duty_message.h
@@ -33,10 +33,11 @@
 
 /** One operator's or backend server's call, from the admin duty to the control duty. */
 struct AdminCall {
-    enum class Kind { Announce, Apply, Status };
-    Kind kind = Kind::Status;
+    enum class Kind { Announce, Operator };
+    Kind kind = Kind::Operator;
     BackendInfo backend; ///< For Announce.
-    std::string body;    ///< Protobuf request for the others.
+    std::string method;  ///< For Operator: the method's name in the schema.
+    std::string body;    ///< For Operator: the protobuf request.
 };
 
 /** Its answer. */
