Add: [Config] Checks, differences and acceptance of declarations as pure decisions

Cause: an apply was written without any check, a repeated call acted twice, and a damaged or lost object started again from version 1. Ruled out: deleting what has no owner now without a flag (a node's knowledge lags); judging the expected version before the request id (a repeated call would conflict with itself).

--- /dev/null
+++ b/src/decision/config/declaration_check.h
@@ -0,0 +1,26 @@
+/** @file declaration_check.h Whether a whole set of declarations keeps every rule. */
+
+#pragma once
+
+#include "decision/config/config_problem_type.h"
+#include "decision/config/declaration_type.h"
+
+#include <cstddef>
+
+namespace wisteriahoist {
+
+inline constexpr size_t MaxServices = 1000;
+inline constexpr size_t MaxRoutes = 256; ///< Of one service.
+inline constexpr size_t MaxServiceName = 63;
+inline constexpr size_t MaxHost = 253;
+inline constexpr size_t MaxMethod = 16;
+inline constexpr size_t MaxPathPrefix = 512;
+inline constexpr size_t MaxKeyName = 128;
+inline constexpr uint32_t MaxPathSegment = 32;
+inline constexpr uint32_t MaxInitialSlices = 65536;
+inline constexpr milliseconds MaxDeadline{600000};
+
+/** @return Everything that is wrong, in the order of the declarations; empty if they are good. */
+ConfigProblems checkDeclarations(const Declarations &declarations);
+
+} // namespace wisteriahoist
