Add: [Operators] Typed calls, their command line, and acceptance that survives lost replies

Cause: apply overwrote what another operator had just changed, answered failed after a write that had taken effect, and spoke in strings. Ruled out: reading back once after a lost reply: the late write can land after the read. The unclear write is repeated under the same object version instead. Conclusion: Apply, Diff, Status, Explain and Export; Drain, PinRange, MoveRange, ConfirmLost and the watch of events are left out until their effect is wired. Nodes need [fleet] in their settings. Changed test: node_settings_test has the new table in its good settings; its findings are the same.

--- a/src/adapter/settings/declaration_loader.cpp
+++ b/src/adapter/settings/declaration_loader.cpp
@@ -3,6 +3,7 @@
 #include "adapter/settings/declaration_loader.h"
 
 #include "adapter/settings/node_settings.h"
+#include "decision/config/declaration_check.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -11,30 +12,26 @@
 
 namespace {
 
-constexpr uint64_t MaxInitialSlices = 65536;
-constexpr uint64_t MaxPathSegment = 32;
-constexpr milliseconds MaxDeadline{600000};
-
 RouteRule readRoute(TomlReader &reader)
 {
     RouteRule rule;
     rule.method = reader.text("method", "");
     rule.pathPrefix = reader.text("path_prefix", "/");
-    if (!rule.pathPrefix.starts_with('/')) {
-        reader.report("path_prefix", "found " + rule.pathPrefix + ", must begin with /");
-    }
     rule.keyed = reader.boolean("keyed", true);
     rule.repetition = reader.choice("repetition", {"must-not-repeat", "idempotent"}, 0) == 1
                               ? Repetition::Idempotent
                               : Repetition::MustNotRepeat;
     rule.deadline = reader.duration("deadline_ms", rule.deadline, milliseconds(1), MaxDeadline);
+    // The default must not be longer than a short deadline.
+    rule.patience = std::min(rule.patience, rule.deadline);
     rule.patience = reader.duration("patience_ms", rule.patience, milliseconds(0), MaxDeadline);
     reader.reportUnknown();
     return rule;
 }
 
-void readKeySpace(TomlReader &reader, KeySpaceDeclaration &keySpace)
+KeySpaceDeclaration readKeySpace(TomlReader &reader)
 {
+    KeySpaceDeclaration keySpace;
     const size_t place = reader.choice("place", {"path-segment", "header", "query"}, 0);
     keySpace.place = static_cast<KeyPlace>(place);
     if (keySpace.place == KeyPlace::PathSegment) {
@@ -46,57 +43,98 @@
     keySpace.initialSlices = static_cast<uint32_t>(
             reader.number("initial_slices", keySpace.initialSlices, 1, MaxInitialSlices));
     reader.reportUnknown();
+    return keySpace;
 }
 
-ServiceDeclaration readService(TomlReader &reader, const std::string &file,
-                               std::vector<Finding> &findings)
+} // namespace
+
+void DeclarationLoader::noteLocations(const toml::table &table, const std::string &path,
+                                      const std::string &file)
 {
+    locations_[path] = {file, std::max<uint32_t>(1, table.source().begin.line)};
+    for (const auto &[key, node] : table) {
+        const std::string name = path + "." + std::string(key.str());
+        locations_[name] = {file, std::max<uint32_t>(1, node.source().begin.line)};
+    }
+}
+
+void DeclarationLoader::readService(const toml::table &table, const std::string &file)
+{
+    const std::string path = "services[" + std::to_string(declarations_.services.size()) + "]";
+    noteLocations(table, path, file);
+    TomlReader reader(table, file, path, findings_);
     ServiceDeclaration service;
     service.name = reader.requireText("name");
     service.host = reader.requireText("host");
     service.grantMode = reader.choice("grant_mode", {"fenced", "unchecked"}, 0) == 0
                                 ? GrantMode::Fenced
                                 : GrantMode::Unchecked;
-    if (const toml::table *table = reader.table("key_space", true)) {
-        TomlReader keySpace(*table, file, "service.key_space", findings);
-        readKeySpace(keySpace, service.keySpace);
+    if (const toml::table *child = reader.table("key_space", true)) {
+        noteLocations(*child, path + ".key_space", file);
+        TomlReader keySpace(*child, file, path + ".key_space", findings_);
+        service.keySpace = readKeySpace(keySpace);
     }
-    for (const toml::table *table : reader.tables("route")) {
-        TomlReader route(*table, file, "service.route", findings);
+    for (const toml::table *child : reader.tables("route")) {
+        const std::string routePath
+                = path + ".routes[" + std::to_string(service.routes.size()) + "]";
+        noteLocations(*child, routePath, file);
+        TomlReader route(*child, file, routePath, findings_);
         service.routes.push_back(readRoute(route));
     }
-    if (service.routes.empty()) {
-        reader.report("route", "at least one is needed");
-    }
     reader.reportUnknown();
-    return service;
+    declarations_.services.push_back(std::move(service));
 }
 
-} // namespace
-
-void parseDeclarations(std::string_view content, const std::string &file,
-                       Declarations &declarations, std::vector<Finding> &findings)
+void DeclarationLoader::parse(std::string_view content, const std::string &file)
 {
-    const size_t before = findings.size();
-    const toml::table root = parseToml(content, file, findings);
-    if (findings.size() > before) {
+    const size_t before = findings_.size();
+    const toml::table root = parseToml(content, file, findings_);
+    if (findings_.size() > before) {
         return;
     }
-    TomlReader reader(root, file, "", findings);
+    TomlReader reader(root, file, "", findings_);
     for (const toml::table *table : reader.tables("service")) {
-        TomlReader serviceReader(*table, file, "service", findings);
-        ServiceDeclaration service = readService(serviceReader, file, findings);
-        if (declarations.findService(service.name) != nullptr) {
-            serviceReader.report("name", "found " + service.name + " twice");
-        }
-        declarations.services.push_back(std::move(service));
+        readService(*table, file);
     }
     reader.reportUnknown();
 }
 
+DeclarationLoader::Location DeclarationLoader::locate(std::string path) const
+{
+    while (!path.empty()) {
+        const auto found = locations_.find(path);
+        if (found != locations_.end()) {
+            return found->second;
+        }
+        const size_t dot = path.rfind('.');
+        path.resize(dot == std::string::npos ? 0 : dot);
+    }
+    return locations_.empty() ? Location{} : locations_.begin()->second;
+}
+
+bool DeclarationLoader::isReported(const std::string &path) const
+{
+    return std::any_of(findings_.begin(), findings_.end(), [&path](const Finding &finding) {
+        return finding.message.starts_with(path + ": ");
+    });
+}
+
+Declarations DeclarationLoader::finish()
+{
+    const ConfigProblems problems = checkDeclarations(declarations_);
+    for (const ConfigProblem &problem : problems) {
+        // A value that the reader already refused was replaced, so it says nothing here.
+        if (!isReported(problem.path)) {
+            const Location location = locate(problem.path);
+            findings_.push_back(
+                    {location.file, location.line, problem.path + ": " + problem.message});
+        }
+    }
+    return std::move(declarations_);
+}
+
 Declarations loadDeclarations(const std::string &folder, std::vector<Finding> &findings)
 {
-    Declarations declarations;
     std::error_code error;
     std::vector<std::string> files;
     for (const auto &entry : std::filesystem::directory_iterator(folder, error)) {
@@ -108,10 +146,11 @@
         findings.push_back({folder, 1, "the folder cannot be read"});
     }
     std::sort(files.begin(), files.end());
+    DeclarationLoader loader(findings);
     for (const std::string &file : files) {
-        parseDeclarations(readTextFile(file, findings), file, declarations, findings);
+        loader.parse(readTextFile(file, findings), file);
     }
-    return declarations;
+    return loader.finish();
 }
 
 } // namespace wisteriahoist
--- a/src/adapter/settings/node_settings.cpp
+++ b/src/adapter/settings/node_settings.cpp
@@ -111,6 +111,12 @@
         readTimes(ownership, settings.times);
         ownership.reportUnknown();
     }
+    // Required, so that nobody runs a fleet without keys by leaving the table out.
+    if (const toml::table *table = reader.table("fleet", true)) {
+        TomlReader fleet(*table, file, "fleet", findings);
+        settings.fleetKeys = readFleetKeys(fleet, file, findings);
+        fleet.reportUnknown();
+    }
     reader.reportUnknown();
     return settings;
 }
--- a/src/adapter/settings/node_settings.h
+++ b/src/adapter/settings/node_settings.h
@@ -2,9 +2,12 @@
 
 #pragma once
 
+#include "adapter/auth/fleet_key.h"
 #include "adapter/settings/toml_reader.h"
 #include "decision/ownership/ownership_type.h"
 
+#include <optional>
+
 namespace wisteriahoist {
 
 /** All settings of a node. */
@@ -17,6 +20,7 @@
     uint16_t platformPort = 0;
     milliseconds platformTimeout{1000};
     OwnershipTimes times;
+    FleetKeys fleetKeys; ///< Empty only with fleet.allow_unauthenticated.
 };
 
 /**
@@ -36,6 +40,18 @@
 toml::table parseToml(std::string_view content, const std::string &file,
                       std::vector<Finding> &findings);
 
+/**
+ * Reads the fleet's keys from the tables fleet.key, each with id and secret or file.
+ * @param file The file of the settings, for findings.
+ */
+FleetKeys readFleetKeys(TomlReader &fleet, const std::string &file, std::vector<Finding> &findings);
+
+/** Reads a key file: a single line with the key's id and its secret in hexadecimal. */
+std::optional<FleetKey> readKeyFile(const std::string &file, std::vector<Finding> &findings);
+
+/** @return The line of a key file. */
+std::string formatKey(const FleetKey &key);
+
 /** @return The content of @p file; a finding is added if it cannot be read. */
 std::string readTextFile(const std::string &file, std::vector<Finding> &findings);
 
--- a/src/duty/admin_duty.cpp
+++ b/src/duty/admin_duty.cpp
@@ -2,16 +2,14 @@
 
 #include "duty/admin_duty.h"
 
-#include <array>
+#include "adapter/codec/rpc_codec.h"
+
 #include <boost/json.hpp>
 
 namespace wisteriahoist {
 
 namespace {
 
-const std::string RpcPrefix = "/wisteriahoist.v1.OperatorService/";
-constexpr std::array<std::string_view, 2> Methods{"Apply", "Status"};
-
 /** @return The announcement in @p text, or Malformed with the field at fault. */
 Result<BackendInfo> parseAnnouncement(const std::string &text)
 {
@@ -43,14 +41,42 @@
     return info;
 }
 
+HttpResponse makeFailureResponse(http::status status, const Failure &failure)
+{
+    return makeProblemResponse({status, failureName(failure.code), failure.context});
+}
+
+WallTime readWallClock()
+{
+    return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
+}
+
+bool isJson(const HttpRequest &request)
+{
+    const auto type = request[http::field::content_type];
+    return std::string_view(type.data(), type.size()).starts_with("application/json");
+}
+
+/** @return The call's request in protobuf form. */
+Result<std::string> readBody(std::string_view method, const HttpRequest &request)
+{
+    if (isJson(request)) {
+        return requestFromJson(method, request.body());
+    }
+    if (!isRequest(method, request.body())) {
+        return Failure{FailureCode::Malformed, "request of " + std::string(method)};
+    }
+    return request.body();
+}
+
 } // namespace
 
 AdminDuty::AdminDuty(asio::io_context &context, const std::string &ip, uint16_t port,
-                     AdminLink &control)
-    : control_(control), server_(std::make_shared<HttpServer>(
-                                 context, ip, port, HttpLimits{}, [this](HttpRequest request) {
-                                     return onRequest(std::move(request));
-                                 }))
+                     FleetKeys keys, AdminLink &control)
+    : control_(control), ip_(ip), verifier_(std::move(keys), ReplayBounds()),
+      server_(std::make_shared<HttpServer>(
+              context, ip, port, HttpLimits{},
+              [this](HttpRequest request) { return onRequest(std::move(request)); }))
 { }
 
 void AdminDuty::start()
@@ -81,9 +107,14 @@
 {
     Result<BackendInfo> info = parseAnnouncement(request.body());
     if (!info) {
-        co_return makeProblemResponse({http::status::bad_request,
-                                       failureName(info.assume_error().code),
-                                       info.assume_error().context});
+        co_return makeFailureResponse(http::status::bad_request, info.assume_error());
+    }
+    // The backend server runs on this VM. Another address would hand this node's keys, and its
+    // callers' requests, to a server that somebody else runs.
+    if (info.assume_value().ip != ip_) {
+        const Failure failure{FailureCode::Unauthorized,
+                              "a backend server announces itself with this node's ip, " + ip_};
+        co_return makeFailureResponse(http::status::forbidden, failure);
     }
     AdminCall call;
     call.kind = AdminCall::Kind::Announce;
@@ -91,6 +122,49 @@
     co_return co_await passOn(std::move(call));
 }
 
+Result<void> AdminDuty::authenticate(const HttpRequest &request)
+{
+    if (!verifier_.isEnabled()) {
+        return boost::outcome_v2::success();
+    }
+    SignedCall call;
+    call.method = "POST";
+    call.target = std::string_view(request.target().data(), request.target().size());
+    call.audience = ip_ + ":" + std::to_string(port());
+    call.body = request.body();
+    const auto field = request[boost::string_view(SignatureHeader.data(), SignatureHeader.size())];
+    return verifier_.verify(call, std::string_view(field.data(), field.size()), readWallClock());
+}
+
+asio::awaitable<HttpResponse> AdminDuty::onOperator(std::string method, const HttpRequest &request)
+{
+    const Result<void> allowed = authenticate(request);
+    if (!allowed) {
+        const bool full = allowed.assume_error().code == FailureCode::Overloaded;
+        co_return makeFailureResponse(full ? http::status::service_unavailable
+                                           : http::status::unauthorized,
+                                      allowed.assume_error());
+    }
+    Result<std::string> body = readBody(method, request);
+    if (!body) {
+        co_return makeFailureResponse(http::status::bad_request, body.assume_error());
+    }
+    AdminCall call;
+    call.kind = AdminCall::Kind::Operator;
+    call.method = method;
+    call.body = std::move(body.assume_value());
+    HttpResponse response = co_await passOn(std::move(call));
+    if (response.result() == http::status::ok && isJson(request)) {
+        Result<std::string> json = replyToJson(method, response.body());
+        if (!json) {
+            co_return makeFailureResponse(http::status::internal_server_error, json.assume_error());
+        }
+        response.set(http::field::content_type, "application/json");
+        response.body() = std::move(json.assume_value());
+    }
+    co_return response;
+}
+
 asio::awaitable<HttpResponse> AdminDuty::onRequest(HttpRequest request)
 {
     const std::string target(request.target());
@@ -100,13 +174,10 @@
     if (target == "/announce") {
         co_return co_await onAnnounce(request);
     }
-    AdminCall call;
-    call.body = request.body();
-    for (const std::string_view method : Methods) {
-        if (target == RpcPrefix + std::string(method)) {
-            call.kind = AdminCall::Kind::Operator;
-            call.method = method;
-            co_return co_await passOn(std::move(call));
+    if (target.starts_with(OperatorServicePath)) {
+        std::string method = target.substr(OperatorServicePath.size());
+        if (isOperatorMethod(method)) {
+            co_return co_await onOperator(std::move(method), request);
         }
     }
     co_return makeProblemResponse({http::status::not_found, "no-such-method", target});
--- a/src/duty/admin_duty.h
+++ b/src/duty/admin_duty.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "adapter/auth/fleet_authenticator.h"
 #include "adapter/http/http_server.h"
 #include "duty/duty_message.h"
 
@@ -11,18 +12,27 @@
 class AdminDuty
 {
 public:
-    AdminDuty(asio::io_context &context, const std::string &ip, uint16_t port, AdminLink &control);
+    /** @param keys The fleet's keys; empty: operators' calls need no signature. */
+    AdminDuty(asio::io_context &context, const std::string &ip, uint16_t port, FleetKeys keys,
+              AdminLink &control);
 
     void start();
     void stop();
     uint16_t port() const { return server_->port(); }
 
+    /** Operators' calls that were refused; read by any thread. */
+    const AuthCounters &refusals() const { return verifier_.counters(); }
+
 private:
     asio::awaitable<HttpResponse> onRequest(HttpRequest request);
     asio::awaitable<HttpResponse> onAnnounce(const HttpRequest &request);
+    asio::awaitable<HttpResponse> onOperator(std::string method, const HttpRequest &request);
     asio::awaitable<HttpResponse> passOn(AdminCall call);
+    Result<void> authenticate(const HttpRequest &request);
 
     AdminLink &control_;
+    std::string ip_;        ///< This node's; part of what a signature covers.
+    CallVerifier verifier_; ///< Admin thread only.
     std::shared_ptr<HttpServer> server_;
 };
 
--- a/src/duty/operator_service.h
+++ b/src/duty/operator_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "decision/ownership/member.h"
+#include "duty/config_writer.h"
 #include "port/clock.h"
 #include "port/platform_store.h"
 #include "wisteriahoist/v1/operator.pb.h"
@@ -22,7 +23,7 @@
 {
 public:
     OperatorService(const Clock &clock, PlatformStore &platform, const Member &member)
-        : clock_(clock), platform_(platform), member_(member)
+        : clock_(clock), member_(member), writer_(platform, ConfigWriterTimes())
     { }
 
     /**
@@ -35,11 +36,17 @@
 
 private:
     asio::awaitable<v1::ApplyReply> apply(v1::ApplyRequest request);
-    v1::StatusReply status() const;
+    asio::awaitable<v1::DiffReply> diff(v1::DiffRequest request);
+    asio::awaitable<v1::StatusReply> status(v1::StatusRequest request);
+    asio::awaitable<v1::ExplainReply> explain(v1::ExplainRequest request);
+    asio::awaitable<v1::ExportReply> exportStored(v1::ExportRequest request);
+
+    /** @return The highest version that this node has had in force. */
+    uint64_t versionFloor() const { return member_.declarations().version; }
 
     const Clock &clock_;
-    PlatformStore &platform_;
     const Member &member_;
+    ConfigWriter writer_;
 };
 
 } // namespace wisteriahoist
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -43,7 +43,7 @@
       peer_(peerThread_.context(), settings.address.ip, settings.address.peerPort, peerToGate_,
             peerToControl_),
       admin_(adminThread_.context(), settings.address.ip, settings.address.adminPort,
-             adminToControl_),
+             settings.fleetKeys, adminToControl_),
       address_{settings.address.ip, ingress_.port(), peer_.port(), admin_.port()}
 {
     control_ = std::make_unique<ControlDuty>(controlThread_.context(), clock_, platform_,
--- a/src/program/operator_program.cpp
+++ b/src/program/operator_program.cpp
@@ -3,61 +3,129 @@
 #include "program/operator_program.h"
 
 #include "adapter/codec/declaration_codec.h"
-#include "adapter/http/http_client.h"
 #include "adapter/settings/declaration_loader.h"
+#include "adapter/settings/declaration_writer.h"
+#include "adapter/settings/node_settings.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <iostream>
 #include <random>
+#include <thread>
 
 namespace wisteriahoist {
 
 namespace {
 
 constexpr milliseconds CallTimeout{10000};
+constexpr milliseconds MemberTimeout{1000};
+constexpr milliseconds PollInterval{100};
+constexpr uint32_t ApplyAttempts = 3;
 
-/** Makes one call of the operators' service and waits for its reply. */
-template <typename Request, typename Reply>
-Result<Reply> callService(const OperatorTarget &target, const std::string &method,
-                          const Request &request)
+using SteadyClock = std::chrono::steady_clock;
+
+uint64_t drawRequestId()
+{
+    std::random_device device;
+    std::uniform_int_distribution<uint64_t> ids(1);
+    return ids(device);
+}
+
+bool mayHaveActed(const Failure &failure)
 {
-    asio::io_context context;
-    HttpClient client(context.get_executor(), target.ip, target.port);
-    HttpRequest message(http::verb::post, "/wisteriahoist.v1.OperatorService/" + method, 11);
-    message.set(http::field::content_type, "application/x-protobuf");
-    message.body() = request.SerializeAsString();
-    Result<HttpResponse> answer = Failure{FailureCode::Unavailable, "not sent"};
-    asio::co_spawn(
-            context,
-            [&]() -> asio::awaitable<void> {
-                answer = co_await client.exchange(std::move(message), CallTimeout);
-            },
-            [](const std::exception_ptr &) {});
-    context.run();
-    if (!answer) {
-        return std::move(answer).as_failure();
-    }
-    Reply reply;
-    if (answer.assume_value().result() != http::status::ok
-        || !reply.ParseFromString(answer.assume_value().body())) {
-        return Failure{FailureCode::Malformed, answer.assume_value().body()};
-    }
-    return reply;
+    return failure.code == FailureCode::Ambiguous || failure.code == FailureCode::DeadlineExceeded;
 }
 
-int reportFailure(const Failure &failure)
+/** Repeats an unclear call under its request id: it acts once, however often it arrives. */
+Result<void> callApply(const OperatorClient &client, const v1::ApplyRequest &request,
+                       v1::ApplyReply &reply)
 {
-    std::cerr << failureName(failure.code) << ": " << failure.context << '\n';
-    return 1;
+    Result<void> called = client.call("Apply", request, reply);
+    for (uint32_t count = 1; count < ApplyAttempts && !called; ++count) {
+        if (!mayHaveActed(called.assume_error())) {
+            break;
+        }
+        called = client.call("Apply", request, reply);
+    }
+    return called;
+}
+
+/** Fills in what each member of the reply's roster has in force, by asking it. */
+void askMembers(const OperatorClient &client, v1::StatusReply &reply)
+{
+    const auto answers = client.askAll(reply.roster());
+    reply.clear_member_configs();
+    for (int index = 0; index < reply.roster_size(); ++index) {
+        const Result<v1::StatusReply> &answer = answers[static_cast<size_t>(index)];
+        v1::MemberConfig *config = reply.add_member_configs();
+        config->set_node_id(reply.roster(index).node_id());
+        config->set_reachable(answer.has_value());
+        if (answer) {
+            config->set_config_version(answer.assume_value().config_version());
+        }
+    }
+}
+
+/** @return How many members do not have @p version in force, or cannot be asked. */
+size_t countLagging(const v1::StatusReply &status, uint64_t version)
+{
+    size_t lagging = 0;
+    for (const v1::MemberConfig &config : status.member_configs()) {
+        lagging += !config.reachable() || config.config_version() < version ? 1 : 0;
+    }
+    return lagging;
 }
 
-int reportFindings(const std::vector<Finding> &findings)
+int reportLagging(const v1::StatusReply &status, uint64_t version)
 {
-    for (const Finding &finding : findings) {
-        std::cerr << formatFinding(finding) << '\n';
+    for (const v1::MemberConfig &config : status.member_configs()) {
+        if (!config.reachable()) {
+            std::cerr << "node " << config.node_id() << ": unreachable\n";
+        } else if (config.config_version() < version) {
+            std::cerr << "node " << config.node_id() << ": still at version "
+                      << config.config_version() << '\n';
+        }
+    }
+    const Failure failure{FailureCode::DeadlineExceeded,
+                          "version " + std::to_string(version)
+                                  + " is accepted, but not yet in force everywhere"};
+    return reportFailure(failure);
+}
+
+/**
+ * Waits until every member of the roster has @p version. The roster is read again each time, so
+ * that a member that is lost meanwhile is waited for only until the coordinator has dropped it.
+ */
+int waitInForce(const OperatorOptions &options, uint64_t version, milliseconds bound)
+{
+    const OperatorClient client(options.target, options.keys, MemberTimeout);
+    const auto start = SteadyClock::now();
+    v1::StatusReply status;
+    while (SteadyClock::now() - start < bound) {
+        v1::StatusReply latest;
+        if (client.call("Status", v1::StatusRequest(), latest)) {
+            status = std::move(latest);
+            askMembers(client, status);
+            if (status.roster_size() > 0 && countLagging(status, version) == 0) {
+                const auto taken
+                        = std::chrono::duration_cast<milliseconds>(SteadyClock::now() - start);
+                std::cout << "in force at " << status.roster_size() << " nodes after "
+                          << taken.count() << " ms\n";
+                return ExitDone;
+            }
+        }
+        std::this_thread::sleep_for(PollInterval);
+    }
+    return reportLagging(status, version);
+}
+
+void printApplied(const v1::ApplyReply &reply, const ApplyOptions &apply)
+{
+    printChanges(reply.changes());
+    if (apply.dryRun) {
+        std::cout << "would be accepted as version " << reply.version() << '\n';
+    } else {
+        std::cout << "accepted as version " << reply.version() << '\n';
     }
-    return findings.empty() ? 0 : 2;
 }
 
 } // namespace
@@ -72,7 +140,32 @@
     return reportFindings(findings);
 }
 
-int runApply(const std::string &folder, const OperatorTarget &target)
+int runDiff(const std::string &folder, const OperatorOptions &options)
+{
+    std::vector<Finding> findings;
+    const Declarations declarations = loadDeclarations(folder, findings);
+    if (!findings.empty()) {
+        return reportFindings(findings);
+    }
+    v1::DiffRequest request;
+    *request.mutable_configuration() = encodeConfiguration(declarations);
+    v1::DiffReply reply;
+    const OperatorClient client(options.target, options.keys, CallTimeout);
+    const Result<void> called = client.call("Diff", request, reply);
+    if (!called) {
+        return reportFailure(called.assume_error());
+    }
+    if (options.form == OutputForm::Json) {
+        printJson(reply);
+    } else {
+        printChanges(reply.changes());
+        std::cout << reply.changes_size() << " changes against version " << reply.stored_version()
+                  << '\n';
+    }
+    return reportProblems(reply.problems());
+}
+
+int runApply(const std::string &folder, const OperatorOptions &options, const ApplyOptions &apply)
 {
     std::vector<Finding> findings;
     const Declarations declarations = loadDeclarations(folder, findings);
@@ -81,30 +174,94 @@
     }
     v1::ApplyRequest request;
     *request.mutable_configuration() = encodeConfiguration(declarations);
-    request.set_request_id(std::random_device{}());
-    const auto reply = callService<v1::ApplyRequest, v1::ApplyReply>(target, "Apply", request);
-    if (!reply) {
-        return reportFailure(reply.assume_error());
+    request.set_request_id(drawRequestId());
+    request.set_dry_run(apply.dryRun);
+    request.set_allow_delete(apply.allowDelete);
+    request.set_allow_rehash(apply.allowRehash);
+    request.set_allow_unfence(apply.allowUnfence);
+    if (apply.expectedVersion) {
+        request.set_expected_version(*apply.expectedVersion);
+    }
+    v1::ApplyReply reply;
+    const Result<void> called
+            = callApply(OperatorClient(options.target, options.keys, CallTimeout), request, reply);
+    if (!called) {
+        return reportFailure(called.assume_error());
+    }
+    if (options.form == OutputForm::Json) {
+        printJson(reply);
+    }
+    if (reply.problems_size() > 0) {
+        return reportProblems(reply.problems());
+    }
+    if (options.form == OutputForm::Text) {
+        printApplied(reply, apply);
+    }
+    if (apply.wait && !apply.dryRun) {
+        return waitInForce(options, reply.version(), apply.waitBound);
     }
-    for (const v1::Problem &problem : reply.assume_value().problems()) {
-        std::cerr << problem.code() << ": " << problem.message() << '\n';
+    return ExitDone;
+}
+
+int runStatus(const OperatorOptions &options)
+{
+    v1::StatusRequest request;
+    request.set_with_stored(true);
+    v1::StatusReply reply;
+    const Result<void> called = OperatorClient(options.target, options.keys, CallTimeout)
+                                        .call("Status", request, reply);
+    if (!called) {
+        return reportFailure(called.assume_error());
+    }
+    askMembers(OperatorClient(options.target, options.keys, MemberTimeout), reply);
+    if (options.form == OutputForm::Json) {
+        printJson(reply);
+    } else {
+        printStatus(reply);
+    }
+    return ExitDone;
+}
+
+int runExplain(const std::string &service, const std::string &key, const OperatorOptions &options)
+{
+    v1::ExplainRequest request;
+    request.set_service(service);
+    request.set_key(key);
+    v1::ExplainReply reply;
+    const Result<void> called = OperatorClient(options.target, options.keys, CallTimeout)
+                                        .call("Explain", request, reply);
+    if (!called) {
+        return reportFailure(called.assume_error());
     }
-    if (reply.assume_value().problems_size() > 0) {
-        return 1;
+    if (options.form == OutputForm::Json) {
+        printJson(reply);
+    } else if (reply.problems().empty()) {
+        printExplanation(reply);
     }
-    std::cout << "accepted as version " << reply.assume_value().version() << '\n';
-    return 0;
+    return reportProblems(reply.problems());
 }
 
-int runStatus(const OperatorTarget &target)
+int runExport(const OperatorOptions &options)
 {
-    const auto reply = callService<v1::StatusRequest, v1::StatusReply>(target, "Status",
-                                                                       v1::StatusRequest());
-    if (!reply) {
-        return reportFailure(reply.assume_error());
+    v1::ExportReply reply;
+    const Result<void> called = OperatorClient(options.target, options.keys, CallTimeout)
+                                        .call("Export", v1::ExportRequest(), reply);
+    if (!called) {
+        return reportFailure(called.assume_error());
+    }
+    if (options.form == OutputForm::Json) {
+        printJson(reply);
+    } else if (reply.problems().empty()) {
+        std::cout << "# Version " << reply.version() << ".\n"
+                  << writeDeclarations(decodeConfiguration(reply.configuration()));
     }
-    std::cout << reply.assume_value().DebugString();
-    return 0;
+    return reportProblems(reply.problems());
+}
+
+int runKeygen(const std::string &id)
+{
+    std::cout << formatKey({id, drawBytes(FleetSecretBytes)});
+    return ExitDone;
 }
 
 } // namespace wisteriahoist
--- a/src/program/operator_program.h
+++ b/src/program/operator_program.h
@@ -1,25 +1,52 @@
-/** @file operator_program.h The operators' commands: check, apply, status. */
+/** @file operator_program.h The operators' commands. */
 
 #pragma once
 
-#include <cstdint>
+#include "program/operator_client.h"
+#include "program/operator_output.h"
+
+#include <optional>
 #include <string>
 
 namespace wisteriahoist {
 
-/** Where the operator's call goes: any node's admin address. */
-struct OperatorTarget {
-    std::string ip = "127.0.0.1";
-    uint16_t port = 0;
+/** What every command that calls a node needs. */
+struct OperatorOptions {
+    OperatorTarget target;
+    FleetKeys keys; ///< The first signs; empty: calls are not signed.
+    OutputForm form = OutputForm::Text;
+};
+
+/** What only apply needs. */
+struct ApplyOptions {
+    bool dryRun = false;
+    bool wait = false;             ///< Until each member has the version in force.
+    milliseconds waitBound{30000}; ///< For wait.
+    bool allowDelete = false;
+    bool allowRehash = false;
+    bool allowUnfence = false;
+    std::optional<uint64_t> expectedVersion;
 };
 
 /** Checks a folder of declarations without contacting anything. @return 0, or 2 with findings. */
 int runCheck(const std::string &folder);
 
+/** Prints what an apply would change. @return 0, 1 failed, 2 bad declarations. */
+int runDiff(const std::string &folder, const OperatorOptions &options);
+
 /** Puts a folder of declarations in force. @return 0, 1 refused or failed, 2 bad declarations. */
-int runApply(const std::string &folder, const OperatorTarget &target);
+int runApply(const std::string &folder, const OperatorOptions &options, const ApplyOptions &apply);
+
+/** Prints what a node knows, and which members lag. @return 0, or 1 if it cannot be reached. */
+int runStatus(const OperatorOptions &options);
+
+/** Prints where a key lies and who serves it. @return 0, or 1. */
+int runExplain(const std::string &service, const std::string &key, const OperatorOptions &options);
+
+/** Prints the stored configuration as declarations. @return 0, or 1. */
+int runExport(const OperatorOptions &options);
 
-/** Prints what a node knows. @return 0, or 1 if it cannot be reached. */
-int runStatus(const OperatorTarget &target);
+/** Prints a new key named @p id in the form of a key file. @return 0. */
+int runKeygen(const std::string &id);
 
 } // namespace wisteriahoist
--- a/src/standin/demo_program.cpp
+++ b/src/standin/demo_program.cpp
@@ -2,6 +2,7 @@
 
 #include "standin/demo_program.h"
 
+#include "adapter/auth/fleet_authenticator.h"
 #include "adapter/http/http_client.h"
 #include "standin/backend_standin.h"
 #include "standin/fleet.h"
@@ -44,6 +45,16 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(*middle).count();
 }
 
+/** @return Whether the first range of @p service has an owner. */
+bool isServed(const v1::StatusReply &reply, const std::string &service)
+{
+    return std::any_of(reply.services().begin(), reply.services().end(),
+                       [&service](const v1::ServiceAssignment &entry) {
+                           return entry.service() == service && entry.slices_size() > 0
+                                  && entry.slices(0).owner_node() != 0;
+                       });
+}
+
 /** One run of the demo. */
 class Demo
 {
@@ -106,9 +117,15 @@
 asio::awaitable<Result<v1::StatusReply>> Demo::status(const FleetNode &node)
 {
     HttpClient client(context_.get_executor(), "127.0.0.1", node.adminPort);
-    Result<HttpResponse> answer = co_await client.exchange(
-            HttpRequest(http::verb::post, "/wisteriahoist.v1.OperatorService/Status", 11),
-            CallTimeout);
+    HttpRequest request(http::verb::post, "/wisteriahoist.v1.OperatorService/Status", 11);
+    SignedCall call;
+    call.method = "POST";
+    call.target = "/wisteriahoist.v1.OperatorService/Status";
+    call.audience = "127.0.0.1:" + std::to_string(node.adminPort);
+    const auto now = std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
+    request.set(boost::string_view(SignatureHeader.data(), SignatureHeader.size()),
+                signCall(fleet_.keys(), call, now));
+    Result<HttpResponse> answer = co_await client.exchange(std::move(request), CallTimeout);
     if (!answer) {
         co_return std::move(answer).as_failure();
     }
@@ -129,8 +146,7 @@
             const bool isReady = reply && reply.assume_value().lease_left_ms() > 0
                                  && static_cast<size_t>(reply.assume_value().roster_size())
                                             == fleet_.nodes().size()
-                                 && reply.assume_value().services_size() > 0
-                                 && reply.assume_value().services(0).slices(0).owner_node() != 0;
+                                 && isServed(reply.assume_value(), "profiles");
             ready += isReady ? 1 : 0;
         }
         if (ready == fleet_.nodes().size()) {
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -2,6 +2,8 @@
 
 #include "standin/fleet.h"
 
+#include "adapter/settings/node_settings.h"
+
 #include <filesystem>
 #include <fstream>
 
@@ -10,6 +12,8 @@
 Fleet::Fleet(FleetSettings settings) : settings_(std::move(settings))
 {
     std::filesystem::create_directories(settings_.directory);
+    keys_.keys = {{"k1", drawBytes(FleetSecretBytes)}};
+    std::ofstream(settings_.directory + "/fleet.key") << formatKey(keys_.keys.front());
     platform_ = std::make_unique<ChildProcess>(
             std::vector<std::string>{settings_.standinBinary, "platform"},
             settings_.directory + "/platform.log");
@@ -26,7 +30,8 @@
     stream << "[node]\nid = " << id << "\nfailure_domain = \"domain-"
            << id % settings_.failureDomains << "\"\nip = \"127.0.0.1\"\ncaller_port = 0\n"
            << "peer_port = 0\nadmin_port = 0\n\n[platform]\nip = \"127.0.0.1\"\nport = "
-           << platformPort_ << "\n"
+           << platformPort_ << "\n\n[[fleet.key]]\nfile = \"" << settings_.directory
+           << "/fleet.key\"\n\n"
            << settings_.extraSettings;
     return file;
 }
@@ -67,6 +72,7 @@
 {
     std::vector<std::string> words{settings_.nodeBinary};
     words.insert(words.end(), arguments.begin(), arguments.end());
+    words.push_back("--key_file=" + settings_.directory + "/fleet.key");
     ChildProcess command(words,
                          settings_.directory + "/command-" + std::to_string(++commands_) + ".log");
     return command.wait();
--- a/src/standin/fleet.h
+++ b/src/standin/fleet.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "adapter/auth/fleet_key.h"
 #include "standin/child_process.h"
 
 #include <memory>
@@ -48,6 +49,7 @@
     void restartNode(FleetNode &entry);
 
     std::vector<std::unique_ptr<FleetNode>> &nodes() { return nodes_; }
+    const FleetKeys &keys() const { return keys_; }
     uint16_t platformPort() const { return platformPort_; }
     ChildProcess &platform() { return *platform_; }
 
@@ -56,6 +58,7 @@
     void startNode(FleetNode &entry);
 
     FleetSettings settings_;
+    FleetKeys keys_; ///< Of every node; runOperator() signs with it.
     std::unique_ptr<ChildProcess> platform_;
     uint16_t platformPort_ = 0;
     std::vector<std::unique_ptr<FleetNode>> nodes_;
--- /dev/null
+++ b/test/unit/config/config_writer_test.cpp
@@ -0,0 +1,254 @@
+/** @file config_writer_test.cpp Racing operators, lost replies, and a platform that stays away. */
+
+#include "duty/config_writer.h"
+
+#include "adapter/codec/config_codec.h"
+#include "support/declarations.h"
+#include "support/story.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <functional>
+
+using namespace wisteriahoist;
+using namespace wisteriahoist::testing;
+
+namespace {
+
+namespace asio = boost::asio;
+
+/** What happens to one write. */
+enum class WriteFault {
+    None,
+    ReplyLost, ///< It takes effect, but the reply does not come.
+    Late,      ///< It takes effect only just before the next write.
+    NotSent,   ///< It does not take effect; the writer is told so.
+    Swallowed, ///< It does not take effect; no reply comes.
+};
+
+/** One object, with faults in the order given. */
+class FakePlatform : public PlatformStore
+{
+public:
+    std::deque<WriteFault> faults;
+    std::deque<bool> readFails;        ///< One for each read.
+    std::function<void()> beforeWrite; ///< Another operator's moment; called once.
+    std::string content;
+    uint64_t version = 0;
+    uint32_t writes = 0; ///< That took effect.
+
+    Pending<VersionedObject> read(std::string) override
+    {
+        if (!readFails.empty()) {
+            const bool fails = readFails.front();
+            readFails.pop_front();
+            if (fails) {
+                co_return Failure{FailureCode::Unavailable, "down"};
+            }
+        }
+        co_return VersionedObject{ObjectVersion(version), content};
+    }
+
+    Pending<ObjectVersion> write(std::string, ObjectVersion expected, std::string bytes) override
+    {
+        if (beforeWrite) {
+            std::exchange(beforeWrite, nullptr)();
+        }
+        finishLate();
+        WriteFault fault = WriteFault::None;
+        if (!faults.empty()) {
+            fault = faults.front();
+            faults.pop_front();
+        }
+        switch (fault) {
+        case WriteFault::NotSent:
+            co_return Failure{FailureCode::Unavailable, "down"};
+        case WriteFault::Swallowed:
+            co_return Failure{FailureCode::DeadlineExceeded, "no reply"};
+        case WriteFault::Late:
+            late_ = [this, expected, bytes]() { put(expected, bytes); };
+            co_return Failure{FailureCode::DeadlineExceeded, "no reply"};
+        case WriteFault::ReplyLost:
+            put(expected, bytes);
+            co_return Failure{FailureCode::Ambiguous, "connection lost"};
+        case WriteFault::None:
+            break;
+        }
+        if (!put(expected, bytes)) {
+            co_return Failure{FailureCode::VersionConflict, "another version"};
+        }
+        co_return ObjectVersion(version);
+    }
+
+    Pending<ObjectVersion> remove(std::string, ObjectVersion) override
+    {
+        co_return Failure{FailureCode::NotFound, ""};
+    }
+    Pending<std::vector<std::string>> list(std::string) override
+    {
+        co_return std::vector<std::string>();
+    }
+    Pending<VersionedObject> watch(std::string, ObjectVersion, milliseconds) override
+    {
+        co_return VersionedObject{ObjectVersion(version), content};
+    }
+
+    bool put(ObjectVersion expected, const std::string &bytes)
+    {
+        if (expected != ObjectVersion(version)) {
+            return false;
+        }
+        content = bytes;
+        ++version;
+        ++writes;
+        return true;
+    }
+
+    ConfigRecord record() const { return decodeConfigRecord(content).assume_value(); }
+
+private:
+    void finishLate()
+    {
+        if (late_) {
+            std::exchange(late_, nullptr)();
+        }
+    }
+
+    std::function<void()> late_;
+};
+
+ConfigRequest makeRequest(uint64_t id, const Declarations &declarations)
+{
+    ConfigRequest request;
+    request.id = ConfigRequestId(id);
+    request.declarations = declarations;
+    request.allowDelete = true;
+    return request;
+}
+
+ConfigOutcome applyTo(FakePlatform &platform, ConfigRequest request)
+{
+    ConfigWriterTimes times;
+    times.retryPause = milliseconds(0);
+    ConfigWriter writer(platform, times);
+    asio::io_context context;
+    ConfigOutcome outcome;
+    asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                outcome = co_await writer.apply(std::move(request), 0);
+            },
+            asio::detached);
+    context.run();
+    return outcome;
+}
+
+bool isAccepted(const ConfigOutcome &outcome, uint64_t version)
+{
+    return !outcome.failure && outcome.decision.problems.empty()
+           && outcome.decision.version == version;
+}
+
+} // namespace
+
+// The write takes effect and its reply is lost. Told "failed", the operator would believe that the
+// old rules hold. The object is read back, holds the request's id, and the operator gets the
+// version.
+Test(config_writer, lost_reply)
+{
+    FakePlatform platform;
+    platform.faults = {WriteFault::ReplyLost};
+    cr_assert(isAccepted(applyTo(platform, makeRequest(1, makeDeclarations("a"))), 1));
+    cr_assert(platform.writes == 1);
+}
+
+// The write is still on its way when the object is read back: it does not hold the id yet. Told
+// "not done", the operator would be wrong a moment later. The write is repeated under the same
+// version; the late one arrives first, the repeated one meets a conflict, and a read settles it.
+Test(config_writer, late_write)
+{
+    FakePlatform platform;
+    platform.faults = {WriteFault::Swallowed, WriteFault::Late};
+    cr_assert(isAccepted(applyTo(platform, makeRequest(1, makeDeclarations("a"))), 1));
+    cr_assert(platform.writes == 1);
+    SECTION("a write that never arrived is repeated")
+    {
+        platform.faults = {WriteFault::Swallowed, WriteFault::Swallowed};
+        cr_assert(isAccepted(applyTo(platform, makeRequest(2, makeDeclarations("b"))), 2));
+        cr_assert(platform.writes == 2);
+    }
+}
+
+// Two operators read version 1 and apply. The platform takes one write; the other operator's is
+// refused by the version. Written again on top, it would undo a change that its operator never saw.
+// He gets the conflict with both versions, although he had expected none by name.
+Test(config_writer, racing_operators)
+{
+    FakePlatform platform;
+    cr_assert(isAccepted(applyTo(platform, makeRequest(1, makeDeclarations("a"))), 1));
+    platform.beforeWrite = [&platform]() {
+        const ConfigDecision other
+                = decideChange(platform.record(), makeRequest(2, makeDeclarations("a", "b")), 0);
+        platform.put(ObjectVersion(platform.version), encodeConfigRecord(other.record));
+    };
+    const ConfigOutcome loser = applyTo(platform, makeRequest(3, makeDeclarations("a", "c")));
+    cr_assert(!loser.failure);
+    cr_assert(loser.decision.problems.size() == 1);
+    cr_assert(loser.decision.problems[0].code == ConfigProblemCode::VersionConflict);
+    cr_assert(loser.decision.problems[0].message == "expected 1, stored 2");
+    cr_assert(loser.storedVersion == 2);
+    cr_assert(platform.record().declarations.findService("b") != nullptr);
+    cr_assert(platform.record().declarations.findService("c") == nullptr);
+    SECTION("the same when the loser's reply was lost too")
+    {
+        platform.beforeWrite = [&platform]() {
+            const ConfigDecision other
+                    = decideChange(platform.record(), makeRequest(4, makeDeclarations("d")), 0);
+            platform.put(ObjectVersion(platform.version), encodeConfigRecord(other.record));
+        };
+        platform.faults = {WriteFault::ReplyLost};
+        const ConfigOutcome again = applyTo(platform, makeRequest(5, makeDeclarations("e")));
+        cr_assert(again.decision.problems.size() == 1);
+        cr_assert(again.decision.problems[0].code == ConfigProblemCode::VersionConflict);
+        cr_assert(platform.record().declarations.findService("d") != nullptr);
+    }
+}
+
+// The platform is down. A write that was provably not sent is told so; one whose reply was lost and
+// that cannot be read back is told as unclear, never as failed. Repeated later under its id, it is
+// found to be done.
+Test(config_writer, platform_away)
+{
+    FakePlatform platform;
+    const ConfigRequest request = makeRequest(1, makeDeclarations("a"));
+    SECTION("nothing was done")
+    {
+        platform.readFails = {true};
+        cr_assert(applyTo(platform, request).failure->code == FailureCode::Unavailable);
+        platform.faults = {WriteFault::NotSent};
+        cr_assert(applyTo(platform, request).failure->code == FailureCode::Unavailable);
+        cr_assert(platform.writes == 0);
+    }
+    SECTION("it may have been done")
+    {
+        platform.faults = {WriteFault::ReplyLost};
+        platform.readFails = {false, true, true, true};
+        cr_assert(applyTo(platform, request).failure->code == FailureCode::Ambiguous);
+        const ConfigOutcome repeated = applyTo(platform, request);
+        cr_assert(isAccepted(repeated, 1));
+        cr_assert(repeated.decision.verdict == ConfigVerdict::AlreadyApplied);
+        cr_assert(platform.writes == 1);
+    }
+}
+
+Test(config_writer, damaged_object)
+{
+    FakePlatform platform;
+    platform.content = "\xff\xff";
+    platform.version = 4;
+    const ConfigOutcome outcome = applyTo(platform, makeRequest(1, makeDeclarations("a")));
+    cr_assert(outcome.failure->code == FailureCode::Malformed);
+    cr_assert(platform.writes == 0);
+}
--- a/test/unit/settings/node_settings_test.cpp
+++ b/test/unit/settings/node_settings_test.cpp
@@ -17,6 +17,8 @@
 [platform]
 ip = "127.0.0.1"
 port = 8000
+[fleet]
+allow_unauthenticated = true
 )";
 
 } // namespace
@@ -35,7 +37,8 @@
         std::vector<Finding> findings;
         parseNodeSettings("[node]\nid = 0\nfailure_domain = \"a\"\nip = \"127.0.0.1\"\n"
                           "caller_port = 0\npeer_port = 0\ncolour = 1\n"
-                          "[platform]\nip = \"here\"\nport = 1\n",
+                          "[platform]\nip = \"here\"\nport = 1\n"
+                          "[fleet]\nallow_unauthenticated = true\n",
                           "n.toml", findings);
         cr_assert(findings.size() == 4);
         cr_assert(formatFinding(findings[0]).starts_with("n.toml:2: node.id: found 0"));
@@ -51,3 +54,41 @@
         cr_assert(findings[0].line == 2);
     }
 }
+
+Test(node_settings, fleet_keys)
+{
+    const std::string secret(64, 'a');
+    const auto parse = [](const std::string &fleet, std::vector<Finding> &findings) {
+        const std::string good(Good.substr(0, Good.find("[fleet]")));
+        return parseNodeSettings(good + fleet, "n.toml", findings).fleetKeys;
+    };
+    SECTION("without a word about keys a node does not start")
+    {
+        std::vector<Finding> findings;
+        parse("", findings);
+        cr_assert(findings.size() == 1);
+        cr_assert(findings[0].message == "fleet: missing");
+        findings.clear();
+        parse("[fleet]\n", findings);
+        cr_assert(findings.size() == 1);
+        cr_assert(findings[0].message.starts_with("fleet.key: missing"));
+    }
+    SECTION("the first key signs, all are accepted")
+    {
+        std::vector<Finding> findings;
+        const FleetKeys keys
+                = parse("[[fleet.key]]\nid = \"k2\"\nsecret = \"" + secret
+                                + "\"\n[[fleet.key]]\nid = \"k1\"\nsecret = \"" + secret + "\"\n",
+                        findings);
+        cr_assert(findings.empty());
+        cr_assert(keys.keys.front().id == "k2");
+        cr_assert(keys.find("k1") != nullptr);
+    }
+    SECTION("a bad secret is found, and not printed")
+    {
+        std::vector<Finding> findings;
+        parse("[[fleet.key]]\nid = \"k 1\"\nsecret = \"abcd\"\n", findings);
+        cr_assert(findings.size() == 2);
+        cr_assert(findings[1].message.find("abcd") == std::string::npos);
+    }
+}
