--- a/src/decision/config/declaration_diff.cpp
+++ b/src/decision/config/declaration_diff.cpp
@@ -108,6 +108,10 @@
 void compareService(const ServiceDeclaration &before, const ServiceDeclaration &after,
                     Comparer comparer, std::vector<ConfigChange> &changes)
 {
+    if (before == after) {
+        return;
+    }
+    const size_t found = changes.size();
     comparer.compare("host", before.host, after.host);
     comparer.compare("grant_mode", grantModeName(before.grantMode), grantModeName(after.grantMode));
     Comparer keySpace = comparer.below("key_space");
@@ -128,6 +132,10 @@
             compareRoute(before.routes[index], after.routes[index], route, changes);
         }
     }
+    if (changes.size() == found) {
+        // As for routes: a member without a line above must not make a change look like none.
+        comparer.add(ConfigChangeKind::Changed, "", before.host, after.host);
+    }
 }
 
 std::string pathOf(std::string_view name)
