Add: [Request] The gate confirms a grant only when lost ranges have drained

Cause: GateDuty::onGrant answered at once, while requests of a range that the grant took away could still run on the backend server; the next owner would have run beside them. InflightRegistry (pure) keeps each handed-over keyed request until a whole answer or its deadline; onGrant puts the grant in force first and then waits.

--- a/src/duty/gate_duty.cpp
+++ b/src/duty/gate_duty.cpp
@@ -2,6 +2,9 @@
 
 #include "duty/gate_duty.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
 namespace wisteriahoist {
@@ -10,6 +13,7 @@
 
 constexpr milliseconds RetryAfterNoLease{200};
 constexpr milliseconds RetryAfterFull{100};
+constexpr milliseconds DrainPoll{2}; ///< How often a lost range's running requests are looked at.
 
 void refuse(v1::HopReply &reply, http::status status, const char *reason, milliseconds retryAfter)
 {
@@ -42,6 +46,15 @@
         client_ = std::make_shared<HttpClient>(context_.get_executor(), grant_.backend.ip,
                                                grant_.backend.port);
     }
+    // The new grant is in force from here on: nothing of a lost range is admitted any more. What
+    // was handed over before may still run; without the wait the next owner would run beside it.
+    asio::steady_timer timer(context_);
+    for (TimePoint now = clock_.now(); inflight_.lostUntil(grant_.routing.get(), self_, now) > now;
+         now = clock_.now()) {
+        timer.expires_after(DrainPoll);
+        beast::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
     co_return Accepted{};
 }
 
@@ -110,11 +123,18 @@
     }
     const std::shared_ptr<HttpClient> client = client_;
     ++running_;
+    uint64_t inflightId = 0;
+    if (request.keyed()) {
+        InflightRequest inflight{request.service(), KeyHash(request.key_hash()),
+                                 Epoch(reply.epoch()), now + deadlineLeft};
+        inflightId = inflight_.begin(std::move(inflight));
+    }
     Result<HttpResponse> answer = co_await client->exchange(
             makeBackendRequest(request, Epoch(reply.epoch()), deadlineLeft), deadlineLeft);
     --running_;
+    const bool neverSent = !answer && answer.assume_error().code == FailureCode::Unavailable;
+    inflight_.end(inflightId, answer.has_value() || neverSent, clock_.now());
     if (!answer) {
-        const bool neverSent = answer.assume_error().code == FailureCode::Unavailable;
         reply.set_outcome(neverSent ? v1::HOP_OUTCOME_NOT_RUN : v1::HOP_OUTCOME_UNKNOWN);
         reply.set_status(neverSent ? 503 : 504);
         reply.set_reason(std::string(failureName(answer.assume_error().code)));
--- a/src/duty/gate_duty.h
+++ b/src/duty/gate_duty.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "adapter/http/http_client.h"
+#include "decision/request/inflight_registry.h"
 #include "duty/duty_message.h"
 #include "port/clock.h"
 
@@ -20,7 +21,11 @@
 public:
     GateDuty(asio::io_context &context, const Clock &clock, NodeId self);
 
-    /** Takes a new grant over; older state is dropped. */
+    /**
+     * Takes a new grant over at once, and returns only when no request of a range that this node
+     * lost under the grant can still run: each has ended, or its deadline has passed. So the
+     * return confirms that the lost epochs are no longer admitted and have drained.
+     */
     asio::awaitable<Accepted> onGrant(GateGrant grant);
 
     /** Runs one request or says why not. */
@@ -37,6 +42,7 @@
     NodeId self_;
     GateGrant grant_;
     std::shared_ptr<HttpClient> client_; ///< To grant_.backend; replaced when its address changes.
+    InflightRegistry inflight_;          ///< Keyed requests handed over.
     uint32_t running_ = 0;               ///< Invariant: at most grant_.backend.slots.
 };
 
