Add: [Ownership] Member and Coordinator made safe; the fault matrix drives them

Cause: the skeleton's machines gave leases before the assignment was fenced, moved ranges without revoking them, and knew neither open rosters nor incarnations. Ruled out: counting acknowledgements from arrival, a new life taking its node's ranges over, leases before the term's own rewrite (each is a safeguard that a run can take out).

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,12 @@
 test: install
 	@scripts/test.sh
 
-fault-matrix measure bench:
+fault-matrix: install
+	@cmake -S . -B build/release -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+	@cmake --build build/release --target fault-matrix
+	@build/release/tool/fault_matrix/fault-matrix
+
+measure bench:
 	@echo "$@: not there yet" >&2; exit 1
 
 lint: install
--- a/src/adapter/codec/ownership_codec.cpp
+++ b/src/adapter/codec/ownership_codec.cpp
@@ -40,6 +40,72 @@
     return slices.empty() || slices.front().first == KeyHash(0);
 }
 
+/** Rounded up: an older lease that still runs must not look shorter than it is. */
+int64_t encodeDurationUp(Duration duration)
+{
+    return std::chrono::ceil<std::chrono::microseconds>(duration).count();
+}
+
+void encodeAddress(const NodeAddress &address, v1::NodeAddress &message)
+{
+    message.set_ip(address.ip);
+    message.set_caller_port(address.callerPort);
+    message.set_peer_port(address.peerPort);
+    message.set_admin_port(address.adminPort);
+}
+
+NodeAddress decodeAddress(const v1::NodeAddress &message)
+{
+    NodeAddress address;
+    address.ip = message.ip();
+    address.callerPort = static_cast<uint16_t>(message.caller_port());
+    address.peerPort = static_cast<uint16_t>(message.peer_port());
+    address.adminPort = static_cast<uint16_t>(message.admin_port());
+    return address;
+}
+
+void encodeRevocation(const Revocation &revocation, v1::Revocation &message)
+{
+    message.set_service(revocation.service);
+    message.set_first(revocation.first.value());
+    message.set_last(revocation.last.value());
+    message.set_epoch(revocation.epoch.value());
+}
+
+Revocation decodeRevocation(const v1::Revocation &message)
+{
+    return {message.service(), KeyHash(message.first()), KeyHash(message.last()),
+            Epoch(message.epoch())};
+}
+
+void encodeLoad(const ServiceLoad &load, v1::ServiceLoad &message)
+{
+    message.set_service(load.service);
+    for (const SliceLoad &slice : load.slices) {
+        v1::SliceLoad *encoded = message.add_slices();
+        encoded->set_first(slice.first.value());
+        encoded->set_requests_per_second(slice.requestsPerSecond);
+    }
+    for (const HotKey &key : load.hotKeys) {
+        v1::HotKey *encoded = message.add_hot_keys();
+        encoded->set_hash(key.hash.value());
+        encoded->set_requests_per_second(key.requestsPerSecond);
+    }
+}
+
+ServiceLoad decodeLoad(const v1::ServiceLoad &message)
+{
+    ServiceLoad load;
+    load.service = message.service();
+    for (const v1::SliceLoad &slice : message.slices()) {
+        load.slices.push_back({KeyHash(slice.first()), slice.requests_per_second()});
+    }
+    for (const v1::HotKey &key : message.hot_keys()) {
+        load.hotKeys.push_back({KeyHash(key.hash()), key.requests_per_second()});
+    }
+    return load;
+}
+
 } // namespace
 
 v1::Member encodeMember(const MemberInfo &info)
@@ -47,10 +113,7 @@
     v1::Member message;
     message.set_node_id(info.id.value());
     message.set_incarnation(info.incarnation.value());
-    message.mutable_address()->set_ip(info.address.ip);
-    message.mutable_address()->set_caller_port(info.address.callerPort);
-    message.mutable_address()->set_peer_port(info.address.peerPort);
-    message.mutable_address()->set_admin_port(info.address.adminPort);
+    encodeAddress(info.address, *message.mutable_address());
     message.set_failure_domain(info.failureDomain);
     message.set_service(info.service);
     message.set_slots(info.slots);
@@ -64,10 +127,7 @@
     MemberInfo info;
     info.id = NodeId(message.node_id());
     info.incarnation = Incarnation(message.incarnation());
-    info.address.ip = message.address().ip();
-    info.address.callerPort = static_cast<uint16_t>(message.address().caller_port());
-    info.address.peerPort = static_cast<uint16_t>(message.address().peer_port());
-    info.address.adminPort = static_cast<uint16_t>(message.address().admin_port());
+    info.address = decodeAddress(message.address());
     info.failureDomain = message.failure_domain();
     info.service = message.service();
     info.slots = message.slots();
@@ -83,9 +143,18 @@
     message.set_coordinator_node(record.coordinator.value());
     message.set_coordinator_incarnation(record.coordinatorIncarnation.value());
     message.set_write_nonce(record.nonce.value());
+    encodeAddress(record.coordinatorAddress, *message.mutable_coordinator_address());
     for (const MemberInfo &info : record.roster) {
         *message.add_roster() = encodeMember(info);
     }
+    for (const OpenRoster &open : record.openRosters) {
+        v1::OpenRoster *encoded = message.add_open_rosters();
+        encoded->set_term(open.term.value());
+        for (const Voter &voter : open.voters) {
+            encoded->add_node_ids(voter.id.value());
+            encoded->add_incarnations(voter.incarnation.value());
+        }
+    }
     return message.SerializeAsString();
 }
 
@@ -103,9 +172,31 @@
     for (const v1::Member &member : message.roster()) {
         record.roster.push_back(decodeMember(member));
     }
+    record.coordinatorAddress = decodeAddress(message.coordinator_address());
+    for (const v1::OpenRoster &open : message.open_rosters()) {
+        if (open.node_ids_size() != open.incarnations_size()) {
+            return makeMalformed("term object: open roster");
+        }
+        OpenRoster decoded;
+        decoded.term = Term(open.term());
+        for (int index = 0; index < open.node_ids_size(); ++index) {
+            decoded.voters.push_back(
+                    {NodeId(open.node_ids(index)), Incarnation(open.incarnations(index))});
+        }
+        record.openRosters.push_back(std::move(decoded));
+    }
     return record;
 }
 
+Result<Term> decodeLossConfirmation(const std::string &bytes)
+{
+    v1::LossConfirmation message;
+    if (!message.ParseFromString(bytes)) {
+        return makeMalformed("loss confirmation");
+    }
+    return Term(message.term());
+}
+
 v1::AssignmentObject encodeAssignmentMessage(const AssignmentRecord &record)
 {
     v1::AssignmentObject message;
@@ -169,11 +260,15 @@
     message.set_sent_at_us(encodeTime(request.sentAt));
     message.set_config_version(request.configVersion);
     message.set_assignment_version(request.assignmentVersion.value());
-    message.set_older_lease_left_us(encodeDuration(request.olderLeaseLeft));
-    for (const Epoch epoch : request.relinquished) {
-        message.add_relinquished_epochs(epoch.value());
+    message.set_older_lease_left_us(encodeDurationUp(request.olderLeaseLeft));
+    message.set_older_echo_age_us(encodeDuration(request.olderEchoAge));
+    for (const Revocation &revocation : request.relinquished) {
+        encodeRevocation(revocation, *message.add_relinquished());
     }
     message.set_load(request.load);
+    for (const ServiceLoad &load : request.loads) {
+        encodeLoad(load, *message.add_loads());
+    }
     return message.SerializeAsString();
 }
 
@@ -191,10 +286,14 @@
     request.configVersion = message.config_version();
     request.assignmentVersion = ObjectVersion(message.assignment_version());
     request.olderLeaseLeft = std::chrono::microseconds(message.older_lease_left_us());
-    for (const uint64_t epoch : message.relinquished_epochs()) {
-        request.relinquished.emplace_back(epoch);
+    request.olderEchoAge = std::chrono::microseconds(message.older_echo_age_us());
+    for (const v1::Revocation &revocation : message.relinquished()) {
+        request.relinquished.push_back(decodeRevocation(revocation));
     }
     request.load = message.load();
+    for (const v1::ServiceLoad &load : message.loads()) {
+        request.loads.push_back(decodeLoad(load));
+    }
     return request;
 }
 
@@ -217,8 +316,8 @@
     for (const MemberInfo &info : reply.roster) {
         *message.add_roster() = encodeMember(info);
     }
-    for (const Epoch epoch : reply.revoked) {
-        message.add_revoked_epochs(epoch.value());
+    for (const Revocation &revocation : reply.revoked) {
+        encodeRevocation(revocation, *message.add_revoked());
     }
     return message.SerializeAsString();
 }
@@ -254,8 +353,8 @@
     for (const v1::Member &member : message.roster()) {
         reply.roster.push_back(decodeMember(member));
     }
-    for (const uint64_t epoch : message.revoked_epochs()) {
-        reply.revoked.emplace_back(epoch);
+    for (const v1::Revocation &revocation : message.revoked()) {
+        reply.revoked.push_back(decodeRevocation(revocation));
     }
     return reply;
 }
--- a/src/adapter/codec/ownership_codec.h
+++ b/src/adapter/codec/ownership_codec.h
@@ -14,6 +14,9 @@
 std::string encodeTerm(const TermRecord &record);
 Result<TermRecord> decodeTerm(const std::string &bytes);
 
+/** @return The term up to which an operator confirmed the loss of what is missing. */
+Result<Term> decodeLossConfirmation(const std::string &bytes);
+
 v1::AssignmentObject encodeAssignmentMessage(const AssignmentRecord &record);
 std::string encodeAssignment(const AssignmentRecord &record);
 Result<AssignmentRecord> decodeAssignment(const std::string &bytes);
--- a/src/decision/routing/slice_table.h
+++ b/src/decision/routing/slice_table.h
@@ -16,6 +16,13 @@
     bool operator==(const Slice &) const = default;
 };
 
+/** @return The last point (inclusive) of the range at @p index. */
+inline KeyHash lastPointOf(const std::vector<Slice> &slices, size_t index)
+{
+    return index + 1 < slices.size() ? KeyHash(slices[index + 1].first.value() - 1)
+                                     : KeyHash(UINT64_MAX);
+}
+
 /**
  * An immutable table of the ranges of one service.
  * Invariant: sorted by first; the first range begins at 0; so every hash lies in exactly one range.
--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -4,6 +4,7 @@
 
 #include "adapter/codec/declaration_codec.h"
 #include "adapter/codec/ownership_codec.h"
+#include "decision/ownership/least_owned_policy.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,6 +20,8 @@
 constexpr milliseconds TickInterval{25};
 constexpr milliseconds WatchWait{10000};
 constexpr milliseconds WatchRetry{500};
+constexpr milliseconds LossCheckAfter{3000}; ///< A term's rosters stay open so long: ask operators.
+constexpr uint32_t MaxRenewals = 3; ///< On their way at once: one lost must not hold up the next.
 const std::string ConfigObject = "config";
 
 asio::awaitable<void> pause(asio::io_context &context, milliseconds duration)
@@ -35,7 +38,7 @@
                          RoutingLink &ingress, GrantLink &gate)
     : context_(context), clock_(clock), platform_(platform), times_(times), cell_(std::move(cell)),
       ingress_(ingress), gate_(gate), peers_(context), member_(times, std::move(self)),
-      random_(std::random_device{}())
+      policy_(std::make_shared<LeastOwnedPolicy>()), random_(std::random_device{}())
 { }
 
 void ControlDuty::start()
@@ -64,65 +67,72 @@
     }
 }
 
-asio::awaitable<void> ControlDuty::readTerm()
+asio::awaitable<Result<ControlDuty::StoredTerm>> ControlDuty::fetchTerm()
 {
-    Result<VersionedObject> object = co_await platform_.read("cells/" + cell_ + "/term");
+    StoredTerm stored;
+    stored.askedAt = clock_.now();
+    Result<VersionedObject> object = co_await platform_.read(objectName("term"));
     if (!object) {
-        co_return;
+        co_return std::move(object).as_failure();
     }
-    std::optional<TermRecord> record;
-    if (object.assume_value().version != AbsentObject) {
+    stored.version = object.assume_value().version;
+    if (stored.version != AbsentObject) {
         Result<TermRecord> decoded = decodeTerm(object.assume_value().content);
         if (!decoded) {
-            co_return;
+            co_return std::move(decoded).as_failure();
         }
-        record = std::move(decoded.assume_value());
+        stored.record = std::move(decoded.assume_value());
+    }
+    co_return stored;
+}
+
+asio::awaitable<void> ControlDuty::readTerm()
+{
+    Result<StoredTerm> stored = co_await fetchTerm();
+    if (!stored) {
+        member_.onTermReadFailed(clock_.now());
+        co_return;
     }
-    member_.onTermRead(object.assume_value().version, std::move(record), clock_.now());
+    const StoredTerm &object = stored.assume_value();
+    member_.onTermRead(object.version, object.record, clock_.now());
+    takeOffice(object.askedAt);
 }
 
 asio::awaitable<void> ControlDuty::campaign()
 {
     const TermRecord record = member_.makeCampaign(WriteNonce(random_()));
-    const std::string name = "cells/" + cell_ + "/term";
-    Result<ObjectVersion> written
-            = co_await platform_.write(name, member_.knownVersion(), encodeTerm(record));
+    const TimePoint askedAt = clock_.now();
+    Result<ObjectVersion> written = co_await platform_.write(
+            objectName("term"), member_.knownVersion(), encodeTerm(record));
     if (written) {
-        co_await becomeCoordinator(record, written.assume_value());
+        member_.onCampaignWon(written.assume_value(), record, clock_.now());
+        takeOffice(askedAt);
         co_return;
     }
-    // The reply may have been lost after the write took effect: the nonce tells.
-    Result<VersionedObject> object = co_await platform_.read(name);
-    if (object && object.assume_value().version != AbsentObject) {
-        Result<TermRecord> stored = decodeTerm(object.assume_value().content);
-        if (stored && stored.assume_value().nonce == record.nonce) {
-            co_await becomeCoordinator(record, object.assume_value().version);
-            co_return;
-        }
-    }
+    // The reply may have been lost after the write took effect: the object names its writer.
     member_.onCampaignLost(clock_.now());
+    co_await readTerm();
 }
 
-asio::awaitable<void> ControlDuty::becomeCoordinator(TermRecord record, ObjectVersion version)
+void ControlDuty::takeOffice(TimePoint askedAt)
 {
-    BOOST_LOG_TRIVIAL(info) << "coordinator: won term " << record.term.value() << " of " << cell_;
-    coordinator_ = std::make_unique<Coordinator>(times_, record, version);
-    member_.onCampaignWon(version, record, clock_.now());
-    asio::co_spawn(context_, watchConfig(record.term), asio::detached);
-    while (isCoordinating(record.term)) {
-        Result<VersionedObject> object = co_await platform_.read("cells/" + cell_ + "/assignment");
-        if (object && isCoordinating(record.term)) {
-            std::optional<AssignmentRecord> stored;
-            Result<AssignmentRecord> decoded = decodeAssignment(object.assume_value().content);
-            if (object.assume_value().version != AbsentObject && decoded) {
-                stored = std::move(decoded.assume_value());
-            }
-            coordinator_->onAssignmentRead(object.assume_value().version, std::move(stored),
-                                           clock_.now());
-            co_return;
-        }
-        co_await pause(context_, WatchRetry);
+    const std::optional<WonTerm> won = member_.takeOffice();
+    if (!won) {
+        return;
     }
+    const Term term = won->record.term;
+    BOOST_LOG_TRIVIAL(info) << "coordinator: won term " << term.value() << " of " << cell_;
+    const Coordinator::Office office{won->record, won->version, askedAt};
+    coordinator_ = std::make_unique<Coordinator>(times_, office, policy_, clock_.now());
+    asio::co_spawn(context_, watchConfig(term), asio::detached);
+    asio::co_spawn(context_, watchTerm(term), asio::detached);
+    asio::co_spawn(context_, watchLoss(term), asio::detached);
+    stepCoordinator();
+}
+
+std::string ControlDuty::objectName(const char *part) const
+{
+    return "cells/" + cell_ + "/" + part;
 }
 
 bool ControlDuty::isCoordinating(Term term) const
@@ -149,77 +159,182 @@
     }
 }
 
+asio::awaitable<void> ControlDuty::watchTerm(Term term)
+{
+    ObjectVersion known;
+    while (isCoordinating(term)) {
+        const TimePoint askedAt = clock_.now();
+        known = coordinator_->termVersion();
+        Result<VersionedObject> object
+                = co_await platform_.watch(objectName("term"), known, WatchWait);
+        if (!isCoordinating(term)) {
+            co_return;
+        }
+        if (!object) {
+            co_await pause(context_, WatchRetry);
+            continue;
+        }
+        std::optional<TermRecord> record;
+        Result<TermRecord> decoded = decodeTerm(object.assume_value().content);
+        if (object.assume_value().version != AbsentObject && decoded) {
+            record = std::move(decoded.assume_value());
+        }
+        coordinator_->onTermSeen(object.assume_value().version, record, askedAt);
+        if (object.assume_value().version > coordinator_->termVersion()) {
+            co_await pause(context_, TickInterval); // Our own write, its reply still on its way.
+        }
+    }
+}
+
+asio::awaitable<void> ControlDuty::watchLoss(Term term)
+{
+    co_await pause(context_, LossCheckAfter);
+    while (isCoordinating(term) && !coordinator_->areRostersClosed(clock_.now())) {
+        Result<VersionedObject> object = co_await platform_.read(objectName("loss"));
+        if (object && isCoordinating(term)) {
+            Result<Term> confirmed = decodeLossConfirmation(object.assume_value().content);
+            if (object.assume_value().version != AbsentObject && confirmed) {
+                coordinator_->onLossConfirmed(confirmed.assume_value(), clock_.now());
+            }
+        }
+        co_await pause(context_, WatchRetry);
+    }
+}
+
 void ControlDuty::stepCoordinator()
 {
     if (!coordinator_) {
         return;
     }
+    const Term term = coordinator_->term().term;
+    if (coordinator_->isDeposed() || member_.acknowledgedTerm() > term) {
+        BOOST_LOG_TRIVIAL(info) << "coordinator: lost term " << term.value();
+        coordinator_.reset();
+        asio::co_spawn(context_, readTerm(), asio::detached);
+        return;
+    }
     coordinator_->onTick(clock_.now());
-    if (auto record = coordinator_->pendingTermWrite()) {
-        asio::co_spawn(context_, writeTerm(std::move(*record)), asio::detached);
+    for (CoordinatorStep step = coordinator_->nextStep(clock_.now()); step != CoordinatorStep::None;
+         step = coordinator_->nextStep(clock_.now())) {
+        startCall(step);
+    }
+}
+
+void ControlDuty::startCall(CoordinatorStep step)
+{
+    const Term term = coordinator_->term().term;
+    switch (step) {
+    case CoordinatorStep::None:
+        break;
+    case CoordinatorStep::ReadTerm:
+        asio::co_spawn(context_, readTermBack(term), asio::detached);
+        break;
+    case CoordinatorStep::WriteTerm:
+        asio::co_spawn(context_, writeTerm(coordinator_->makeTermWrite(WriteNonce(random_()))),
+                       asio::detached);
+        break;
+    case CoordinatorStep::ReadAssignment:
+        asio::co_spawn(context_, readAssignment(term), asio::detached);
+        break;
+    case CoordinatorStep::WriteAssignment:
+        asio::co_spawn(context_,
+                       writeAssignment(coordinator_->makeAssignmentWrite(WriteNonce(random_()))),
+                       asio::detached);
+        break;
     }
-    if (auto record = coordinator_->pendingAssignmentWrite()) {
-        asio::co_spawn(context_, writeAssignment(std::move(*record)), asio::detached);
+}
+
+asio::awaitable<void> ControlDuty::readTermBack(Term term)
+{
+    Result<StoredTerm> stored = co_await fetchTerm();
+    if (!isCoordinating(term)) {
+        co_return;
     }
+    if (!stored) {
+        coordinator_->onTermCallFailed(clock_.now());
+        co_return;
+    }
+    const StoredTerm &object = stored.assume_value();
+    coordinator_->onTermStored(object.version, object.record, object.askedAt, clock_.now());
 }
 
 asio::awaitable<void> ControlDuty::writeTerm(TermRecord record)
 {
     const Term term = record.term;
     Result<ObjectVersion> written = co_await platform_.write(
-            "cells/" + cell_ + "/term", coordinator_->termVersion(), encodeTerm(record));
+            objectName("term"), coordinator_->termVersion(), encodeTerm(record));
     if (!isCoordinating(term)) {
         co_return;
     }
     if (written) {
         coordinator_->onTermWritten(written.assume_value(), clock_.now());
+    } else {
+        coordinator_->onTermCallFailed(clock_.now());
+    }
+}
+
+asio::awaitable<void> ControlDuty::readAssignment(Term term)
+{
+    Result<VersionedObject> object = co_await platform_.read(objectName("assignment"));
+    if (!isCoordinating(term)) {
         co_return;
     }
-    BOOST_LOG_TRIVIAL(info) << "coordinator: lost term " << term.value();
-    coordinator_.reset();
-    co_await readTerm();
+    if (!object) {
+        coordinator_->onAssignmentCallFailed(clock_.now());
+        co_return;
+    }
+    std::optional<AssignmentRecord> stored;
+    if (object.assume_value().version != AbsentObject) {
+        Result<AssignmentRecord> decoded = decodeAssignment(object.assume_value().content);
+        if (!decoded) {
+            // Taken for absent, it would be overwritten: owners would be lost.
+            BOOST_LOG_TRIVIAL(error) << "assignment object of " << cell_ << " is malformed";
+            coordinator_->onAssignmentCallFailed(clock_.now());
+            co_return;
+        }
+        stored = std::move(decoded.assume_value());
+    }
+    coordinator_->onAssignmentStored(object.assume_value().version, stored, clock_.now());
+    stepCoordinator();
 }
 
 asio::awaitable<void> ControlDuty::writeAssignment(AssignmentRecord record)
 {
     const Term term = record.term;
-    Result<ObjectVersion> written
-            = co_await platform_.write("cells/" + cell_ + "/assignment",
-                                       coordinator_->assignmentVersion(), encodeAssignment(record));
+    Result<ObjectVersion> written = co_await platform_.write(
+            objectName("assignment"), coordinator_->assignmentVersion(), encodeAssignment(record));
     if (!isCoordinating(term)) {
         co_return;
     }
     if (written) {
         coordinator_->onAssignmentWritten(written.assume_value(), clock_.now());
-        co_return;
+    } else {
+        coordinator_->onAssignmentCallFailed(clock_.now());
     }
-    BOOST_LOG_TRIVIAL(info) << "coordinator: lost term " << term.value();
-    coordinator_.reset();
-    co_await readTerm();
 }
 
 asio::awaitable<void> ControlDuty::renew()
 {
-    const MemberInfo *target = member_.coordinator();
-    if (target == nullptr || renewing_) {
+    const NodeAddress *target = member_.coordinatorAddress();
+    if (target == nullptr || renewing_ >= MaxRenewals) {
         co_return;
     }
-    renewing_ = true;
+    ++renewing_;
     const RenewRequest request = member_.makeRenew(clock_.now());
     Result<RenewReply> reply = Failure{FailureCode::Unavailable, "no coordinator"};
     if (member_.isCoordinator()) {
-        if (coordinator_) {
-            reply = coordinator_->onRenew(request, clock_.now());
-        }
+        RenewReply own;
+        own.notCoordinator = true;
+        reply = coordinator_ ? coordinator_->onRenew(request, clock_.now()) : own;
     } else {
-        const PeerEndpoint peer{target->address.ip, target->address.peerPort};
+        const PeerEndpoint peer{target->ip, target->peerPort};
         Result<std::string> bytes = co_await peers_.call(
-                peer, "/renew", encodeRenewRequest(request), times_.suspectAfter);
+                peer, "/renew", encodeRenewRequest(request), times_.renewInterval * 2);
         if (bytes) {
             reply = decodeRenewReply(bytes.assume_value());
         }
     }
-    renewing_ = false;
+    --renewing_;
     if (reply) {
         member_.onRenewReply(reply.assume_value(), clock_.now());
     } else {
@@ -242,23 +357,36 @@
 asio::awaitable<void> ControlDuty::publish()
 {
     const bool changed = !published_ || published_->assignmentVersion != member_.assignmentVersion()
-                         || published_->declarations.version != member_.declarations().version;
+                         || published_->declarations.version != member_.declarations().version
+                         || publishedRevocations_ != member_.revocations();
     if (changed) {
         auto snapshot = std::make_shared<RoutingSnapshot>();
         snapshot->declarations = member_.declarations();
         snapshot->assignmentVersion = member_.assignmentVersion();
-        snapshot->tables = member_.assignment().services;
+        snapshot->tables = member_.routingTables();
         for (const MemberInfo &info : member_.roster()) {
             snapshot->members[info.id] = info;
         }
         published_ = snapshot;
-        (void)co_await ingress_.call(published_);
+        publishedRevocations_ = member_.revocations();
+        asio::co_spawn(context_, informIngress(published_), asio::detached);
     }
     GateGrant grant;
     grant.routing = published_;
     grant.leaseUntil = member_.leaseUntil();
     grant.backend = backend_;
-    (void)co_await gate_.call(std::move(grant));
+    const std::vector<Revocation> revoked(publishedRevocations_.begin(),
+                                          publishedRevocations_.end());
+    // The gate takes the grant at once and answers when nothing that it lost can still run.
+    Result<Accepted> accepted = co_await gate_.call(std::move(grant));
+    if (accepted) {
+        member_.onDrained(revoked);
+    }
+}
+
+asio::awaitable<void> ControlDuty::informIngress(RoutingSnapshotPtr routing)
+{
+    (void)co_await ingress_.call(std::move(routing));
 }
 
 void ControlDuty::onAnnounce(const BackendInfo &backend)
--- a/src/duty/control_duty.h
+++ b/src/duty/control_duty.h
@@ -35,19 +35,34 @@
     asio::awaitable<AdminReply> onAdmin(AdminCall call);
 
 private:
+    /** The term object as read. */
+    struct StoredTerm {
+        ObjectVersion version;
+        std::optional<TermRecord> record;
+        TimePoint askedAt; ///< Before the call was sent.
+    };
+
     asio::awaitable<void> tickLoop();
+    asio::awaitable<Result<StoredTerm>> fetchTerm();
     asio::awaitable<void> readTerm();
     asio::awaitable<void> campaign();
-    asio::awaitable<void> becomeCoordinator(TermRecord record, ObjectVersion version);
+    void takeOffice(TimePoint askedAt);
     asio::awaitable<void> renew();
+    asio::awaitable<void> readTermBack(Term term);
+    asio::awaitable<void> readAssignment(Term term);
     asio::awaitable<void> writeTerm(TermRecord record);
     asio::awaitable<void> writeAssignment(AssignmentRecord record);
     asio::awaitable<void> watchConfig(Term term);
+    asio::awaitable<void> watchTerm(Term term);
+    asio::awaitable<void> watchLoss(Term term);
     asio::awaitable<void> publish();
+    asio::awaitable<void> informIngress(RoutingSnapshotPtr routing);
     asio::awaitable<std::string> apply(std::string body);
     std::string status() const;
     void onAnnounce(const BackendInfo &backend);
     void stepCoordinator();
+    void startCall(CoordinatorStep step);
+    std::string objectName(const char *part) const;
     bool isCoordinating(Term term) const;
 
     asio::io_context &context_;
@@ -59,12 +74,14 @@
     GrantLink &gate_;
     PeerCaller peers_;
     Member member_;
+    std::shared_ptr<PlacementPolicy> policy_;
     std::unique_ptr<Coordinator>
             coordinator_; ///< Present while this node believes it holds a term.
     BackendInfo backend_;
     std::mt19937_64 random_;
     RoutingSnapshotPtr published_;
-    bool renewing_ = false; ///< Invariant: at most one renewal is on its way.
+    std::set<Revocation> publishedRevocations_; ///< Taken off the tables of published_.
+    uint32_t renewing_ = 0;                     ///< Renewals on their way; bounded.
     bool stopping_ = false;
 };
 
