Change: [Placement] Balance only after a warm-up, on lasting overload, and no further than the bound

Early moves came from hot keys that a young tracker reported too cold and from a few seconds' noise.

--- a/src/decision/placement/balanced_placement.cpp
+++ b/src/decision/placement/balanced_placement.cpp
@@ -11,7 +11,7 @@
 
 constexpr double SmallestTolerance = 0.03;
 constexpr double LargestTolerance = 0.15;
-constexpr double StopShare = 0.5;       ///< Moves end at this share of the tolerance.
+constexpr double StopShare = 0.7;       ///< Moves end at this share of the tolerance.
 constexpr double WorthwhileGain = 0.02; ///< Least relief, as a share of the mean, of a move that
                                         ///< leaves its new owner above the mean.
 constexpr size_t LeastMoves = 4;        ///< Balancing moves in one decision, however few instances.
@@ -41,7 +41,9 @@
     }
     rehomeOrphans();
     emptyDraining();
-    if (now - balancedAt_ >= settings_.balanceInterval) {
+    startedAt_ = startedAt_ == NeverTime ? now : startedAt_;
+    const bool warm = now - startedAt_ >= settings_.warmUp;
+    if (warm && now - balancedAt_ >= settings_.balanceInterval) {
         balancedAt_ = now;
         reshape(input, now);
         balance(input, now);
@@ -219,25 +221,47 @@
     }
     std::vector<std::pair<double, uint32_t>> overloaded;
     const double mean = model_.meanRelative();
+    const double line = mean * std::min(hottestBound(), settings_.boundSlack);
+    std::unordered_map<NodeId, uint32_t> lasting;
     for (uint32_t index = 0; index < carried_.size(); ++index) {
         const InstanceState &instance = model_.instances()[index];
-        const double fair = std::max(mean * instance.capacity, hottest_[index]);
-        if (instance.known && instance.capacity > 0
-            && instance.load > fair * (1 + thresholds_.high)) {
+        const double fair = std::max(line * instance.capacity, hottest_[index]);
+        const bool over = instance.known && instance.capacity > 0
+                          && instance.load > fair * (1 + thresholds_.high);
+        const uint32_t inRow = over ? overloadedFor_[instance.id] + 1 : 0;
+        if (inRow > 0) {
+            lasting[instance.id] = inRow;
+        }
+        if (inRow >= settings_.patience) {
             overloaded.emplace_back(instance.relative(), index);
         }
     }
+    overloadedFor_ = std::move(lasting);
     std::sort(overloaded.rbegin(), overloaded.rend());
     DestinationIndex index(model_, [](const InstanceState &instance) {
         return instance.known && !instance.leaving;
     });
     for (const auto &[relative, source] : overloaded) {
         const InstanceState &instance = model_.instances()[source];
-        const double fair = std::max(mean * instance.capacity, hottest_[source]);
+        const double fair = std::max(line * instance.capacity, hottest_[source]);
         relieve(source, instance.load - fair * (1 + thresholds_.low), index);
     }
 }
 
+double BalancedPlacement::hottestBound()
+{
+    double hottest = 0;
+    double largest = 0;
+    for (const RangeState &range : model_.ranges()) {
+        hottest = range.isolated ? std::max(hottest, range.load) : hottest;
+    }
+    for (const InstanceState &instance : model_.instances()) {
+        largest = std::max(largest, instance.capacity);
+    }
+    const double mean = model_.meanRelative();
+    return mean > 0 && largest > 0 ? std::max(1.0, hottest / largest / mean) : 1.0;
+}
+
 bool BalancedPlacement::relieve(uint32_t source, double excess, DestinationIndex &index)
 {
     std::vector<size_t> &ranges = carried_[source];
@@ -352,22 +376,12 @@
 {
     const double mean = model_.meanRelative();
     double highest = 0;
-    double hottest = 0;
-    double largest = 0;
     for (const InstanceState &instance : model_.instances()) {
         summary_.unknown += instance.known ? 0 : 1;
-        if (instance.capacity > 0) {
-            highest = std::max(highest, instance.relative());
-            largest = std::max(largest, instance.capacity);
-        }
-    }
-    for (const RangeState &range : model_.ranges()) {
-        hottest = range.isolated ? std::max(hottest, range.load) : hottest;
-    }
-    if (mean > 0) {
-        summary_.imbalance = highest / mean;
-        summary_.bound = std::max(1.0, hottest / largest / mean);
+        highest = instance.capacity > 0 ? std::max(highest, instance.relative()) : highest;
     }
+    summary_.imbalance = mean > 0 ? highest / mean : 1;
+    summary_.bound = hottestBound();
 }
 
 } // namespace wisteriahoist
--- a/src/decision/placement/balanced_placement.h
+++ b/src/decision/placement/balanced_placement.h
@@ -53,6 +53,7 @@
     void mergeCold(TimePoint now);
     bool mayMerge(size_t before, size_t index, double highest, TimePoint now);
     void emitMove(size_t range, PlacementReason reason);
+    double hottestBound();
     void summarize();
 
     PlacementSettings settings_;
@@ -66,6 +67,8 @@
     size_t movesLeft_ = 0;
     double loadLeft_ = 0;
     TimePoint now_ = NeverTime;
+    std::unordered_map<NodeId, uint32_t> overloadedFor_; ///< Decisions in a row, by instance.
+    TimePoint startedAt_ = NeverTime;
     TimePoint balancedAt_ = NeverTime;
 };
 
--- a/src/decision/placement/load_tracker.cpp
+++ b/src/decision/placement/load_tracker.cpp
@@ -29,6 +29,7 @@
 {
     if (origin_ == NeverTime) {
         origin_ = now;
+        started_ = now;
         weightTime_ = now;
     }
     if (now - weightTime_ < WeightStep) {
@@ -86,9 +87,12 @@
     std::sort(
             report.ranges.begin(), report.ranges.end(),
             [](const SliceLoad &left, const SliceLoad &right) { return left.first < right.first; });
+    // A tracker that has just begun would report its keys too cold beside its ranges.
+    const double age = std::max(toSeconds(now - started_) / decay, ShortestAge);
+    const double keyUnit = unit * (1 - std::exp(-age));
     // The lower end of a key's count: an upper end would isolate keys that are not hot.
     for (const SketchEntry &entry : keys_.top(settings_.reportedKeys)) {
-        const double rate = (entry.count - entry.error) / unit;
+        const double rate = (entry.count - entry.error) / keyUnit;
         if (rate >= NegligibleRate) {
             report.hotKeys.push_back({entry.hash, rate});
         }
--- a/src/decision/placement/load_tracker.h
+++ b/src/decision/placement/load_tracker.h
@@ -51,6 +51,7 @@
     LoadTrackerSettings settings_;
     HotKeySketch keys_;
     std::unordered_map<KeyHash, RangeCount> ranges_;
+    TimePoint started_ = NeverTime;    ///< First request of all.
     TimePoint origin_ = NeverTime;     ///< Weight 1.
     TimePoint weightTime_ = NeverTime; ///< Time for which weight_ holds.
     double weight_ = 1;
--- a/src/decision/placement/placement_settings_type.h
+++ b/src/decision/placement/placement_settings_type.h
@@ -16,7 +16,13 @@
     Duration moveTimeout = std::chrono::seconds(3); ///< A move not seen by then is asked for again.
     Duration lossTimeout = std::chrono::milliseconds(300); ///< The same for a range without owner.
     Duration loadFall = std::chrono::seconds(8);           ///< Time constant of a falling estimate.
-    double tolerance = 0.05;       ///< Overload that starts moves when the weights are equal.
+    Duration warmUp = std::chrono::seconds(6); ///< No balancing so soon after the first decision:
+    ///< estimates are few seconds' noise, and acting on them moves ranges for nothing.
+    uint32_t patience
+            = 3; ///< Decisions in a row that find an instance overloaded before it is relieved.
+    double tolerance = 0.06;  ///< Overload that starts moves when the weights are equal.
+    double boundSlack = 1.25; ///< Where the hottest key sets a bound above 1, others may reach it
+                              ///< up to this multiple of the mean: evening them out gains nothing.
     double coldShare = 0.25;       ///< Part of its slots that a cold instance counts with.
     double isolateShare = 0.10;    ///< A key with at least this load gets a range of its own.
     double splitShare = 0.15;      ///< A wider range with more load than this is cut in two.
