--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -4,6 +4,7 @@
 
 #include "adapter/codec/declaration_codec.h"
 #include "adapter/codec/ownership_codec.h"
+#include "adapter/log/event_log.h"
 #include "decision/ownership/least_owned_policy.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,7 +12,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/log/trivial.hpp>
 
 namespace wisteriahoist {
 
@@ -122,7 +122,7 @@
         return;
     }
     const Term term = won->record.term;
-    BOOST_LOG_TRIVIAL(info) << "coordinator: won term " << term.value() << " of " << cell_;
+    logEvent(LogEvent::TermWon, {{"term", term.value()}, {"cell", cell_}});
     const Coordinator::Office office{won->record, won->version, askedAt};
     coordinator_ = std::make_unique<Coordinator>(times_, office, policy_, clock_.now());
     asio::co_spawn(context_, watchConfig(term), asio::detached);
@@ -209,7 +209,7 @@
     }
     const Term term = coordinator_->term().term;
     if (coordinator_->isDeposed() || member_.acknowledgedTerm() > term) {
-        BOOST_LOG_TRIVIAL(info) << "coordinator: lost term " << term.value();
+        logEvent(LogEvent::TermLost, {{"term", term.value()}, {"cell", cell_}});
         coordinator_.reset();
         asio::co_spawn(context_, readTerm(), asio::detached);
         return;
@@ -289,7 +289,7 @@
         Result<AssignmentRecord> decoded = decodeAssignment(object.assume_value().content);
         if (!decoded) {
             // Taken for absent, it would be overwritten: owners would be lost.
-            BOOST_LOG_TRIVIAL(error) << "assignment object of " << cell_ << " is malformed";
+            logEvent(LogEvent::ObjectMalformed, {{"object", "assignment"}, {"cell", cell_}});
             coordinator_->onAssignmentCallFailed(clock_.now());
             co_return;
         }
@@ -402,7 +402,8 @@
     self.grantMode = backend.grantMode;
     self.draining = backend.draining;
     member_.updateSelf(self);
-    BOOST_LOG_TRIVIAL(info) << "backend server announced itself for " << backend.service;
+    logEvent(LogEvent::BackendAnnounced,
+             {{"service", backend.service}, {"draining", backend.draining}});
 }
 
 asio::awaitable<AdminReply> ControlDuty::onAdmin(AdminCall call)
