--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -36,6 +36,7 @@
         {LogEvent::BackendSilent, "backend-silent", LogSeverity::Warning},
         {LogEvent::DrainStarted, "drain-started", LogSeverity::Info},
         {LogEvent::DrainFinished, "drain-finished", LogSeverity::Info},
+        {LogEvent::ObjectMalformed, "object-malformed", LogSeverity::Error},
         {LogEvent::PlatformUnavailable, "platform-unavailable", LogSeverity::Error},
         {LogEvent::PlatformBack, "platform-back", LogSeverity::Info},
         {LogEvent::PeerRefused, "peer-refused", LogSeverity::Warning},
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -43,6 +43,7 @@
     BackendSilent,
     DrainStarted,
     DrainFinished,
+    ObjectMalformed, ///< An object of the platform that the codec refuses.
     PlatformUnavailable,
     PlatformBack,
     PeerRefused, ///< A stranger's or an outdated credential.
