Add: [Signals] Control duty tells term and role; plain program for ThreadSanitizer

Cause: term and coordinating stayed 0 on the page. Criterion cannot start under ThreadSanitizer, so rings, metrics and span rings are driven by a program of their own (make tsan). Not run yet: make tsan.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the project; each exits non-zero on failure and ends with one line of figures.
-.PHONY: demo test fault-matrix measure bench lint format proto install release
+.PHONY: tsan demo test fault-matrix measure bench lint format proto install release
 
 install:
 	@scripts/install-deps.sh
@@ -28,6 +28,11 @@
 	@cmake --build build/release --target wisteriahoist-measure
 	@build/release/tool/measure/wisteriahoist-measure build/measure
 
+tsan: install
+	@cmake -S . -B build/tsan -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DWH_SANITIZE=thread >/dev/null
+	@cmake --build build/tsan --target tsan-check
+	@build/tsan/test/tsan/tsan-check
+
 lint: install
 	@scripts/lint.sh
 
--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -355,8 +355,19 @@
     co_return encodeRenewReply(reply);
 }
 
+void ControlDuty::tellMetrics()
+{
+    if (metrics_ == nullptr) {
+        return;
+    }
+    const std::optional<TermRecord> &term = member_.term();
+    metrics_->term.set(term ? static_cast<double>(term->term.value()) : 0);
+    metrics_->coordinating.set(coordinator_ ? 1 : 0);
+}
+
 asio::awaitable<void> ControlDuty::publish()
 {
+    tellMetrics();
     const bool changed = !published_ || published_->assignmentVersion != member_.assignmentVersion()
                          || published_->declarations.version != member_.declarations().version
                          || publishedRevocations_ != member_.revocations();
--- a/src/duty/control_duty.h
+++ b/src/duty/control_duty.h
@@ -6,6 +6,7 @@
 #include "decision/ownership/coordinator.h"
 #include "decision/ownership/member.h"
 #include "duty/duty_message.h"
+#include "duty/node_signals.h"
 #include "duty/operator_service.h"
 #include "port/clock.h"
 #include "port/platform_store.h"
@@ -26,6 +27,9 @@
                 OwnershipTimes times, MemberInfo self, std::string cell, RoutingLink &ingress,
                 GrantLink &gate);
 
+    /** Sets where term and role are told. @pre Called before start(); @p metrics outlives this. */
+    void observeWith(OwnershipMetrics &metrics) { metrics_ = &metrics; }
+
     void start();
     void stop() { stopping_ = true; }
 
@@ -57,6 +61,7 @@
     asio::awaitable<void> watchTerm(Term term);
     asio::awaitable<void> watchLoss(Term term);
     asio::awaitable<void> publish();
+    void tellMetrics();
     asio::awaitable<void> informIngress(RoutingSnapshotPtr routing);
     void onAnnounce(const BackendInfo &backend);
     void stepCoordinator();
@@ -83,6 +88,7 @@
     std::set<Revocation> publishedRevocations_; ///< Taken off the tables of published_.
     uint32_t renewing_ = 0;                     ///< Renewals on their way; bounded.
     bool stopping_ = false;
+    OwnershipMetrics *metrics_ = nullptr; ///< Null: nothing is told.
 };
 
 } // namespace wisteriahoist
--- a/src/duty/node_signals.cpp
+++ b/src/duty/node_signals.cpp
@@ -104,6 +104,8 @@
 GateMetrics::GateMetrics(MetricRegistry &registry)
     : requests(registry.addLabelled("wisteriahoist_gate_requests_total",
                                     "Requests that the owner gate ended, by outcome.", "outcome")),
+      notRun(registry.addLabelled("wisteriahoist_gate_not_run_total",
+                                  "Requests that the gate refused, by reason.", "reason")),
       hops(registry.addCounter("wisteriahoist_gate_hops_total",
                                "Requests that reached the gate from other nodes.")),
       duration(registry.addDistribution(
@@ -247,11 +249,21 @@
                                           : std::string_view(outcome.data(), outcome.size()));
 }
 
+void NodeSignals::onOutcome(const v1::HopReply &reply)
+{
+    if (reply.outcome() == v1::HOP_OUTCOME_NOT_RUN) {
+        ingress_.notRun.add(reply.reason());
+    }
+}
+
 void NodeSignals::onGateReply(const v1::HopReply &reply, TimePoint startedAt)
 {
     const TimePoint now = clock_.now();
     gate_.duration.observe(toSeconds(now - startedAt), now);
     gate_.requests.add(hopOutcomeName(reply.outcome()));
+    if (reply.outcome() == v1::HOP_OUTCOME_NOT_RUN) {
+        gate_.notRun.add(reply.reason());
+    }
 }
 
 HttpResponse NodeSignals::metricsPage() const
--- a/src/duty/node_signals.h
+++ b/src/duty/node_signals.h
@@ -35,6 +35,7 @@
     explicit GateMetrics(MetricRegistry &registry);
 
     LabelledCounter &requests; ///< By outcome, as the backend server or the gate ended them.
+    LabelledCounter &notRun;   ///< By reason.
     Counter &hops;             ///< Requests that came from other nodes.
     Distribution &duration;    ///< Seconds in the gate, queue and backend server included.
     Counter &replays;          ///< Answered from the memory of idempotency keys.
@@ -89,6 +90,9 @@
     /** A caller was answered. Called on the ingress duty's thread. */
     void onAnswer(const HttpResponse &response, TimePoint startedAt);
 
+    /** A caller's request ended, after its retries. Called on the ingress duty's thread. */
+    void onOutcome(const v1::HopReply &reply);
+
     /** The gate ended a request. Called on the gate duty's thread. */
     void onGateReply(const v1::HopReply &reply, TimePoint startedAt);
 
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -52,6 +52,7 @@
     control_ = std::make_unique<ControlDuty>(controlThread_.context(), clock_, meteredPlatform_,
                                              settings.times, makeSelf(settings, address_),
                                              settings.cell, controlToIngress_, controlToGate_);
+    control_->observeWith(signals_.ownership());
     ingressToGate_.serve([this](v1::HopRequest request) { return passGate(std::move(request)); });
     peerToGate_.serve([this](v1::HopRequest request) {
         signals_.gate().hops.add();
