--- a/tool/fault_matrix/fault_cell.cpp
+++ b/tool/fault_matrix/fault_cell.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds RunLength{11000};   ///< The scripted part.
 constexpr milliseconds QuietLength{16000}; ///< All must be served again within it.
 
+constexpr milliseconds ExploredAt{2000};
+constexpr milliseconds ExploredLength{14000};
+
 } // namespace
 
 std::string_view stepName(ProtocolStep step)
@@ -197,6 +200,54 @@
     }
 }
 
+void ExploredFaults::onTransmission(OwnershipModel &model, Transmission &transmission)
+{
+    const bool steady = transmission.step == ProtocolStep::RequestLease
+                        || transmission.step == ProtocolStep::GrantLease;
+    if (left_ == 0 || model.now() < from_ || steady) {
+        return;
+    }
+    --left_;
+    const auto outcome = static_cast<ExploredOutcome>(choice_ % ExploredOutcomeCount);
+    choice_ /= ExploredOutcomeCount;
+    switch (outcome) {
+    case ExploredOutcome::Late:
+        strike(model, transmission, FaultKind::DelayMessage);
+        break;
+    case ExploredOutcome::Lost:
+        strike(model, transmission, FaultKind::LoseMessage);
+        break;
+    case ExploredOutcome::SenderPaused:
+        strike(model, transmission, FaultKind::PauseSender);
+        break;
+    case ExploredOutcome::OnTime:
+    case ExploredOutcome::Count:
+        break;
+    }
+}
+
+ModelFindings runElection(const ModelSettings &settings, uint64_t choice, size_t depth)
+{
+    ExploredFaults faults(choice, depth, ExploredAt);
+    OwnershipModel model(settings, faults);
+    model.schedule(ExploredAt,
+                   [&model]() { model.pause(std::max(0, model.coordinatorIndex()), FaultLength); });
+    model.runUntil(ExploredAt + ExploredLength);
+    model.checkServed();
+    return model.findings();
+}
+
+ModelFindings runMove(const ModelSettings &settings, uint64_t choice, size_t depth)
+{
+    ExploredFaults faults(choice, depth, ExploredAt);
+    OwnershipModel model(settings, faults);
+    model.schedule(ExploredAt, [&model]() { model.setDraining(1, true); });
+    model.schedule(ExploredAt + FaultLength, [&model]() { model.setDraining(1, false); });
+    model.runUntil(ExploredAt + ExploredLength);
+    model.checkServed();
+    return model.findings();
+}
+
 OwnershipTimes makeModelTimes()
 {
     OwnershipTimes times;
--- a/tool/fault_matrix/fault_cell.h
+++ b/tool/fault_matrix/fault_cell.h
@@ -55,6 +55,38 @@
 ModelFindings runCell(const ModelSettings &settings, const std::vector<FaultPlan> &plans,
                       uint64_t &struck);
 
+/** What the exploration decides for one transmission. */
+enum class ExploredOutcome { OnTime, Late, Lost, SenderPaused, Count };
+
+inline constexpr size_t ExploredOutcomeCount = static_cast<size_t>(ExploredOutcome::Count);
+
+/**
+ * Decides the first transmissions after a moment one by one, as the digits of a number, so that
+ * counting the number up goes through every combination. Steady renewals are left alone.
+ */
+class ExploredFaults : public FaultInjector
+{
+public:
+    ExploredFaults(uint64_t choice, size_t depth, Duration from)
+        : choice_(choice), left_(depth), from_(from)
+    { }
+    void onTransmission(OwnershipModel &model, Transmission &transmission) override;
+
+private:
+    uint64_t choice_;
+    size_t left_; ///< Transmissions still to be decided.
+    Duration from_;
+};
+
+/**
+ * An election in a cell of three: its coordinator, which owns ranges, stops and returns; @p choice
+ * decides the @p depth transmissions that follow, in base ExploredOutcomeCount.
+ */
+ModelFindings runElection(const ModelSettings &settings, uint64_t choice, size_t depth);
+
+/** The same for a drain, with the moves that follow. */
+ModelFindings runMove(const ModelSettings &settings, uint64_t choice, size_t depth);
+
 /** A long run in which faults strike at random. */
 ModelFindings runRandom(const ModelSettings &settings, int oneIn, Duration length);
 
--- a/tool/fault_matrix/fault_matrix_main.cpp
+++ b/tool/fault_matrix/fault_matrix_main.cpp
@@ -18,6 +18,8 @@
 constexpr unsigned Threads = 4;
 constexpr uint64_t SinglesSeeds = 6;
 constexpr uint64_t MaxPrinted = 20;
+constexpr size_t ExplorationDepth = 7;
+constexpr size_t QuickDepth = 5;
 
 /** One cell: its faults and the variety of the run. */
 struct Cell {
@@ -169,7 +171,7 @@
 /** Random runs without one safeguard at a time: which of them find it missing. */
 int runWithout()
 {
-    constexpr uint64_t Runs = 400;
+    constexpr uint64_t Runs = 1500;
     constexpr int OneIn = 150;
     for (const SafeguardEntry &entry : SafeguardTable) {
         SafeguardSet safeguards;
@@ -191,11 +193,41 @@
     return found == 0 ? 0 : 1;
 }
 
+/** Every combination of outcomes of the first transmissions of an election and of a move. */
+uint64_t runExploration(size_t depth)
+{
+    uint64_t combinations = 1;
+    for (size_t index = 0; index < depth; ++index) {
+        combinations *= ExploredOutcomeCount;
+    }
+    std::atomic<uint64_t> next{0};
+    std::atomic<uint64_t> violations{0};
+    const auto work = [&]() {
+        for (uint64_t choice = next++; choice < combinations; choice = next++) {
+            ModelSettings settings;
+            settings.times = makeModelTimes();
+            settings.nodes = 3;
+            settings.slices = 3;
+            violations += runElection(settings, choice, depth).violations() > 0 ? 1 : 0;
+            violations += runMove(settings, choice, depth).violations() > 0 ? 1 : 0;
+        }
+    };
+    std::vector<std::jthread> threads;
+    for (unsigned index = 0; index < Threads; ++index) {
+        threads.emplace_back(work);
+    }
+    threads.clear();
+    std::printf("exploration: combinations=%lu violations=%lu depth=%zu\n", 2 * combinations,
+                violations.load(), depth);
+    return violations;
+}
+
 int runMatrix(bool pairs)
 {
     const std::vector<Cell> cells = makeCells(pairs);
     Totals totals;
     runCells(cells, totals);
+    totals.violations += runExploration(pairs ? ExplorationDepth : QuickDepth);
     uint64_t untaken = 0;
     for (size_t step = 0; step < ProtocolStepCount; ++step) {
         std::printf("step %s taken=%lu\n", stepName(static_cast<ProtocolStep>(step)).data(),
--- a/tool/fault_matrix/model_node.cpp
+++ b/tool/fault_matrix/model_node.cpp
@@ -150,10 +150,14 @@
     std::erase_if(node.seen, gone);
     std::erase_if(node.draining, [&gone](const auto &entry) { return gone(entry.first); });
     for (const Revocation &revocation : revoked) {
-        if (!node.seen.insert(revocation).second) {
+        if (node.seen.insert(revocation).second) {
+            node.draining[revocation] = leaseBefore;
+        }
+        if (!node.draining.contains(revocation)) {
             continue;
         }
-        node.draining[revocation] = leaseBefore;
+        // As the control duty does: the gate gets the whole grant with each renewal, and each of
+        // its answers confirms what it no longer admits.
         Transmission transmission; // within the node: only its own faults act on it
         transmission.step = ProtocolStep::Drain;
         transmission.from = index;
--- a/tool/fault_matrix/ownership_model.cpp
+++ b/tool/fault_matrix/ownership_model.cpp
@@ -33,6 +33,7 @@
     highest_.assign(points_.size(), Epoch(0));
     lastOwner_.assign(points_.size(), {-1, 0});
     unservedSince_.assign(points_.size(), Duration(-1));
+    longestUnserved_.assign(points_.size(), Duration(0));
     for (int index = 0; index < settings_.nodes; ++index) {
         addNode();
     }
@@ -484,7 +485,8 @@
     } else if (since == Duration(0)) {
         since = now_;
     } else if (since > Duration(0)) {
-        findings_.longestUnserved = std::max(findings_.longestUnserved, now_ - since);
+        longestUnserved_[point] = std::max(longestUnserved_[point], now_ - since);
+        findings_.longestUnserved = std::max(findings_.longestUnserved, longestUnserved_[point]);
     }
 }
 
--- a/tool/fault_matrix/ownership_model.h
+++ b/tool/fault_matrix/ownership_model.h
@@ -103,6 +103,8 @@
     void declareAgain(); ///< A newer version of the same declarations, with one service more.
     /** Owners at present, to compare before and after. */
     std::vector<int> owners();
+    /** @return The longest time without an owner of each point, after it first had one. */
+    const std::vector<Duration> &longestUnserved() const { return longestUnserved_; }
     uint64_t platformCalls() const { return platformCalls_; }
     uint64_t messages() const { return messages_; }
 
@@ -177,6 +179,7 @@
     std::vector<Epoch> highest_;                      ///< Highest epoch admitted, by point.
     std::vector<std::pair<int, uint64_t>> lastOwner_; ///< Node and life, by point.
     std::vector<Duration> unservedSince_;             ///< By point.
+    std::vector<Duration> longestUnserved_;           ///< By point.
     ModelFindings findings_;
     uint64_t platformCalls_ = 0;
     uint64_t messages_ = 0;
