--- a/src/decision/ownership/member.cpp
+++ b/src/decision/ownership/member.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds CampaignStagger{40}; ///< Between groups of candidates that double in size.
 constexpr milliseconds OutsiderDelay{500}; ///< A node outside the roster lets its members go first.
 constexpr uint32_t MaxCampaignRound = 6;   ///< The silence before a campaign doubles so often.
+constexpr uint32_t MaxQuickRenewals = 12;  ///< In one term, until a first lease is there.
 constexpr uint32_t MaxReadRound = 5;       ///< The pause between reads doubles so often.
 constexpr milliseconds StableTerm{60000};  ///< A term that lasted so long ends the backoff.
 
@@ -58,7 +59,7 @@
 
 Duration Member::readPause() const
 {
-    return backoffPause(times_.renewInterval / 2, silentReads_, MaxReadRound, self_.id.value());
+    return backoffPause(times_.renewInterval / 4, silentReads_, MaxReadRound, self_.id.value());
 }
 
 MemberStep Member::onTick(TimePoint now)
@@ -101,6 +102,7 @@
     olderHeartbeatTakenAt_ = std::max(olderHeartbeatTakenAt_, heartbeatTakenAt_);
     heartbeatTakenAt_ = NeverTime;
     echoedHeartbeat_ = NeverTime;
+    quickRenewals_ = 0;
 }
 
 void Member::onTermRead(ObjectVersion version, std::optional<TermRecord> record, TimePoint now)
@@ -171,7 +173,11 @@
     }
     echoedHeartbeat_ = std::max(echoedHeartbeat_, reply.heartbeat);
     heartbeatTakenAt_ = now;
-    renewSoon_ = renewSoon_ || firstEcho; // The echo gives a new coordinator its authority.
+    // Failure: only the coordinator is lost. Symptom if members waited out their interval for its
+    // successor to gather a majority: their leases lapse and keys are unserved for a moment.
+    const bool waiting = reply.leaseLeft.count() <= 0 && quickRenewals_ < MaxQuickRenewals;
+    quickRenewals_ += waiting ? 1 : 0;
+    renewSoon_ = renewSoon_ || firstEcho || waiting;
     // Revocations go before the lease: the two come together, so a lease never covers a range that
     // its coordinator was already moving. A renewal sent before the revoke may be answered without
     // it and arrive later; what was revoked is therefore remembered.
--- a/src/decision/ownership/member.h
+++ b/src/decision/ownership/member.h
@@ -108,7 +108,8 @@
     std::set<Revocation> revocations_; ///< Kept until a newer assignment no longer has the ranges.
     std::set<Revocation> drained_;     ///< Invariant: a subset of revocations_.
     std::vector<ServiceLoad> loads_;
-    uint32_t campaigns_ = 0;   ///< Without a lasting coordinator since; doubles the wait.
+    uint32_t quickRenewals_ = 0; ///< Under this term, sent ahead of the interval; bounded.
+    uint32_t campaigns_ = 0;     ///< Without a lasting coordinator since; doubles the wait.
     uint32_t silentReads_ = 0; ///< Reads since the coordinator last answered; lengthens the pause.
     bool started_ = false;
     bool termKnown_ = false;   ///< The term object has been read since the coordinator fell silent.
--- a/src/decision/ownership/ownership_type.h
+++ b/src/decision/ownership/ownership_type.h
@@ -132,9 +132,9 @@
 
 /** Times of the ownership protocol. */
 struct OwnershipTimes {
-    milliseconds renewInterval{150};
+    milliseconds renewInterval{120};
     milliseconds leaseTerm{1200};   ///< D: how long an acknowledgement counts.
-    milliseconds suspectAfter{450}; ///< Silence of the coordinator before a campaign.
+    milliseconds suspectAfter{360}; ///< Silence of the coordinator before a campaign.
     milliseconds driftBound{20};    ///< Clock drift over one lease term, added to each outwaiting.
     milliseconds settle{1000}; ///< Wait after the first member before ranges are first given out.
     milliseconds uncheckedOverrun{500}; ///< How long a backend server that checks nothing may run
--- a/tool/fault_matrix/ownership_measure.cpp
+++ b/tool/fault_matrix/ownership_measure.cpp
@@ -30,6 +30,7 @@
 struct Loss {
     const char *name;
     std::function<std::vector<int>(OwnershipModel &)> strike; ///< Returns the nodes that are lost.
+    bool shortBound = false; ///< B of 6 s, so that the run reaches it.
 };
 
 int anOwner(OwnershipModel &model, int notThis)
@@ -104,7 +105,8 @@
                      nodes.push_back((coordinator + index) % model.nodeCount());
                  }
                  return crashAll(model, nodes);
-             }},
+             },
+             true},
     };
 }
 
@@ -126,9 +128,12 @@
         settings.seed = seed;
         settings.nodes = 6;
         settings.slices = 24;
-        settings.times.platformBound = seconds(6);
+        if (loss.shortBound) {
+            settings.times.platformBound = seconds(6);
+        }
         OwnershipModel model(settings, faults);
         model.runUntil(LossAt);
+        model.forgetUnserved();
         const std::vector<int> before = model.owners();
         const std::vector<int> nodes = loss.strike(model);
         model.runUntil(RunLength);
--- a/tool/fault_matrix/ownership_model.cpp
+++ b/tool/fault_matrix/ownership_model.cpp
@@ -402,6 +402,7 @@
             present->onAssignmentWritten(version, at);
         } else if (present != nullptr) {
             present->onAssignmentStored(version, content, at);
+            stepCoordinator(index);
         }
     };
     call->failed = [this, index, serving]() {
--- a/tool/fault_matrix/ownership_model.h
+++ b/tool/fault_matrix/ownership_model.h
@@ -105,6 +105,7 @@
     std::vector<int> owners();
     /** @return The longest time without an owner of each point, after it first had one. */
     const std::vector<Duration> &longestUnserved() const { return longestUnserved_; }
+    void forgetUnserved() { longestUnserved_.assign(points_.size(), Duration(0)); }
     uint64_t platformCalls() const { return platformCalls_; }
     uint64_t messages() const { return messages_; }
 
