--- a/src/adapter/codec/declaration_codec.cpp
+++ b/src/adapter/codec/declaration_codec.cpp
@@ -41,6 +41,8 @@
                                    : v1::REPETITION_MUST_NOT_REPEAT);
     message.set_deadline_ms(static_cast<uint32_t>(rule.deadline.count()));
     message.set_patience_ms(static_cast<uint32_t>(rule.patience.count()));
+    message.set_single_attempt(rule.missingKey == MissingKey::SingleAttempt);
+    message.set_assume_first_sending(rule.missingAge == MissingAge::FirstSending);
 }
 
 RouteRule decodeRoute(const v1::Route &message)
@@ -53,6 +55,9 @@
                                                                         : Repetition::MustNotRepeat;
     rule.deadline = milliseconds(message.deadline_ms());
     rule.patience = milliseconds(message.patience_ms());
+    rule.missingKey = message.single_attempt() ? MissingKey::SingleAttempt : MissingKey::Refuse;
+    rule.missingAge
+            = message.assume_first_sending() ? MissingAge::FirstSending : MissingAge::Refuse;
     return rule;
 }
 
@@ -70,6 +75,7 @@
         encodeRoute(rule, *message.add_routes());
     }
     message.set_grant_mode(encodeGrantMode(service.grantMode));
+    message.set_redirect_misrouted(service.misrouted == Misrouted::Redirect);
 }
 
 ServiceDeclaration decodeService(const v1::Service &message)
@@ -86,6 +92,7 @@
         service.routes.push_back(decodeRoute(route));
     }
     service.grantMode = decodeGrantMode(message.grant_mode());
+    service.misrouted = message.redirect_misrouted() ? Misrouted::Redirect : Misrouted::Forward;
     return service;
 }
 
--- /dev/null
+++ b/src/adapter/http/header_rules.cpp
@@ -0,0 +1,62 @@
+/** @file header_rules.cpp Which header fields may pass from one connection to the next. */
+
+#include "adapter/http/header_rules.h"
+
+#include <algorithm>
+
+namespace wisteriahoist {
+
+namespace {
+
+constexpr std::string_view OwnPrefix = "wisteriahoist-";
+
+bool isConnectionField(http::field field)
+{
+    return field == http::field::connection || field == http::field::keep_alive
+           || field == http::field::transfer_encoding || field == http::field::content_length
+           || field == http::field::te || field == http::field::upgrade
+           || field == http::field::proxy_connection || field == http::field::trailer
+           || field == http::field::expect || field == http::field::proxy_authenticate
+           || field == http::field::proxy_authorization;
+}
+
+bool isOwnField(beast::string_view name)
+{
+    return name.size() >= OwnPrefix.size()
+           && beast::iequals(name.substr(0, OwnPrefix.size()), OwnPrefix);
+}
+
+} // namespace
+
+std::vector<PassedField> passedFields(const http::fields &fields)
+{
+    std::vector<std::string> listed;
+    const auto connections = fields.equal_range(http::field::connection);
+    for (auto field = connections.first; field != connections.second; ++field) {
+        for (const auto &token : http::token_list(field->value())) {
+            listed.emplace_back(token);
+        }
+    }
+    std::vector<PassedField> passed;
+    for (const auto &field : fields) {
+        const auto isSame = [&field](const std::string &name) {
+            return beast::iequals(name, field.name_string());
+        };
+        const bool isListed = std::any_of(listed.begin(), listed.end(), isSame);
+        if (!isListed && !isConnectionField(field.name()) && !isOwnField(field.name_string())) {
+            passed.push_back({std::string(field.name_string()), std::string(field.value())});
+        }
+    }
+    return passed;
+}
+
+bool hasAmbiguousFraming(const http::fields &fields)
+{
+    const size_t codings = fields.count(http::field::transfer_encoding);
+    const size_t lengths = fields.count(http::field::content_length);
+    const bool chunked
+            = codings == 1 && beast::iequals(fields[http::field::transfer_encoding], "chunked");
+    return lengths > 1 || (lengths > 0 && codings > 0) || (codings > 0 && !chunked);
+}
+
+} // namespace wisteriahoist
--- a/src/adapter/http/http_client.cpp
+++ b/src/adapter/http/http_client.cpp
@@ -4,27 +4,64 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <netinet/tcp.h>
 
 namespace wisteriahoist {
 
 namespace {
+
 constexpr uint64_t MaxAnswerBytes = 16 * 1024 * 1024;
+constexpr int KeepAliveIdleSeconds = 5;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 3;
+
+template <int Name>
+using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+
+bool isInterim(const HttpResponse &response)
+{
+    return response.result_int() / 100 == 1;
 }
 
-HttpClient::HttpClient(asio::any_io_executor executor, const std::string &ip, uint16_t port)
-    : executor_(std::move(executor)), endpoint_(asio::ip::make_address(ip), port)
+} // namespace
+
+void ExchangeControl::cancel()
+{
+    cancelled_ = true;
+    if (stream_ != nullptr) {
+        stream_->close();
+    }
+}
+
+HttpClient::HttpClient(asio::any_io_executor executor, const std::string &ip, uint16_t port,
+                       PoolLimits limits)
+    : executor_(std::move(executor)), endpoint_(asio::ip::make_address(ip), port), limits_(limits)
 { }
 
-asio::awaitable<Result<HttpClient::Connection>> HttpClient::open(milliseconds timeout)
+void HttpClient::limitSilence(tcp::socket &socket) const
+{
+    // Something between the two ends may lose track of a connection; without these bounds each
+    // request that takes it from the pool waits for its whole deadline.
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(TcpOption<TCP_KEEPIDLE>(KeepAliveIdleSeconds), ignored);
+    socket.set_option(TcpOption<TCP_KEEPINTVL>(KeepAliveIntervalSeconds), ignored);
+    socket.set_option(TcpOption<TCP_KEEPCNT>(KeepAliveProbes), ignored);
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(static_cast<int>(limits_.silence.count())),
+                      ignored);
+}
+
+asio::awaitable<Result<HttpClient::Connection>> HttpClient::open(SteadyTime deadline)
 {
     auto stream = std::make_unique<beast::tcp_stream>(executor_);
-    stream->expires_after(timeout);
+    stream->expires_at(deadline);
     beast::error_code error;
     co_await stream->async_connect(endpoint_, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         co_return Failure{FailureCode::Unavailable, "connect: " + error.message()};
     }
-    stream->socket().set_option(tcp::no_delay(true), error);
+    limitSilence(stream->socket());
     ++connectionsOpened_;
     co_return std::move(stream);
 }
@@ -32,7 +69,7 @@
 HttpClient::Connection HttpClient::takeIdle()
 {
     while (!idle_.empty()) {
-        Connection connection = std::move(idle_.back());
+        Connection connection = std::move(idle_.back().connection);
         idle_.pop_back();
         // A connection that the other side closed while idle is readable (end of file): leave it.
         beast::error_code error;
@@ -46,59 +83,115 @@
     return nullptr;
 }
 
+void HttpClient::putIdle(Connection connection)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    connection->expires_never();
+    idle_.push_back({std::move(connection), now});
+    while (idle_.size() > limits_.idle || idle_.front().since + limits_.idleTime < now) {
+        idle_.pop_front();
+    }
+}
+
 asio::awaitable<void> HttpClient::warm(size_t count)
 {
     constexpr milliseconds ConnectTimeout{1000};
-    while (idle_.size() < count) {
-        Result<Connection> connection = co_await open(ConnectTimeout);
+    while (idle_.size() < std::min(count, limits_.idle)) {
+        Result<Connection> connection
+                = co_await open(std::chrono::steady_clock::now() + ConnectTimeout);
         if (!connection) {
             co_return;
         }
-        idle_.push_back(std::move(connection.assume_value()));
+        putIdle(std::move(connection.assume_value()));
     }
 }
 
 asio::awaitable<Result<HttpResponse>> HttpClient::exchange(HttpRequest request,
-                                                           milliseconds timeout)
+                                                           milliseconds timeout,
+                                                           std::shared_ptr<ExchangeControl> control)
 {
+    const SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
+    if (!control) {
+        control = std::make_shared<ExchangeControl>();
+    }
     Connection connection = takeIdle();
     if (!connection) {
-        Result<Connection> opened = co_await open(timeout);
+        Result<Connection> opened = co_await open(deadline);
         if (!opened) {
             co_return std::move(opened).as_failure();
         }
         connection = std::move(opened.assume_value());
     }
+    if (control->cancelled_) {
+        putIdle(std::move(connection));
+        co_return Failure{FailureCode::Unavailable, "cancelled before sending"};
+    }
+    control->stream_ = connection.get();
     request.version(11);
     if (request.find(http::field::host) == request.end()) {
         request.set(http::field::host, endpoint_.address().to_string());
     }
     request.prepare_payload();
-    connection->expires_after(timeout);
+    connection->expires_at(deadline);
     beast::error_code error;
-    co_await http::async_write(*connection, request,
-                               asio::redirect_error(asio::use_awaitable, error));
+    control->stage_ = RequestStage::HalfSent;
+    const size_t sent = co_await http::async_write(
+            *connection, request, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        co_return Failure{FailureCode::Ambiguous, "write: " + error.message()};
-    }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(MaxAnswerBytes);
-    parser.skip(request.method() == http::verb::head);
-    beast::flat_buffer buffer;
-    co_await http::async_read(*connection, buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
-    if (error == beast::error::timeout) {
-        co_return Failure{FailureCode::DeadlineExceeded, "no whole answer in time"};
+        control->stream_ = nullptr;
+        // Not one byte was taken by the operating system: the other side cannot have acted.
+        const bool nothingSent = sent == 0;
+        control->stage_ = nothingSent ? RequestStage::Received : RequestStage::HalfSent;
+        co_return Failure{nothingSent ? FailureCode::Unavailable : FailureCode::Ambiguous,
+                          "write: " + error.message()};
     }
-    if (error) {
-        co_return Failure{FailureCode::Ambiguous, "read: " + error.message()};
+    control->stage_ = RequestStage::HandedOver;
+    const bool headOnly = request.method() == http::verb::head;
+    Result<HttpResponse> answer = co_await read(*connection, headOnly, *control);
+    control->stream_ = nullptr;
+    if (answer && answer.assume_value().keep_alive()) {
+        putIdle(std::move(connection));
     }
-    HttpResponse response = parser.release();
-    // Left-over bytes belong to no request of ours: the connection is out of step and is closed.
-    if (response.keep_alive() && buffer.size() == 0) {
-        connection->expires_never();
-        idle_.push_back(std::move(connection));
+    co_return answer;
+}
+
+asio::awaitable<Result<HttpResponse>> HttpClient::read(beast::tcp_stream &stream, bool headOnly,
+                                                       ExchangeControl &control)
+{
+    beast::flat_buffer buffer;
+    HttpResponse response;
+    do {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(MaxAnswerBytes);
+        parser.skip(headOnly);
+        beast::error_code error;
+        co_await http::async_read(stream, buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+        if (parser.got_some()) {
+            control.stage_ = RequestStage::HalfAnswered;
+        }
+        if (error == beast::error::timeout) {
+            co_return Failure{FailureCode::DeadlineExceeded, "no whole answer in time"};
+        }
+        const bool broken = error.category() == make_error_code(http::error::bad_version).category()
+                            && error != http::error::end_of_stream
+                            && error != http::error::partial_message;
+        if (error) {
+            co_return Failure{broken ? FailureCode::Malformed : FailureCode::Ambiguous,
+                              "read: " + error.message()};
+        }
+        // An answer that ends with its connection cannot be told from one that was cut off.
+        if (!headOnly && parser.need_eof()) {
+            co_return Failure{FailureCode::Malformed, "the answer has no length"};
+        }
+        response = parser.release();
+    } while (isInterim(response));
+    // Left-over bytes belong to no request of ours: the length did not match, and what follows
+    // would be taken for the next request's answer.
+    if (buffer.size() != 0) {
+        response.keep_alive(false);
     }
+    control.stage_ = RequestStage::Answered;
     co_return response;
 }
 
--- a/src/adapter/http/http_client.h
+++ b/src/adapter/http/http_client.h
@@ -5,6 +5,7 @@
 
 #include "adapter/http/http_type.h"
 #include "core/failure_type.h"
+#include "decision/request/outcome_table.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/beast/core.hpp>
@@ -14,6 +15,30 @@
 
 namespace wisteriahoist {
 
+/** How far one exchange has come, and the way to end it early. */
+class ExchangeControl
+{
+public:
+    /** Closes the exchange's connection; the other side may have acted. */
+    void cancel();
+
+    RequestStage stage() const { return stage_; }
+    bool isCancelled() const { return cancelled_; }
+
+private:
+    friend class HttpClient;
+    beast::tcp_stream *stream_ = nullptr; ///< Set while a connection is in use.
+    RequestStage stage_ = RequestStage::Received;
+    bool cancelled_ = false;
+};
+
+/** Bounds of a client's pool. */
+struct PoolLimits {
+    size_t idle = 128;                 ///< Connections kept without a request.
+    std::chrono::seconds idleTime{30}; ///< An older one is closed.
+    milliseconds silence{2000};        ///< Unacknowledged bytes for so long end a connection.
+};
+
 /**
  * Sends requests to one address over pooled connections, one request at a time on each.
  *
@@ -24,10 +49,15 @@
 class HttpClient
 {
 public:
-    HttpClient(asio::any_io_executor executor, const std::string &ip, uint16_t port);
+    HttpClient(asio::any_io_executor executor, const std::string &ip, uint16_t port,
+               PoolLimits limits = {});
 
-    /** Sends @p request and waits at most @p timeout for the whole answer. */
-    asio::awaitable<Result<HttpResponse>> exchange(HttpRequest request, milliseconds timeout);
+    /**
+     * Sends @p request and waits at most @p timeout for the whole answer.
+     * @param control Optional; tells how far the exchange has come, and can end it.
+     */
+    asio::awaitable<Result<HttpResponse>> exchange(HttpRequest request, milliseconds timeout,
+                                                   std::shared_ptr<ExchangeControl> control = {});
 
     /** Opens connections ahead of need until @p count are idle. */
     asio::awaitable<void> warm(size_t count);
@@ -37,13 +67,23 @@
 
 private:
     using Connection = std::unique_ptr<beast::tcp_stream>;
+    using SteadyTime = std::chrono::steady_clock::time_point;
+    struct Idle {
+        Connection connection;
+        SteadyTime since;
+    };
 
-    asio::awaitable<Result<Connection>> open(milliseconds timeout);
+    asio::awaitable<Result<Connection>> open(SteadyTime deadline);
+    asio::awaitable<Result<HttpResponse>> read(beast::tcp_stream &stream, bool headOnly,
+                                               ExchangeControl &control);
+    void limitSilence(tcp::socket &socket) const;
     Connection takeIdle();
+    void putIdle(Connection connection);
 
     asio::any_io_executor executor_;
     tcp::endpoint endpoint_;
-    std::deque<Connection> idle_; ///< Invariant: no request is outstanding on any of them.
+    PoolLimits limits_;
+    std::deque<Idle> idle_; ///< Oldest first. Invariant: no request is outstanding on any of them.
     uint64_t connectionsOpened_ = 0;
 };
 
--- a/src/adapter/http/http_server.h
+++ b/src/adapter/http/http_server.h
@@ -4,6 +4,7 @@
 
 #include "adapter/http/http_type.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core.hpp>
 #include <memory>
@@ -24,6 +25,8 @@
      */
     HttpServer(asio::io_context &context, const std::string &ip, uint16_t port, HttpLimits limits,
                HttpHandler handler);
+    HttpServer(asio::io_context &context, const std::string &ip, uint16_t port, HttpLimits limits,
+               WatchedHttpHandler handler);
 
     /** Starts accepting. @pre The object is owned by a shared_ptr. */
     void start();
@@ -34,14 +37,25 @@
     uint16_t port() const { return acceptor_.local_endpoint().port(); }
     size_t openConnections() const { return openConnections_; }
 
+    /** @return Requests whose head has been read and whose answer has not been written whole. */
+    size_t openRequests() const { return openRequests_.load(std::memory_order_relaxed); }
+
 private:
+    using Parser = http::request_parser<http::string_body>;
+
     asio::awaitable<void> acceptLoop();
     asio::awaitable<void> serveConnection(tcp::socket socket);
     asio::awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer);
+    asio::awaitable<bool> answer(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+                                 Parser &parser);
+    asio::awaitable<HttpResponse> handleWatched(beast::tcp_stream &stream, HttpRequest request);
+    asio::awaitable<bool> refuse(beast::tcp_stream &stream, HttpResponse response);
+    asio::awaitable<bool> write(beast::tcp_stream &stream, HttpResponse response, bool headOnly);
 
     tcp::acceptor acceptor_;
     HttpLimits limits_;
-    HttpHandler handler_;
+    WatchedHttpHandler handler_;
+    std::atomic<size_t> openRequests_{0};
     size_t openConnections_ = 0; ///< Invariant: at most limits_.connections.
     bool stopping_ = false;
 };
--- a/src/adapter/http/http_type.h
+++ b/src/adapter/http/http_type.h
@@ -9,8 +9,10 @@
 #include <boost/beast/http.hpp>
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace wisteriahoist {
 
@@ -33,6 +35,35 @@
 /** Answers one request; runs on the server's executor. */
 using HttpHandler = std::function<asio::awaitable<HttpResponse>(HttpRequest)>;
 
+/**
+ * Tells a handler that its caller has closed the connection while it waits for the answer.
+ * A caller that closes only its sending side counts as gone too: the two cannot be told apart.
+ */
+class CallerWatch
+{
+public:
+    bool isGone() const { return gone_; }
+
+    /** Sets what to do when the caller goes; called at most once, on the server's thread. */
+    void onGone(std::function<void()> action) { action_ = std::move(action); }
+
+    void markGone()
+    {
+        gone_ = true;
+        if (action_) {
+            std::exchange(action_, nullptr)();
+        }
+    }
+
+private:
+    std::function<void()> action_;
+    bool gone_ = false;
+};
+
+/** Answers one request whose caller may go away meanwhile. */
+using WatchedHttpHandler
+        = std::function<asio::awaitable<HttpResponse>(HttpRequest, std::shared_ptr<CallerWatch>)>;
+
 /** One refusal in the words of RFC 9457. */
 struct Problem {
     http::status status = http::status::bad_request;
--- a/src/adapter/http2/http2_session.cpp
+++ b/src/adapter/http2/http2_session.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <cstring>
@@ -96,8 +97,9 @@
     }
 };
 
-Http2Session::Http2Session(tcp::socket socket, Role role, PeerHandler handler)
-    : socket_(std::move(socket)), role_(role), handler_(std::move(handler))
+Http2Session::Http2Session(tcp::socket socket, Role role, PeerHandler handler,
+                           SilenceLimits silence)
+    : socket_(std::move(socket)), role_(role), handler_(std::move(handler)), silence_(silence)
 {
     nghttp2_session_callbacks *callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
@@ -171,6 +173,12 @@
     Stream &stream = calls_[streamId];
     stream.toSend = std::move(body);
     stream.completion = std::move(completion);
+    if (!watching_) {
+        watching_ = true;
+        asio::co_spawn(
+                socket_.get_executor(), [self = shared_from_this()]() { return self->watchLoop(); },
+                asio::detached);
+    }
     flush();
     return streamId;
 }
@@ -281,6 +289,32 @@
     writing_ = false;
 }
 
+asio::awaitable<void> Http2Session::watchLoop()
+{
+    // Something between two nodes may drop a connection's packets for good while new connections
+    // work; without a bound every call on it waits for its deadline, and so do the next ones.
+    // Intervals are counted, not time: after a pause of this process the first look comes late,
+    // with frames still unread, and must not take the connection for silent.
+    auto self = shared_from_this();
+    asio::steady_timer timer(socket_.get_executor());
+    uint64_t seen = framesReceived_;
+    uint32_t quiet = 0;
+    while (open_ && !calls_.empty()) {
+        timer.expires_after(silence_.interval);
+        beast::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        quiet = framesReceived_ == seen ? quiet + 1 : 0;
+        seen = framesReceived_;
+        if (quiet == 1) {
+            ping();
+        }
+        if (quiet > silence_.intervals) {
+            close();
+        }
+    }
+    watching_ = false;
+}
+
 asio::awaitable<void> Http2Session::readLoop()
 {
     auto self = shared_from_this();
--- a/src/adapter/http2/http2_session.h
+++ b/src/adapter/http2/http2_session.h
@@ -13,6 +13,12 @@
 
 namespace wisteriahoist {
 
+/** When a connection with calls under way counts as silent. */
+struct SilenceLimits {
+    milliseconds interval{200}; ///< How often arrivals are looked at.
+    uint32_t intervals = 4;     ///< Intervals without a frame after a PING that end it.
+};
+
 /** Answers one call from the other node: its path and its body in, the reply's body out. */
 using PeerHandler = std::function<asio::awaitable<std::string>(std::string path, std::string body)>;
 
@@ -27,7 +33,7 @@
     enum class Role { Client, Server };
     using Completion = std::function<void(Result<std::string>)>;
 
-    Http2Session(tcp::socket socket, Role role, PeerHandler handler);
+    Http2Session(tcp::socket socket, Role role, PeerHandler handler, SilenceLimits silence = {});
     ~Http2Session();
     Http2Session(const Http2Session &) = delete;
     Http2Session &operator=(const Http2Session &) = delete;
@@ -71,6 +77,7 @@
 
     asio::awaitable<void> readLoop();
     asio::awaitable<void> writeLoop();
+    asio::awaitable<void> watchLoop();
     void flush();
     void onStreamEnd(int32_t streamId);
     void onStreamClose(int32_t streamId, uint32_t errorCode);
@@ -79,10 +86,12 @@
     tcp::socket socket_;
     Role role_;
     PeerHandler handler_;
+    SilenceLimits silence_;
     nghttp2_session *session_ = nullptr;
     std::map<int32_t, Stream> calls_; ///< Open streams by id, of either side.
     std::string outgoing_;            ///< Bytes that the write loop sends next.
     bool writing_ = false;            ///< Invariant: at most one write loop runs.
+    bool watching_ = false;           ///< Invariant: at most one watch loop runs.
     bool open_ = true;
     uint64_t framesReceived_ = 0;
 };
--- a/src/adapter/http2/peer_transport.cpp
+++ b/src/adapter/http2/peer_transport.cpp
@@ -71,6 +71,7 @@
     if (found != sessions_.end() && found->second->isOpen()) {
         co_return found->second;
     }
+    std::erase_if(sessions_, [](const auto &entry) { return !entry.second->isOpen(); });
     beast::tcp_stream stream(context_);
     stream.expires_after(timeout);
     beast::error_code error;
--- a/src/adapter/settings/declaration_loader.cpp
+++ b/src/adapter/settings/declaration_loader.cpp
@@ -29,6 +29,12 @@
                               : Repetition::MustNotRepeat;
     rule.deadline = reader.duration("deadline_ms", rule.deadline, milliseconds(1), MaxDeadline);
     rule.patience = reader.duration("patience_ms", rule.patience, milliseconds(0), MaxDeadline);
+    rule.missingKey = reader.choice("missing_key", {"refuse", "single-attempt"}, 0) == 1
+                              ? MissingKey::SingleAttempt
+                              : MissingKey::Refuse;
+    rule.missingAge = reader.choice("missing_age", {"refuse", "first-sending"}, 0) == 1
+                              ? MissingAge::FirstSending
+                              : MissingAge::Refuse;
     reader.reportUnknown();
     return rule;
 }
@@ -57,6 +63,9 @@
     service.grantMode = reader.choice("grant_mode", {"fenced", "unchecked"}, 0) == 0
                                 ? GrantMode::Fenced
                                 : GrantMode::Unchecked;
+    service.misrouted = reader.choice("misrouted", {"forward", "redirect"}, 0) == 1
+                                ? Misrouted::Redirect
+                                : Misrouted::Forward;
     if (const toml::table *table = reader.table("key_space", true)) {
         TomlReader keySpace(*table, file, "service.key_space", findings);
         readKeySpace(keySpace, service.keySpace);
--- a/src/decision/config/declaration_type.h
+++ b/src/decision/config/declaration_type.h
@@ -23,6 +23,24 @@
     MustNotRepeat, ///< At most one run; an unknown outcome is never retried.
 };
 
+/** What a must-not-repeat request without an idempotency key gets. */
+enum class MissingKey {
+    Refuse,        ///< 400; it is not run.
+    SingleAttempt, ///< One try, no retry; a repeat by the caller cannot be recognised.
+};
+
+/** What a must-not-repeat request gets whose idempotency key does not state its age. */
+enum class MissingAge {
+    Refuse,       ///< Unknown outcome, while the owner is younger than the keys' time to live.
+    FirstSending, ///< Taken as the first; a repeat after a change of owner runs again.
+};
+
+/** What an ingress does with a request whose owner is another node. */
+enum class Misrouted {
+    Forward,  ///< Runs it there and returns the answer.
+    Redirect, ///< 307 to the owner's caller address.
+};
+
 /** What the backend servers of a service check. */
 enum class GrantMode {
     Fenced,    ///< The backend server refuses a grant with an older epoch or past its expiry.
@@ -37,6 +55,8 @@
     Repetition repetition = Repetition::MustNotRepeat;
     milliseconds deadline{2000}; ///< Default, and the highest a caller may ask for.
     milliseconds patience{500};  ///< How long it may wait in the queue.
+    MissingKey missingKey = MissingKey::Refuse;
+    MissingAge missingAge = MissingAge::Refuse;
     bool operator==(const RouteRule &) const = default;
 };
 
@@ -57,6 +77,7 @@
     KeySpaceDeclaration keySpace;
     std::vector<RouteRule> routes; ///< The first that matches decides.
     GrantMode grantMode = GrantMode::Fenced;
+    Misrouted misrouted = Misrouted::Forward;
     bool operator==(const ServiceDeclaration &) const = default;
 };
 
--- /dev/null
+++ b/src/decision/request/outcome_table.cpp
@@ -0,0 +1,139 @@
+/** @file outcome_table.cpp What a caller may be told after a failure. */
+
+#include "decision/request/outcome_table.h"
+
+namespace wisteriahoist {
+
+namespace {
+
+constexpr milliseconds RetrySoon{100};    ///< Slots and queues turn over in this time.
+constexpr milliseconds RetryOwner{200};   ///< A routing change arrives in this time.
+constexpr milliseconds RetryBackend{500}; ///< A backend server is announced in this time.
+
+std::string_view endName(RequestEnd end)
+{
+    switch (end) {
+    case RequestEnd::None:
+        return "done";
+    case RequestEnd::BackendRefused:
+        return "shed";
+    case RequestEnd::NotOwner:
+        return "not-owner";
+    case RequestEnd::NoLease:
+        return "no-lease";
+    case RequestEnd::NoBackend:
+        return "no-backend";
+    case RequestEnd::Overloaded:
+        return "overloaded";
+    case RequestEnd::PatienceOver:
+        return "patience-over";
+    case RequestEnd::Unreachable:
+        return "unreachable";
+    case RequestEnd::DeadlineOver:
+        return "deadline-over";
+    case RequestEnd::ConnectionLost:
+        return "connection-lost";
+    case RequestEnd::BadAnswer:
+        return "bad-answer";
+    case RequestEnd::CallerGone:
+        return "caller-gone";
+    case RequestEnd::KeyMissing:
+        return "idempotency-key-missing";
+    case RequestEnd::KeyMalformed:
+        return "idempotency-key-malformed";
+    case RequestEnd::KeyReused:
+        return "idempotency-key-reused";
+    case RequestEnd::KeyTableFull:
+        return "idempotency-table-full";
+    case RequestEnd::KeyInProgress:
+        return "idempotency-key-in-progress";
+    case RequestEnd::KeyLost:
+        return "idempotency-key-outcome-lost";
+    case RequestEnd::KeyTooOld:
+        return "idempotency-key-older-than-epoch";
+    }
+    return "unknown";
+}
+
+uint16_t notRunStatus(RequestEnd end)
+{
+    switch (end) {
+    case RequestEnd::NotOwner:
+        return 421;
+    case RequestEnd::CallerGone:
+        return 499;
+    case RequestEnd::DeadlineOver:
+        return 504;
+    case RequestEnd::KeyMissing:
+    case RequestEnd::KeyMalformed:
+        return 400;
+    case RequestEnd::KeyReused:
+        return 422;
+    default:
+        return 503;
+    }
+}
+
+milliseconds retryAfterOf(RequestEnd end)
+{
+    switch (end) {
+    case RequestEnd::NotOwner:
+    case RequestEnd::NoLease:
+    case RequestEnd::Unreachable:
+        return RetryOwner;
+    case RequestEnd::KeyMissing:
+    case RequestEnd::KeyMalformed:
+    case RequestEnd::KeyReused:
+        return milliseconds(0);
+    case RequestEnd::NoBackend:
+        return RetryBackend;
+    default:
+        return RetrySoon;
+    }
+}
+
+/** @return Whether the end speaks of an earlier sending of the same key, which may have run. */
+bool isAboutEarlierSending(RequestEnd end)
+{
+    return end == RequestEnd::KeyInProgress || end == RequestEnd::KeyLost
+           || end == RequestEnd::KeyTooOld;
+}
+
+uint16_t unknownStatus(RequestEnd end)
+{
+    if (isAboutEarlierSending(end)) {
+        return 409;
+    }
+    return end == RequestEnd::BadAnswer ? 502 : 504;
+}
+
+/** @return Whether no backend server can have begun to run the request. */
+bool isProvablyNotRun(RequestStage stage, RequestEnd end)
+{
+    if (isAboutEarlierSending(end)) {
+        return false;
+    }
+    // The backend server's own refusal is a proof only if the whole refusal was read: a refusal
+    // cut off half way may have been any answer.
+    if (end == RequestEnd::BackendRefused) {
+        return stage == RequestStage::Answered;
+    }
+    // Half a request is no proof: a backend server may act on its head alone.
+    return stage == RequestStage::Received || stage == RequestStage::Queued;
+}
+
+} // namespace
+
+Verdict decideOutcome(RequestStage stage, RequestEnd end)
+{
+    if (stage == RequestStage::Answered && end == RequestEnd::None) {
+        return {Outcome::Done, 200, endName(end), milliseconds(0)};
+    }
+    if (isProvablyNotRun(stage, end)) {
+        return {Outcome::NotRun, notRunStatus(end), endName(end), retryAfterOf(end)};
+    }
+    const milliseconds retryAfter = end == RequestEnd::KeyInProgress ? RetrySoon : milliseconds(0);
+    return {Outcome::Unknown, unknownStatus(end), endName(end), retryAfter};
+}
+
+} // namespace wisteriahoist
--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -271,11 +271,22 @@
     self.service = backend.service;
     self.slots = backend.slots;
     self.grantMode = backend.grantMode;
-    self.draining = backend.draining;
+    self.draining = backend.draining || leaving_;
     member_.updateSelf(self);
     BOOST_LOG_TRIVIAL(info) << "backend server announced itself for " << backend.service;
 }
 
+void ControlDuty::beginDrain()
+{
+    asio::post(context_, [this]() {
+        leaving_ = true;
+        MemberInfo self = member_.self();
+        self.draining = true;
+        member_.updateSelf(self);
+        BOOST_LOG_TRIVIAL(info) << "node leaves: draining";
+    });
+}
+
 asio::awaitable<AdminReply> ControlDuty::onAdmin(AdminCall call)
 {
     AdminReply reply;
--- a/src/duty/control_duty.h
+++ b/src/duty/control_duty.h
@@ -28,6 +28,9 @@
     void start();
     void stop() { stopping_ = true; }
 
+    /** This node leaves: it is announced as draining, so that its ranges move. Any thread. */
+    void beginDrain();
+
     /** Answers another member's renewal (bytes in, bytes out). */
     asio::awaitable<std::string> onRenew(std::string body);
 
@@ -65,6 +68,7 @@
     std::mt19937_64 random_;
     RoutingSnapshotPtr published_;
     bool renewing_ = false; ///< Invariant: at most one renewal is on its way.
+    bool leaving_ = false;  ///< Set once; the node ends after its ranges have moved.
     bool stopping_ = false;
 };
 
--- a/src/duty/gate_duty.cpp
+++ b/src/duty/gate_duty.cpp
@@ -2,50 +2,59 @@
 
 #include "duty/gate_duty.h"
 
+#include "duty/gate_message.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http.hpp>
 
 namespace wisteriahoist {
 
 namespace {
 
-constexpr milliseconds RetryAfterNoLease{200};
-constexpr milliseconds RetryAfterFull{100};
-constexpr milliseconds DrainPoll{2}; ///< How often a lost range's running requests are looked at.
+constexpr milliseconds DrainPoll{2};  ///< How often a lost range's running requests are looked at.
+constexpr size_t WarmConnections = 4; ///< Opened ahead of need; a new one costs about 1 ms.
 
-void refuse(v1::HopReply &reply, http::status status, const char *reason, milliseconds retryAfter)
+/** @return How an exchange without an answer ended. */
+RequestEnd endOf(FailureCode code, const ExchangeControl &control)
 {
-    reply.set_outcome(v1::HOP_OUTCOME_NOT_RUN);
-    reply.set_status(static_cast<uint32_t>(status));
-    reply.set_reason(reason);
-    reply.set_retry_after_ms(retryAfter.count());
+    if (control.isCancelled()) {
+        return RequestEnd::CallerGone;
+    }
+    switch (code) {
+    case FailureCode::Unavailable:
+        return RequestEnd::Unreachable;
+    case FailureCode::DeadlineExceeded:
+        return RequestEnd::DeadlineOver;
+    case FailureCode::Malformed:
+        return RequestEnd::BadAnswer;
+    default:
+        return RequestEnd::ConnectionLost;
+    }
 }
 
-bool isHopByHop(http::field field)
+milliseconds leftUntil(TimePoint end, TimePoint now)
 {
-    return field == http::field::connection || field == http::field::keep_alive
-           || field == http::field::transfer_encoding || field == http::field::content_length
-           || field == http::field::te || field == http::field::upgrade
-           || field == http::field::proxy_connection || field == http::field::trailer;
+    return std::max(std::chrono::duration_cast<milliseconds>(end - now), milliseconds(1));
 }
 
 } // namespace
 
 GateDuty::GateDuty(asio::io_context &context, const Clock &clock, NodeId self)
-    : context_(context), clock_(clock), self_(self)
+    : context_(context), clock_(clock), self_(self), slots_(context, clock, QueueLimits{})
 { }
 
 asio::awaitable<Accepted> GateDuty::onGrant(GateGrant grant)
 {
-    const bool moved
-            = grant.backend.ip != grant_.backend.ip || grant.backend.port != grant_.backend.port;
+    const BackendInfo previous = grant_.backend;
+    const bool rerouted = grant.routing != grant_.routing;
     grant_ = std::move(grant);
-    if (moved && grant_.backend.port != 0) {
-        client_ = std::make_shared<HttpClient>(context_.get_executor(), grant_.backend.ip,
-                                               grant_.backend.port);
+    if (rerouted) {
+        takeRouting(clock_.now());
     }
+    takeBackend(previous);
     // The new grant is in force from here on: nothing of a lost range is admitted any more. What
     // was handed over before may still run; without the wait the next owner would run beside it.
     asio::steady_timer timer(context_);
@@ -58,105 +67,243 @@
     co_return Accepted{};
 }
 
-bool GateDuty::admit(const v1::HopRequest &request, TimePoint now, v1::HopReply &reply) const
+void GateDuty::takeRouting(TimePoint now)
+{
+    std::map<Epoch, TimePoint> since;
+    size_t owned = 0;
+    if (grant_.routing) {
+        for (const auto &[service, table] : grant_.routing->tables) {
+            for (const Slice &slice : table.slices()) {
+                if (slice.owner == self_) {
+                    ++owned;
+                    const auto known = epochSince_.find(slice.epoch);
+                    since[slice.epoch] = known == epochSince_.end() ? now : known->second;
+                }
+            }
+        }
+    }
+    epochSince_ = std::move(since);
+    ownedRanges_.store(owned, std::memory_order_relaxed);
+}
+
+void GateDuty::takeBackend(const BackendInfo &previous)
+{
+    const BackendInfo &backend = grant_.backend;
+    const bool moved = backend.ip != previous.ip || backend.port != previous.port;
+    if (!moved || backend.port == 0) {
+        return;
+    }
+    client_ = std::make_shared<HttpClient>(context_.get_executor(), backend.ip, backend.port);
+    slots_.onBackend(backend.slots);
+    const auto warm = [client = client_]() { return client->warm(WarmConnections); };
+    asio::co_spawn(context_, warm, asio::detached);
+}
+
+RequestEnd GateDuty::checkAdmission(const v1::HopRequest &request, Call &call,
+                                    v1::HopReply &reply) const
 {
     const bool served = client_ && grant_.backend.service == request.service();
     if (!served || grant_.backend.draining) {
-        refuse(reply, http::status::service_unavailable, "no-backend", RetryAfterNoLease);
-        return false;
+        return RequestEnd::NoBackend;
     }
-    if (running_ >= grant_.backend.slots) {
-        refuse(reply, http::status::service_unavailable, "slots-full", RetryAfterFull);
-        return false;
+    const TimePoint now = clock_.now();
+    if (now >= call.deadline) {
+        return RequestEnd::DeadlineOver;
     }
     if (!request.keyed()) {
-        return true;
+        return RequestEnd::None;
     }
-    // A check made before a pause is worthless after it, so the lease is read here, last.
     if (now >= grant_.leaseUntil) {
-        refuse(reply, http::status::service_unavailable, "no-lease", RetryAfterNoLease);
-        return false;
+        return RequestEnd::NoLease;
     }
     const Slice *slice = grant_.routing ? grant_.routing->findSlice(request.service(),
                                                                     KeyHash(request.key_hash()))
                                         : nullptr;
     if (slice == nullptr || slice->owner != self_) {
-        refuse(reply, http::status::misdirected_request, "not-owner", milliseconds(0));
-        return false;
+        return RequestEnd::NotOwner;
     }
+    call.epoch = slice->epoch;
     reply.set_owner_node(self_.value());
     reply.set_epoch(slice->epoch.value());
-    return true;
+    const auto &slices = grant_.routing->tables.at(request.service()).slices();
+    const bool isLast = slice == &slices.back();
+    reply.set_range_first(slice->first.value());
+    reply.set_range_last(isLast ? UINT64_MAX : std::next(slice)->first.value() - 1);
+    return RequestEnd::None;
 }
 
-HttpRequest GateDuty::makeBackendRequest(const v1::HopRequest &request, Epoch epoch,
-                                         milliseconds deadlineLeft) const
+TimePoint GateDuty::epochSince(const v1::HopRequest &request, TimePoint now) const
 {
-    HttpRequest forwarded;
-    forwarded.method_string(request.method());
-    forwarded.target(request.target());
-    for (const v1::HeaderField &field : request.headers()) {
-        if (!isHopByHop(http::string_to_field(field.name()))) {
-            forwarded.insert(field.name(), field.value());
-        }
-    }
-    if (request.keyed()) {
-        forwarded.set("Wisteriahoist-Key", request.key());
-        forwarded.set("Wisteriahoist-Epoch", std::to_string(epoch.value()));
+    const Slice *slice
+            = request.keyed() && grant_.routing
+                      ? grant_.routing->findSlice(request.service(), KeyHash(request.key_hash()))
+                      : nullptr;
+    // Without an owner each instance has its own table: a repeat may have run at any other.
+    if (slice == nullptr) {
+        return now;
     }
-    forwarded.set("Wisteriahoist-Deadline-Ms", std::to_string(deadlineLeft.count()));
-    forwarded.body() = request.body();
-    return forwarded;
+    const auto found = epochSince_.find(slice->epoch);
+    return found == epochSince_.end() ? now : found->second;
 }
 
 asio::awaitable<v1::HopReply> GateDuty::onRequest(v1::HopRequest request)
 {
     v1::HopReply reply;
-    const TimePoint now = clock_.now();
-    if (!admit(request, now, reply)) {
+    if (request.cancel()) {
+        cancel(request);
         co_return reply;
     }
-    milliseconds deadlineLeft(request.deadline_left_ms());
+    openRequests_.fetch_add(1, std::memory_order_relaxed);
+    const CallName name{request.origin_node(), request.request_id()};
+    auto call = std::make_shared<Call>(context_);
+    call->deadline = clock_.now() + milliseconds(request.deadline_left_ms());
+    call->keepsRunning = request.must_not_repeat() && !request.idempotency_key().empty();
+    calls_[name] = call;
+    co_await serve(request, *call, reply);
+    const auto found = calls_.find(name);
+    if (found != calls_.end() && found->second == call) {
+        calls_.erase(found);
+    }
+    openRequests_.fetch_sub(1, std::memory_order_relaxed);
+    co_return reply;
+}
+
+asio::awaitable<void> GateDuty::serve(const v1::HopRequest &request, Call &call,
+                                      v1::HopReply &reply)
+{
+    const RequestEnd refusal = checkAdmission(request, call, reply);
+    if (refusal != RequestEnd::None) {
+        fillVerdict(reply, RequestStage::Received, refusal);
+        co_return;
+    }
+    if (!call.keepsRunning) {
+        co_await run(request, call, reply);
+        co_return;
+    }
+    if (!passesDeduplication(request, reply)) {
+        co_return;
+    }
+    co_await run(request, call, reply);
+    remember(request, reply);
+}
+
+bool GateDuty::passesDeduplication(const v1::HopRequest &request, v1::HopReply &reply)
+{
+    const TimePoint now = clock_.now();
+    DeduplicationDecision decision
+            = deduplication_.begin(makeKeyedAttempt(request, epochSince(request, now)), now);
+    if (decision.step == DeduplicationStep::Run) {
+        return true;
+    }
+    if (decision.step != DeduplicationStep::Replay) {
+        fillVerdict(reply, RequestStage::Received, endOf(decision.step));
+        return false;
+    }
+    reply.ParseFromString(decision.answer);
+    reply.set_replayed(true);
+    return false;
+}
+
+void GateDuty::remember(const v1::HopRequest &request, const v1::HopReply &reply)
+{
+    const std::string &key = request.idempotency_key();
+    switch (reply.outcome()) {
+    case v1::HOP_OUTCOME_DONE:
+        deduplication_.finish(request.service(), key, reply.SerializeAsString(), clock_.now());
+        break;
+    case v1::HOP_OUTCOME_NOT_RUN:
+        deduplication_.forget(request.service(), key);
+        break;
+    default:
+        deduplication_.finish(request.service(), key, std::nullopt, clock_.now());
+        break;
+    }
+}
+
+asio::awaitable<void> GateDuty::run(const v1::HopRequest &request, Call &call, v1::HopReply &reply)
+{
+    const TimePoint patienceUntil = clock_.now() + milliseconds(request.patience_left_ms());
+    const RequestEnd waited = co_await slots_.acquire(call.waiter, call.deadline, patienceUntil);
+    if (waited != RequestEnd::None) {
+        fillVerdict(reply, RequestStage::Queued, waited);
+        co_return;
+    }
+    // A check made before a wait or a pause is worthless after it, so lease and owner are read
+    // here again, last: a queued request outlives its range's move otherwise, and the backend
+    // server without fencing runs it beside the new owner's.
+    const RequestEnd refusal = checkAdmission(request, call, reply);
+    if (refusal != RequestEnd::None) {
+        slots_.release(false);
+        fillVerdict(reply, RequestStage::Queued, refusal);
+        co_return;
+    }
+    co_await handOver(request, call, reply);
+    co_return;
+}
+
+BackendGrant GateDuty::makeGrant(const v1::HopRequest &request, const Call &call,
+                                 TimePoint now) const
+{
+    BackendGrant grant;
+    grant.epoch = call.epoch;
+    grant.deadline = leftUntil(call.deadline, now);
     if (request.keyed()) {
-        const auto leaseLeft = std::chrono::duration_cast<milliseconds>(grant_.leaseUntil - now);
-        deadlineLeft = std::min(deadlineLeft, std::max(leaseLeft, milliseconds(1)));
+        grant.expires = leftUntil(grant_.leaseUntil, now);
+        // A backend server that checks nothing cannot refuse after the lease: its run must end
+        // within, since the next owner waits for the lease alone.
+        if (grant_.backend.grantMode == GrantMode::Unchecked) {
+            grant.deadline = std::min(grant.deadline, grant.expires);
+        }
     }
-    const std::shared_ptr<HttpClient> client = client_;
-    ++running_;
+    return grant;
+}
+
+asio::awaitable<void> GateDuty::handOver(const v1::HopRequest &request, Call &call,
+                                         v1::HopReply &reply)
+{
+    const TimePoint now = clock_.now();
+    const BackendGrant grant = makeGrant(request, call, now);
     uint64_t inflightId = 0;
     if (request.keyed()) {
-        InflightRequest inflight{request.service(), KeyHash(request.key_hash()),
-                                 Epoch(reply.epoch()), now + deadlineLeft};
+        InflightRequest inflight{request.service(), KeyHash(request.key_hash()), call.epoch,
+                                 now + grant.deadline};
         inflightId = inflight_.begin(std::move(inflight));
     }
-    Result<HttpResponse> answer = co_await client->exchange(
-            makeBackendRequest(request, Epoch(reply.epoch()), deadlineLeft), deadlineLeft);
-    --running_;
+    call.handedOver = true;
+    const std::shared_ptr<HttpClient> client = client_;
+    HttpRequest forwarded = makeBackendRequest(request, grant);
+    Result<HttpResponse> answer
+            = co_await client->exchange(std::move(forwarded), grant.deadline, call.control);
     const bool neverSent = !answer && answer.assume_error().code == FailureCode::Unavailable;
     inflight_.end(inflightId, answer.has_value() || neverSent, clock_.now());
+    const bool shed = answer && answer.assume_value().count("Not-Run") > 0;
+    slots_.release(shed);
     if (!answer) {
-        reply.set_outcome(neverSent ? v1::HOP_OUTCOME_NOT_RUN : v1::HOP_OUTCOME_UNKNOWN);
-        reply.set_status(neverSent ? 503 : 504);
-        reply.set_reason(std::string(failureName(answer.assume_error().code)));
-        reply.set_retry_after_ms(neverSent ? RetryAfterNoLease.count() : 0);
-        co_return reply;
+        const RequestStage stage = neverSent ? RequestStage::Queued : call.control->stage();
+        fillVerdict(reply, stage, endOf(answer.assume_error().code, *call.control));
+    } else if (shed) {
+        fillVerdict(reply, RequestStage::Answered, RequestEnd::BackendRefused);
+    } else {
+        fillAnswer(reply, std::move(answer.assume_value()), request.method() == "HEAD");
     }
-    HttpResponse &response = answer.assume_value();
-    if (response.find("Not-Run") != response.end()) {
-        refuse(reply, http::status::service_unavailable, "shed", RetryAfterFull);
-        co_return reply;
+}
+
+void GateDuty::cancel(const v1::HopRequest &request)
+{
+    const auto found = calls_.find({request.origin_node(), request.request_id()});
+    if (found == calls_.end()) {
+        return;
     }
-    reply.set_outcome(v1::HOP_OUTCOME_DONE);
-    reply.set_status(response.result_int());
-    for (const auto &field : response) {
-        if (!isHopByHop(field.name())) {
-            v1::HeaderField *header = reply.add_headers();
-            header->set_name(std::string(field.name_string()));
-            header->set_value(std::string(field.value()));
-        }
+    Call &call = *found->second;
+    if (!call.handedOver) {
+        SlotQueue::cancel(*call.waiter);
+        return;
+    }
+    // A run whose answer is stored for repeats goes on: cutting it would leave its caller, who
+    // may only have changed networks, with an outcome that nobody can tell any more.
+    if (!call.keepsRunning) {
+        call.control->cancel();
     }
-    reply.set_body(std::move(response.body()));
-    co_return reply;
 }
 
 } // namespace wisteriahoist
--- a/src/duty/gate_duty.h
+++ b/src/duty/gate_duty.h
@@ -3,15 +3,20 @@
 #pragma once
 
 #include "adapter/http/http_client.h"
+#include "decision/request/deduplication_table.h"
 #include "decision/request/inflight_registry.h"
 #include "duty/duty_message.h"
+#include "duty/slot_queue.h"
 #include "port/clock.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
 namespace wisteriahoist {
 
+struct BackendGrant;
+
 /**
  * Admits a request only if this node holds a lease and owns the key at the moment of handing over,
  * then runs it on the backend server and returns the whole answer. Runs on its own thread.
@@ -28,22 +33,52 @@
      */
     asio::awaitable<Accepted> onGrant(GateGrant grant);
 
-    /** Runs one request or says why not. */
+    /** Runs one request or says why not; a request with cancel set ends an earlier one. */
     asio::awaitable<v1::HopReply> onRequest(v1::HopRequest request);
 
+    /** @return Requests that wait or run here; readable from any thread. */
+    size_t openRequests() const { return openRequests_.load(std::memory_order_relaxed); }
+
+    /** @return Ranges that this node owns under its present grant; readable from any thread. */
+    size_t ownedRanges() const { return ownedRanges_.load(std::memory_order_relaxed); }
+
 private:
-    /** @return The owning slice, or nullptr with @p reply filled with the refusal. */
-    bool admit(const v1::HopRequest &request, TimePoint now, v1::HopReply &reply) const;
-    HttpRequest makeBackendRequest(const v1::HopRequest &request, Epoch epoch,
-                                   milliseconds deadlineLeft) const;
+    /** One request at the gate. */
+    struct Call {
+        explicit Call(asio::io_context &context) : waiter(std::make_shared<SlotWaiter>(context)) { }
+        std::shared_ptr<SlotWaiter> waiter;
+        std::shared_ptr<ExchangeControl> control = std::make_shared<ExchangeControl>();
+        TimePoint deadline;
+        Epoch epoch; ///< Of the owned range, once admitted; 0 if the rule has no key.
+        bool handedOver = false;
+        bool keepsRunning = false; ///< It is not cut when its caller goes: its answer is stored.
+    };
+    using CallName = std::pair<uint64_t, uint64_t>; ///< Origin node and its request id.
+
+    asio::awaitable<void> serve(const v1::HopRequest &request, Call &call, v1::HopReply &reply);
+    asio::awaitable<void> run(const v1::HopRequest &request, Call &call, v1::HopReply &reply);
+    asio::awaitable<void> handOver(const v1::HopRequest &request, Call &call, v1::HopReply &reply);
+    bool passesDeduplication(const v1::HopRequest &request, v1::HopReply &reply);
+    void remember(const v1::HopRequest &request, const v1::HopReply &reply);
+    RequestEnd checkAdmission(const v1::HopRequest &request, Call &call, v1::HopReply &reply) const;
+    BackendGrant makeGrant(const v1::HopRequest &request, const Call &call, TimePoint now) const;
+    TimePoint epochSince(const v1::HopRequest &request, TimePoint now) const;
+    void cancel(const v1::HopRequest &request);
+    void takeRouting(TimePoint now);
+    void takeBackend(const BackendInfo &previous);
 
     asio::io_context &context_;
     const Clock &clock_;
     NodeId self_;
     GateGrant grant_;
     std::shared_ptr<HttpClient> client_; ///< To grant_.backend; replaced when its address changes.
-    InflightRegistry inflight_;          ///< Keyed requests handed over.
-    uint32_t running_ = 0;               ///< Invariant: at most grant_.backend.slots.
+    std::map<Epoch, TimePoint> epochSince_; ///< When this node learned of each epoch it owns.
+    InflightRegistry inflight_;             ///< Keyed requests handed over.
+    DeduplicationTable deduplication_{DeduplicationLimits{}};
+    SlotQueue slots_;
+    std::map<CallName, std::shared_ptr<Call>> calls_; ///< For cancelling.
+    std::atomic<size_t> openRequests_{0};
+    std::atomic<size_t> ownedRanges_{0};
 };
 
 } // namespace wisteriahoist
--- /dev/null
+++ b/src/duty/gate_message.cpp
@@ -0,0 +1,91 @@
+/** @file gate_message.cpp The gate's messages to the backend server and to the hop. */
+
+#include "duty/gate_message.h"
+
+#include "adapter/http/header_rules.h"
+#include "core/hash_func.h"
+
+namespace wisteriahoist {
+
+HttpRequest makeBackendRequest(const v1::HopRequest &request, const BackendGrant &grant)
+{
+    HttpRequest forwarded;
+    forwarded.method_string(request.method());
+    forwarded.target(request.target());
+    for (const v1::HeaderField &field : request.headers()) {
+        forwarded.insert(field.name(), field.value());
+    }
+    if (request.keyed()) {
+        forwarded.set("Wisteriahoist-Key", request.key());
+        forwarded.set("Wisteriahoist-Epoch", std::to_string(grant.epoch.value()));
+        forwarded.set("Wisteriahoist-Grant-Expires-Ms", std::to_string(grant.expires.count()));
+    }
+    forwarded.set("Wisteriahoist-Deadline-Ms", std::to_string(grant.deadline.count()));
+    forwarded.body() = request.body();
+    return forwarded;
+}
+
+void fillVerdict(v1::HopReply &reply, RequestStage stage, RequestEnd end)
+{
+    const Verdict verdict = decideOutcome(stage, end);
+    reply.set_outcome(verdict.outcome == Outcome::NotRun ? v1::HOP_OUTCOME_NOT_RUN
+                                                         : v1::HOP_OUTCOME_UNKNOWN);
+    reply.set_status(verdict.status);
+    reply.set_reason(std::string(verdict.reason));
+    reply.set_retry_after_ms(verdict.retryAfter.count());
+}
+
+void fillAnswer(v1::HopReply &reply, HttpResponse response, bool headOnly)
+{
+    reply.set_outcome(v1::HOP_OUTCOME_DONE);
+    reply.set_status(response.result_int());
+    for (const PassedField &field : passedFields(response)) {
+        v1::HeaderField *header = reply.add_headers();
+        header->set_name(field.name);
+        header->set_value(field.value);
+    }
+    const auto length = response.find(http::field::content_length);
+    if (headOnly && length != response.end()) {
+        v1::HeaderField *header = reply.add_headers();
+        header->set_name("Content-Length");
+        header->set_value(std::string(length->value()));
+    }
+    reply.set_body(std::move(response.body()));
+}
+
+KeyedAttempt makeKeyedAttempt(const v1::HopRequest &request, TimePoint epochSince)
+{
+    KeyedAttempt attempt;
+    attempt.service = request.service();
+    attempt.idempotencyKey = request.idempotency_key();
+    const std::string content = request.method() + ' ' + request.target() + '\n' + request.body();
+    attempt.fingerprint = std::to_string(hashKey(content, 0).value());
+    if (request.has_idempotency_age()) {
+        attempt.age = milliseconds(request.idempotency_age_ms());
+    }
+    attempt.refuseUnknownAge = request.refuse_unknown_age();
+    attempt.epochSince = epochSince;
+    return attempt;
+}
+
+RequestEnd endOf(DeduplicationStep step)
+{
+    switch (step) {
+    case DeduplicationStep::InProgress:
+        return RequestEnd::KeyInProgress;
+    case DeduplicationStep::Reused:
+        return RequestEnd::KeyReused;
+    case DeduplicationStep::OutcomeUnknown:
+        return RequestEnd::KeyLost;
+    case DeduplicationStep::OlderThanEpoch:
+        return RequestEnd::KeyTooOld;
+    case DeduplicationStep::TableFull:
+        return RequestEnd::KeyTableFull;
+    case DeduplicationStep::Run:
+    case DeduplicationStep::Replay:
+        break;
+    }
+    return RequestEnd::None;
+}
+
+} // namespace wisteriahoist
--- a/src/duty/ingress_duty.cpp
+++ b/src/duty/ingress_duty.cpp
@@ -2,57 +2,52 @@
 
 #include "duty/ingress_duty.h"
 
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace wisteriahoist {
 
 namespace {
 
-constexpr milliseconds RetryAfterNoRoute{200};
-
-v1::HopReply makeNotRun(http::status status, const char *reason, milliseconds retryAfter)
-{
-    v1::HopReply reply;
-    reply.set_outcome(v1::HOP_OUTCOME_NOT_RUN);
-    reply.set_status(static_cast<uint32_t>(status));
-    reply.set_reason(reason);
-    reply.set_retry_after_ms(retryAfter.count());
-    return reply;
-}
+constexpr milliseconds RoutingPoll{5}; ///< How often a retry looks for newer routing.
+/** Lets the gate's own verdict at the deadline (it may be "not run") arrive before the hop's. */
+constexpr milliseconds HopGrace{20};
 
-/** @return The answer to the caller for @p reply; the outcome is told by status, header and body.
- */
-HttpResponse makeCallerResponse(v1::HopReply reply)
+/** @return What the ring or the hop's transport says about a request that got no reply. */
+v1::HopReply makeLostReply(FailureCode code)
 {
-    if (reply.outcome() == v1::HOP_OUTCOME_DONE) {
-        HttpResponse response(static_cast<http::status>(reply.status()), 11);
-        for (const v1::HeaderField &field : reply.headers()) {
-            response.insert(field.name(), field.value());
-        }
-        response.set("Wisteriahoist-Outcome", "done");
-        response.set("Wisteriahoist-Owner", std::to_string(reply.owner_node())
-                                                    + ";epoch=" + std::to_string(reply.epoch()));
-        response.body() = std::move(*reply.mutable_body());
-        return response;
-    }
-    const bool notRun = reply.outcome() == v1::HOP_OUTCOME_NOT_RUN;
-    Problem problem;
-    problem.status = static_cast<http::status>(reply.status());
-    problem.type = notRun ? "not-run" : "outcome-unknown";
-    problem.detail = reply.reason();
-    problem.retryAfter = milliseconds(reply.retry_after_ms());
-    HttpResponse response = makeProblemResponse(problem);
-    response.set("Wisteriahoist-Outcome", notRun ? "not-run" : "unknown");
-    return response;
+    switch (code) {
+    case FailureCode::Overloaded:
+        return makeVerdictReply(RequestStage::Received, RequestEnd::Overloaded);
+    case FailureCode::Unavailable:
+        return makeVerdictReply(RequestStage::Received, RequestEnd::Unreachable);
+    case FailureCode::DeadlineExceeded:
+        return makeVerdictReply(RequestStage::HandedOver, RequestEnd::DeadlineOver);
+    case FailureCode::Malformed:
+        return makeVerdictReply(RequestStage::HandedOver, RequestEnd::BadAnswer);
+    default:
+        return makeVerdictReply(RequestStage::HandedOver, RequestEnd::ConnectionLost);
+    }
 }
 
 } // namespace
 
-IngressDuty::IngressDuty(asio::io_context &context, NodeId self, const std::string &ip,
-                         uint16_t port, GateLink &gate)
-    : self_(self), gate_(gate), peers_(context), routing_(std::make_shared<RoutingSnapshot>()),
-      server_(std::make_shared<HttpServer>(
-              context, ip, port, HttpLimits{},
-              [this](HttpRequest request) { return onRequest(std::move(request)); }))
-{ }
+IngressDuty::IngressDuty(asio::io_context &context, const Clock &clock, NodeId self,
+                         const std::string &ip, uint16_t port, GateLink &gate, RetryLimits retries)
+    : context_(context), clock_(clock), self_(self), gate_(gate), peers_(context),
+      routing_(std::make_shared<RoutingSnapshot>()), retries_(retries),
+      random_(std::random_device{}())
+{
+    const auto handler = [this](HttpRequest request, std::shared_ptr<CallerWatch> caller) {
+        return onRequest(std::move(request), std::move(caller));
+    };
+    server_ = std::make_shared<HttpServer>(context, ip, port, HttpLimits{},
+                                           WatchedHttpHandler(handler));
+}
 
 void IngressDuty::start()
 {
@@ -61,36 +56,22 @@
 
 void IngressDuty::stop()
 {
-    server_->stop();
+    asio::post(context_, [server = server_]() { server->stop(); });
 }
 
 asio::awaitable<Accepted> IngressDuty::onRouting(RoutingSnapshotPtr routing)
 {
     routing_ = std::move(routing);
-    co_return Accepted{};
-}
-
-v1::HopRequest IngressDuty::makeHop(const HttpRequest &request, const ResolvedRequest &resolved)
-{
-    v1::HopRequest hop;
-    hop.set_service(resolved.service->name);
-    hop.set_key_hash(resolved.hash.value());
-    hop.set_key(resolved.key);
-    hop.set_keyed(resolved.rule->keyed);
-    hop.set_request_id(++lastRequestId_);
-    hop.set_deadline_left_ms(resolved.rule->deadline.count());
-    hop.set_method(std::string(request.method_string()));
-    hop.set_target(std::string(request.target()));
-    for (const auto &field : request) {
-        v1::HeaderField *header = hop.add_headers();
-        header->set_name(std::string(field.name_string()));
-        header->set_value(std::string(field.value()));
+    std::vector<NodeId> members;
+    for (const auto &[id, member] : routing_->members) {
+        members.push_back(id);
     }
-    hop.set_body(request.body());
-    return hop;
+    outliers_.keepOnly(members);
+    co_return Accepted{};
 }
 
-asio::awaitable<HttpResponse> IngressDuty::onRequest(HttpRequest request)
+asio::awaitable<HttpResponse> IngressDuty::onRequest(HttpRequest request,
+                                                     std::shared_ptr<CallerWatch> caller)
 {
     const RoutingSnapshotPtr routing = routing_;
     RequestHead head;
@@ -104,73 +85,217 @@
         const auto value = request[name];
         return std::string_view(value.data(), value.size());
     };
-    Result<ResolvedRequest> resolved = resolveRequest(routing->declarations, head);
-    if (!resolved) {
-        const bool missing = resolved.assume_error().code == FailureCode::NotFound;
-        co_return makeProblemResponse(
-                {missing ? http::status::not_found : http::status::bad_request,
-                 failureName(resolved.assume_error().code), resolved.assume_error().context});
+    Result<ResolvedRequest> result = resolveRequest(routing->declarations, head);
+    if (!result) {
+        const bool missing = result.assume_error().code == FailureCode::NotFound;
+        Problem problem;
+        problem.status = missing ? http::status::not_found : http::status::bad_request;
+        problem.type = failureName(result.assume_error().code);
+        problem.detail = result.assume_error().context;
+        co_return makeProblemResponse(problem);
+    }
+    const ResolvedRequest &resolved = result.assume_value();
+    const CallerTerms terms = readTerms(request, *resolved.rule);
+    if (terms.refusal != RequestEnd::None) {
+        co_return makeCallerResponse(makeVerdictReply(RequestStage::Received, terms.refusal),
+                                     *routing);
+    }
+    auto current = std::make_shared<Try>();
+    current->hop = makeHop(request, resolved, terms);
+    current->routing = routing;
+    current->caller = std::move(caller);
+    current->deadline = clock_.now() + terms.deadline;
+    current->patienceUntil = clock_.now() + resolved.rule->patience;
+    current->idempotent = resolved.rule->repetition == Repetition::Idempotent;
+    if (resolved.service->misrouted == Misrouted::Redirect && resolved.rule->keyed) {
+        const NodeId owner = chooseTarget(*current);
+        const MemberInfo *member = routing->findMember(owner);
+        if (owner != self_ && member != nullptr) {
+            co_return makeRedirect(*member, target);
+        }
+    }
+    v1::HopReply reply = co_await runWithRetries(current);
+    current->caller->onGone(nullptr);
+    co_return makeCallerResponse(std::move(reply), *current->routing);
+}
+
+asio::awaitable<v1::HopReply> IngressDuty::runWithRetries(std::shared_ptr<Try> current)
+{
+    current->caller->onGone(
+            [this, current]() { asio::co_spawn(context_, sendCancel(current), asio::detached); });
+    while (true) {
+        v1::HopReply reply = co_await attempt(*current);
+        if (reply.outcome() == v1::HOP_OUTCOME_DONE) {
+            const auto budget = budgets_.try_emplace(current->hop.service(), retries_).first;
+            budget->second.onSuccess(clock_.now());
+            co_return reply;
+        }
+        current->mayHaveRun |= outcomeOf(reply) == Outcome::Unknown;
+        const RetryDecision decision = decide(*current, reply);
+        if (!decision.retry || current->caller->isGone()) {
+            // A later try's refusal says nothing about an earlier one that may have run.
+            if (current->mayHaveRun && outcomeOf(reply) == Outcome::NotRun) {
+                reply = makeVerdictReply(RequestStage::HandedOver, RequestEnd::ConnectionLost);
+            }
+            co_return reply;
+        }
+        co_await pauseBeforeRetry(*current, decision.pause);
+        current->routing = routing_;
+        current->hop.set_attempt(current->hop.attempt() + 1);
+    }
+}
+
+RetryDecision IngressDuty::decide(const Try &current, const v1::HopReply &reply)
+{
+    // Other refusals (of the key, of the input) would be the same at the next try.
+    const bool passing = reply.status() >= 500 || reply.status() == 421;
+    if (!passing) {
+        return {};
     }
-    v1::HopRequest hop = makeHop(request, resolved.assume_value());
-    co_return makeCallerResponse(
-            co_await dispatch(*routing, resolved.assume_value(), std::move(hop)));
+    const TimePoint now = clock_.now();
+    FailedTry failed;
+    failed.outcome = outcomeOf(reply);
+    failed.idempotent = current.idempotent;
+    failed.attempt = current.hop.attempt();
+    failed.retryAfter = milliseconds(reply.retry_after_ms());
+    failed.deadlineLeft = current.deadline - now;
+    const auto budget = budgets_.try_emplace(current.hop.service(), retries_).first;
+    return decideRetry(failed, budget->second, random(), now);
 }
 
-const MemberInfo *IngressDuty::chooseInstance(const RoutingSnapshot &routing,
-                                              const std::string &service)
+asio::awaitable<void> IngressDuty::pauseBeforeRetry(const Try &current, milliseconds pause)
 {
-    std::vector<const MemberInfo *> instances;
+    const TimePoint until = clock_.now() + pause;
+    asio::steady_timer timer(context_);
+    // Newer routing names the present owner; there is no reason to wait on.
+    while (clock_.now() < until && routing_ == current.routing && !current.caller->isGone()) {
+        timer.expires_after(std::min<Duration>(RoutingPoll, until - clock_.now()));
+        beast::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+NodeId IngressDuty::chooseAny(const RoutingSnapshot &routing, const std::string &service)
+{
+    std::vector<NodeId> candidates;
     for (const auto &[id, member] : routing.members) {
         if (member.service == service && !member.draining) {
-            instances.push_back(&member);
+            candidates.push_back(id);
         }
     }
-    return instances.empty() ? nullptr : instances[nextInstance_++ % instances.size()];
+    std::vector<InstanceLoad> loads;
+    for (const NodeId id : outliers_.usable(candidates, clock_.now())) {
+        const MemberInfo &member = *routing.findMember(id);
+        InstanceLoad load;
+        load.id = id;
+        load.failureDomain = member.failureDomain;
+        load.slots = member.slots;
+        load.outstanding = outstanding_[id];
+        loads.push_back(std::move(load));
+    }
+    const MemberInfo *own = routing.findMember(self_);
+    const std::string domain = own == nullptr ? std::string() : own->failureDomain;
+    return chooseInstance(loads, domain, BalancerLimits{}, random(), random(), clock_.now())
+            .value_or(InvalidNode);
 }
 
-asio::awaitable<v1::HopReply> IngressDuty::dispatch(const RoutingSnapshot &routing,
-                                                    const ResolvedRequest &resolved,
-                                                    v1::HopRequest hop)
+NodeId IngressDuty::chooseTarget(const Try &current)
 {
-    const MemberInfo *target = nullptr;
-    if (resolved.rule->keyed) {
-        const Slice *slice = routing.findSlice(resolved.service->name, resolved.hash);
-        target = slice == nullptr ? nullptr : routing.findMember(slice->owner);
+    if (!current.hop.keyed()) {
+        return chooseAny(*current.routing, current.hop.service());
+    }
+    const Slice *slice
+            = current.routing->findSlice(current.hop.service(), KeyHash(current.hop.key_hash()));
+    return slice == nullptr ? InvalidNode : slice->owner;
+}
+
+asio::awaitable<v1::HopReply> IngressDuty::attempt(Try &current)
+{
+    const TimePoint now = clock_.now();
+    current.target = chooseTarget(current);
+    const MemberInfo *member = current.routing->findMember(current.target);
+    if (member == nullptr) {
+        co_return makeVerdictReply(RequestStage::Received, RequestEnd::NoLease);
+    }
+    const auto deadlineLeft = std::chrono::duration_cast<milliseconds>(current.deadline - now);
+    if (deadlineLeft.count() <= 0) {
+        co_return makeVerdictReply(RequestStage::Received, RequestEnd::DeadlineOver);
+    }
+    const auto patienceLeft = std::chrono::duration_cast<milliseconds>(current.patienceUntil - now);
+    current.hop.set_origin_node(self_.value());
+    current.hop.set_request_id(++lastRequestId_);
+    current.hop.set_deadline_left_ms(deadlineLeft.count());
+    current.hop.set_patience_left_ms(std::max<int64_t>(0, patienceLeft.count()));
+    const NodeId target = current.target;
+    const NodeAddress address = member->address;
+    ++outstanding_[target];
+    v1::HopReply reply;
+    if (target == self_) {
+        reply = co_await callLocal(current.hop);
     } else {
-        target = chooseInstance(routing, resolved.service->name);
+        reply = co_await forward(address, current.hop);
     }
-    if (target == nullptr) {
-        co_return makeNotRun(http::status::service_unavailable, "no-owner", RetryAfterNoRoute);
+    if (--outstanding_[target] == 0) {
+        outstanding_.erase(target);
     }
-    if (target->id != self_) {
-        co_return co_await forward(*target, std::move(hop));
+    observe(target, reply);
+    co_return reply;
+}
+
+void IngressDuty::observe(NodeId instance, const v1::HopReply &reply)
+{
+    if (reply.outcome() == v1::HOP_OUTCOME_DONE) {
+        outliers_.onSuccess(instance);
+        return;
     }
+    if (reply.status() >= 500 && reply.status() != 503) {
+        outliers_.onFailure(instance, clock_.now());
+    }
+}
+
+asio::awaitable<v1::HopReply> IngressDuty::callLocal(v1::HopRequest hop)
+{
     Result<v1::HopReply> reply = co_await gate_.call(std::move(hop));
     if (!reply) {
-        co_return makeNotRun(http::status::service_unavailable, "overloaded", RetryAfterNoRoute);
+        co_return makeLostReply(reply.assume_error().code);
     }
     co_return std::move(reply.assume_value());
 }
 
-asio::awaitable<v1::HopReply> IngressDuty::forward(const MemberInfo &owner, v1::HopRequest hop)
+asio::awaitable<v1::HopReply> IngressDuty::forward(NodeAddress address, v1::HopRequest hop)
 {
-    const milliseconds timeout(hop.deadline_left_ms());
-    const PeerEndpoint peer{owner.address.ip, owner.address.peerPort};
+    const milliseconds timeout = milliseconds(hop.deadline_left_ms()) + HopGrace;
+    PeerEndpoint peer{address.ip, address.peerPort};
     Result<std::string> bytes
-            = co_await peers_.call(peer, "/hop", hop.SerializeAsString(), timeout);
-    v1::HopReply reply;
-    if (bytes && reply.ParseFromString(bytes.assume_value())) {
-        co_return reply;
+            = co_await peers_.call(std::move(peer), "/hop", hop.SerializeAsString(), timeout);
+    if (!bytes) {
+        co_return makeLostReply(bytes.assume_error().code);
     }
-    if (!bytes && bytes.assume_error().code == FailureCode::Unavailable) {
-        co_return makeNotRun(http::status::service_unavailable, "owner-unreachable",
-                             RetryAfterNoRoute);
+    v1::HopReply reply;
+    const bool readable = reply.ParseFromString(bytes.assume_value())
+                          && reply.outcome() != v1::HOP_OUTCOME_UNSPECIFIED;
+    if (!readable) {
+        co_return makeLostReply(FailureCode::Malformed);
     }
-    reply.Clear();
-    reply.set_outcome(v1::HOP_OUTCOME_UNKNOWN);
-    reply.set_status(504);
-    reply.set_reason("hop-lost");
     co_return reply;
 }
 
+asio::awaitable<void> IngressDuty::sendCancel(std::shared_ptr<Try> current)
+{
+    v1::HopRequest hop;
+    hop.set_cancel(true);
+    hop.set_origin_node(self_.value());
+    hop.set_request_id(current->hop.request_id());
+    if (current->target == self_) {
+        (void)co_await gate_.call(std::move(hop));
+        co_return;
+    }
+    const MemberInfo *member = current->routing->findMember(current->target);
+    if (member != nullptr) {
+        constexpr milliseconds CancelTimeout{500};
+        PeerEndpoint peer{member->address.ip, member->address.peerPort};
+        (void)co_await peers_.call(std::move(peer), "/hop", hop.SerializeAsString(), CancelTimeout);
+    }
+}
+
 } // namespace wisteriahoist
--- a/src/duty/ingress_duty.h
+++ b/src/duty/ingress_duty.h
@@ -4,40 +4,76 @@
 
 #include "adapter/http/http_server.h"
 #include "adapter/http2/peer_transport.h"
-#include "decision/request/route_resolver.h"
+#include "decision/request/keyless_balancer.h"
+#include "decision/request/outlier_detector.h"
+#include "decision/request/retry_policy.h"
 #include "duty/duty_message.h"
+#include "duty/ingress_message.h"
+#include "port/clock.h"
+
+#include <random>
 
 namespace wisteriahoist {
 
-/** Serves callers on its own thread. */
+/** Serves callers on its own thread; the only place that retries. */
 class IngressDuty
 {
 public:
-    IngressDuty(asio::io_context &context, NodeId self, const std::string &ip, uint16_t port,
-                GateLink &gate);
+    IngressDuty(asio::io_context &context, const Clock &clock, NodeId self, const std::string &ip,
+                uint16_t port, GateLink &gate, RetryLimits retries = {});
 
     void start();
+
+    /** Stops accepting connections; what is open is served to its end. */
     void stop();
     uint16_t port() const { return server_->port(); }
 
+    /** @return Requests that callers wait for; readable from any thread. */
+    size_t openRequests() const { return server_->openRequests(); }
+
     /** Takes a new routing snapshot over. */
     asio::awaitable<Accepted> onRouting(RoutingSnapshotPtr routing);
 
 private:
-    asio::awaitable<HttpResponse> onRequest(HttpRequest request);
-    asio::awaitable<v1::HopReply> dispatch(const RoutingSnapshot &routing,
-                                           const ResolvedRequest &resolved, v1::HopRequest hop);
-    asio::awaitable<v1::HopReply> forward(const MemberInfo &owner, v1::HopRequest hop);
-    const MemberInfo *chooseInstance(const RoutingSnapshot &routing, const std::string &service);
-    v1::HopRequest makeHop(const HttpRequest &request, const ResolvedRequest &resolved);
+    /** One caller's request while it is tried. */
+    struct Try {
+        v1::HopRequest hop;
+        RoutingSnapshotPtr routing;
+        std::shared_ptr<CallerWatch> caller;
+        TimePoint deadline;
+        TimePoint patienceUntil;
+        bool idempotent = false;
+        bool mayHaveRun = false; ///< An earlier try ended as unknown.
+        NodeId target;           ///< Of the present try.
+    };
+
+    asio::awaitable<HttpResponse> onRequest(HttpRequest request,
+                                            std::shared_ptr<CallerWatch> caller);
+    asio::awaitable<v1::HopReply> runWithRetries(std::shared_ptr<Try> current);
+    asio::awaitable<v1::HopReply> attempt(Try &current);
+    asio::awaitable<v1::HopReply> callLocal(v1::HopRequest hop);
+    asio::awaitable<v1::HopReply> forward(NodeAddress address, v1::HopRequest hop);
+    asio::awaitable<void> sendCancel(std::shared_ptr<Try> current);
+    asio::awaitable<void> pauseBeforeRetry(const Try &current, milliseconds pause);
+    RetryDecision decide(const Try &current, const v1::HopReply &reply);
+    NodeId chooseTarget(const Try &current);
+    NodeId chooseAny(const RoutingSnapshot &routing, const std::string &service);
+    void observe(NodeId instance, const v1::HopReply &reply);
+    double random() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
+    asio::io_context &context_;
+    const Clock &clock_;
     NodeId self_;
     GateLink &gate_;
     PeerCaller peers_;
     RoutingSnapshotPtr routing_;
     std::shared_ptr<HttpServer> server_;
+    RetryLimits retries_;
+    std::map<std::string, RetryBudget> budgets_; ///< By service.
+    std::map<NodeId, uint32_t> outstanding_;     ///< Own requests at each instance.
+    OutlierDetector outliers_{OutlierLimits{}};
+    std::mt19937_64 random_;
     uint64_t lastRequestId_ = 0;
-    size_t nextInstance_ = 0;
 };
 
 } // namespace wisteriahoist
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -2,7 +2,11 @@
 
 #include "program/node_program.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/log/trivial.hpp>
 #include <iostream>
 
@@ -38,7 +42,7 @@
       platform_(controlThread_.context().get_executor(), settings.platformIp, settings.platformPort,
                 settings.platformTimeout),
       gate_(gateThread_.context(), clock_, settings.id),
-      ingress_(ingressThread_.context(), settings.id, settings.address.ip,
+      ingress_(ingressThread_.context(), clock_, settings.id, settings.address.ip,
                settings.address.callerPort, ingressToGate_),
       peer_(peerThread_.context(), settings.address.ip, settings.address.peerPort, peerToGate_,
             peerToControl_),
@@ -82,6 +86,46 @@
     gateThread_.stop();
 }
 
+void NodeProgram::beginDrain()
+{
+    control_->beginDrain();
+    ingress_.stop();
+}
+
+DrainProgress NodeProgram::drainProgress() const
+{
+    return {gate_.ownedRanges(), ingress_.openRequests(), gate_.openRequests()};
+}
+
+namespace {
+
+constexpr milliseconds DrainPoll{20};
+
+/** Waits for a signal, then drains @p node. @return What was still open at the end. */
+asio::awaitable<void> drainOnSignal(NodeProgram &node, asio::signal_set &set)
+{
+    co_await set.async_wait(asio::use_awaitable);
+    BOOST_LOG_TRIVIAL(info) << "signal: draining";
+    node.beginDrain();
+    const auto cut = std::make_shared<bool>(false);
+    set.async_wait([cut](const boost::system::error_code &error, int) { *cut = !error; });
+    const auto start = std::chrono::steady_clock::now();
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    DrainStep step = DrainStep::Wait;
+    while (step == DrainStep::Wait && !*cut) {
+        timer.expires_after(DrainPoll);
+        co_await timer.async_wait(asio::use_awaitable);
+        const Duration elapsed = std::chrono::steady_clock::now() - start;
+        step = decideDrain(node.drainProgress(), elapsed, DrainLimits{});
+    }
+    set.cancel();
+    const DrainProgress left = node.drainProgress();
+    std::cout << "drained: cut_requests=" << std::max(left.callerRequests, left.gateRequests)
+              << " ranges_left=" << left.ownedRanges << std::endl;
+}
+
+} // namespace
+
 int runNode(const std::string &settingsFile)
 {
     std::vector<Finding> findings;
@@ -96,11 +140,11 @@
         NodeProgram node(settings);
         asio::io_context signals;
         asio::signal_set set(signals, SIGTERM, SIGINT);
-        set.async_wait([](const boost::system::error_code &, int) {});
         node.start();
         std::cout << "node " << settings.id.value() << " caller_port=" << node.address().callerPort
                   << " peer_port=" << node.address().peerPort
                   << " admin_port=" << node.address().adminPort << std::endl;
+        asio::co_spawn(signals, drainOnSignal(node, set), asio::detached);
         signals.run();
         node.stop();
     } catch (const boost::system::system_error &error) {
--- a/src/program/node_program.h
+++ b/src/program/node_program.h
@@ -5,6 +5,7 @@
 #include "adapter/clock/boot_clock_adapter.h"
 #include "adapter/platform/platform_http_store.h"
 #include "adapter/settings/node_settings.h"
+#include "decision/request/drain_state.h"
 #include "duty/admin_duty.h"
 #include "duty/control_duty.h"
 #include "duty/duty_thread.h"
@@ -26,6 +27,12 @@
     void start();
     void stop();
 
+    /** Stops accepting callers and hands its ranges over; what is open goes on. */
+    void beginDrain();
+
+    /** @return What is still open here. */
+    DrainProgress drainProgress() const;
+
     /** @return The node's addresses with the ports that were bound. */
     const NodeAddress &address() const { return address_; }
 
@@ -54,7 +61,8 @@
 };
 
 /**
- * Runs a node until SIGTERM or SIGINT.
+ * Runs a node until SIGTERM or SIGINT, then drains it. A second signal, or the bound of the drain,
+ * ends it at once; what that cuts is printed.
  * @return The exit code: 0 done, 1 failed, 2 bad settings.
  */
 int runNode(const std::string &settingsFile);
--- /dev/null
+++ b/test/unit/request/instance_choice_test.cpp
@@ -0,0 +1,127 @@
+/** @file instance_choice_test.cpp Instances for requests without a key; requests still running. */
+
+#include "decision/request/inflight_registry.h"
+#include "decision/request/keyless_balancer.h"
+#include "decision/request/outlier_detector.h"
+#include "support/story.h"
+
+using namespace wisteriahoist;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+const std::vector<NodeId> Three{NodeId(1), NodeId(2), NodeId(3)};
+
+void fail(OutlierDetector &detector, NodeId instance, int count)
+{
+    for (int failure = 0; failure < count; ++failure) {
+        detector.onFailure(instance, Start);
+    }
+}
+
+RoutingSnapshot makeRouting(NodeId owner, Epoch epoch)
+{
+    RoutingSnapshot routing;
+    routing.tables["s"] = SliceTable({{KeyHash(0), owner, epoch}});
+    return routing;
+}
+
+} // namespace
+
+Test(request_outlier, own_observations_decide)
+{
+    OutlierDetector detector{OutlierLimits{}};
+    SECTION("a report alone ejects nobody")
+    {
+        detector.onReport(NodeId(1), false);
+        cr_assert(detector.usable(Three, Start).size() == 3);
+    }
+    SECTION("own failures eject, for a bounded time")
+    {
+        fail(detector, NodeId(1), 5);
+        cr_assert(detector.usable(Three, Start).size() == 2);
+        cr_assert(detector.usable(Three, Start + milliseconds(1000)).size() == 3);
+    }
+    SECTION("fewer are enough when the report agrees")
+    {
+        detector.onReport(NodeId(2), false);
+        fail(detector, NodeId(2), 2);
+        cr_assert(detector.usable(Three, Start).size() == 2);
+    }
+    SECTION("a common cause never ejects most of the instances")
+    {
+        for (const NodeId instance : Three) {
+            fail(detector, instance, 5);
+        }
+        cr_assert(detector.usable(Three, Start).size() == 2);
+        cr_assert(detector.usable({NodeId(1)}, Start).size() == 1);
+    }
+}
+
+Test(request_balancer, choice)
+{
+    InstanceLoad near;
+    near.id = NodeId(1);
+    near.failureDomain = "a";
+    near.slots = 12;
+    InstanceLoad far = near;
+    far.id = NodeId(2);
+    far.failureDomain = "b";
+    const BalancerLimits limits;
+    const auto choose = [&]() {
+        return *chooseInstance({near, far}, "a", limits, 0.0, 0.0, Start);
+    };
+    cr_assert(choose() == near.id);
+    SECTION("the own domain is left when it is hotter")
+    {
+        near.outstanding = 6;
+        cr_assert(choose() == far.id);
+    }
+    SECTION("a stale report of no load does not draw requests")
+    {
+        far.reportedAt = Start - milliseconds(5000);
+        far.reportedRunning = 0;
+        far.outstanding = 4;
+        near.outstanding = 4;
+        cr_assert(choose() == near.id);
+    }
+    SECTION("a report that lags is corrected by what was sent since")
+    {
+        InstanceLoad sent = near;
+        sent.reportedAt = Start;
+        sent.reportedRunning = 2;
+        sent.outstanding = 3;
+        sent.sentSinceReport = 3;
+        cr_assert(estimateLoad(sent, limits, Start) > 0.4);
+    }
+    cr_assert(!chooseInstance({}, "a", limits, 0.9, 0.9, Start).has_value());
+}
+
+Test(request_inflight, lost_ranges_drain)
+{
+    // A range moves while a request of it runs. If the old owner confirmed at once, the new owner
+    // would run the key's next request beside it, and the backend servers' state would differ.
+    InflightRegistry registry;
+    const TimePoint deadline = Start + milliseconds(100);
+    const uint64_t id = registry.begin({"s", KeyHash(5), Epoch(3), deadline});
+    const RoutingSnapshot kept = makeRouting(NodeId(1), Epoch(3));
+    const RoutingSnapshot moved = makeRouting(NodeId(2), Epoch(4));
+    const RoutingSnapshot back = makeRouting(NodeId(1), Epoch(5));
+    cr_assert(registry.lostUntil(&kept, NodeId(1), Start) == NeverTime);
+    cr_assert(registry.lostUntil(&moved, NodeId(1), Start) == deadline);
+    cr_assert(registry.lostUntil(&back, NodeId(1), Start) == deadline);
+    cr_assert(registry.lostUntil(nullptr, NodeId(1), Start) == deadline);
+    SECTION("a run whose end was not seen is waited for until its deadline")
+    {
+        registry.end(id, false, Start);
+        cr_assert(registry.lostUntil(&moved, NodeId(1), Start) == deadline);
+        cr_assert(registry.lostUntil(&moved, NodeId(1), deadline) == NeverTime);
+    }
+    SECTION("a whole answer ends it")
+    {
+        const uint64_t other = registry.begin({"s", KeyHash(5), Epoch(3), deadline});
+        registry.end(other, true, Start);
+        registry.end(id, true, Start);
+        cr_assert(registry.lostUntil(&moved, NodeId(1), Start) == NeverTime);
+    }
+}
