--- a/test/support/scripted_backend.h
+++ b/test/support/scripted_backend.h
@@ -72,8 +72,7 @@
     {
         std::string buffer;
         while (true) {
-            const BackendScript script = scripts_[std::min(next_, scripts_.size() - 1)];
-            if (script.closeUnread) {
+            if (nextScript().closeUnread) {
                 ++next_;
                 co_return;
             }
@@ -85,6 +84,7 @@
                 ++lostConnections_;
                 co_return;
             }
+            const BackendScript script = nextScript();
             ++next_;
             requests_.push_back(buffer.substr(0, length));
             buffer.clear();
@@ -100,6 +100,11 @@
         }
     }
 
+    const BackendScript &nextScript() const
+    {
+        return scripts_[std::min(next_, scripts_.size() - 1)];
+    }
+
     asio::io_context &context_;
     tcp::acceptor acceptor_;
     std::vector<BackendScript> scripts_;
