--- a/src/adapter/settings/declaration_loader.cpp
+++ b/src/adapter/settings/declaration_loader.cpp
@@ -25,6 +25,12 @@
     // The default must not be longer than a short deadline.
     rule.patience = std::min(rule.patience, rule.deadline);
     rule.patience = reader.duration("patience_ms", rule.patience, milliseconds(0), MaxDeadline);
+    rule.missingKey = reader.choice("missing_key", {"refuse", "single-attempt"}, 0) == 1
+                              ? MissingKey::SingleAttempt
+                              : MissingKey::Refuse;
+    rule.missingAge = reader.choice("missing_age", {"refuse", "first-sending"}, 0) == 1
+                              ? MissingAge::FirstSending
+                              : MissingAge::Refuse;
     reader.reportUnknown();
     return rule;
 }
@@ -69,10 +75,19 @@
     service.grantMode = reader.choice("grant_mode", {"fenced", "unchecked"}, 0) == 0
                                 ? GrantMode::Fenced
                                 : GrantMode::Unchecked;
+<<<<<<< HEAD
+    service.misrouted = reader.choice("misrouted", {"forward", "redirect"}, 0) == 1
+                                ? Misrouted::Redirect
+                                : Misrouted::Forward;
+    if (const toml::table *table = reader.table("key_space", true)) {
+        TomlReader keySpace(*table, file, "service.key_space", findings);
+        readKeySpace(keySpace, service.keySpace);
+=======
     if (const toml::table *child = reader.table("key_space", true)) {
         noteLocations(*child, path + ".key_space", file);
         TomlReader keySpace(*child, file, path + ".key_space", findings_);
         service.keySpace = readKeySpace(keySpace);
+>>>>>>> main
     }
     for (const toml::table *child : reader.tables("route")) {
         const std::string routePath
--- a/src/duty/control_duty.h
+++ b/src/duty/control_duty.h
@@ -33,6 +33,9 @@
     void start();
     void stop() { stopping_ = true; }
 
+    /** This node leaves: it is announced as draining, so that its ranges move. Any thread. */
+    void beginDrain();
+
     /** Answers another member's renewal (bytes in, bytes out). */
     asio::awaitable<std::string> onRenew(std::string body);
 
@@ -85,8 +88,13 @@
     BackendInfo backend_;
     std::mt19937_64 random_;
     RoutingSnapshotPtr published_;
+<<<<<<< HEAD
+    bool renewing_ = false; ///< Invariant: at most one renewal is on its way.
+    bool leaving_ = false;  ///< Set once; the node ends after its ranges have moved.
+=======
     std::set<Revocation> publishedRevocations_; ///< Taken off the tables of published_.
     uint32_t renewing_ = 0;                     ///< Renewals on their way; bounded.
+>>>>>>> main
     bool stopping_ = false;
     OwnershipMetrics *metrics_ = nullptr; ///< Null: nothing is told.
 };
