--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 release: install
 	@cmake -S . -B build/release -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
-	@cmake --build build/release
+	@cmake --build build/release --target wisteriahoist wisteriahoist-standin
 
 demo: release
 	@build/release/wisteriahoist-standin demo --node_binary build/release/wisteriahoist --directory build/demo --declarations examples/poteglad
@@ -14,10 +14,18 @@
 test: install
 	@scripts/test.sh
 
-fault-matrix bench:
-	@echo "$@: not there yet" >&2; exit 1
+fault-matrix: install
+	@cmake -S . -B build/release -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+	@cmake --build build/release --target fault-matrix
+	@build/release/tool/fault_matrix/fault-matrix
+
+bench: release
+	@cmake --build build/release --target wisteriahoist-bench
+	@build/release/tool/bench/wisteriahoist-bench build/release/wisteriahoist build/release/wisteriahoist-standin build/bench
 
-measure: release
+measure: install
+	@cmake -S . -B build/release -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+	@cmake --build build/release --target wisteriahoist-measure
 	@build/release/tool/measure/wisteriahoist-measure build/measure
 
 lint: install
--- a/src/decision/routing/slice_table.cpp
+++ b/src/decision/routing/slice_table.cpp
@@ -10,8 +10,7 @@
 
 namespace {
 
-constexpr int CoarserBits
-        = 2; ///< A bucket holds a few ranges: a quarter of the index costs little time.
+constexpr int CoarserBits = 1; ///< A bucket holds about two ranges: half the index.
 constexpr size_t SmallestIndexed = 64; ///< Below, a plain binary search touches few cache lines.
 
 } // namespace
