Add: [Auth] Nodes say hello on each connection between them

Cause: any process that reached a peer port could ask for leases or hand over requests. Conclusion: a connection without a proved key reaches no handler; its refusals are counted.

--- a/src/adapter/auth/peer_hello.cpp
+++ b/src/adapter/auth/peer_hello.cpp
@@ -119,8 +119,10 @@
 
 PeerCallHandler PeerGuard::guard(PeerCallHandler next)
 {
+    // Shares the guard's lifetime: a connection may outlive the listener that accepted it.
+    auto owner = shared_from_this();
     auto hello = std::make_shared<HelloListener>(keys_, counters_);
-    return [hello, next = std::move(next)](std::string path, std::string body) {
+    return [owner, hello, next = std::move(next)](std::string path, std::string body) {
         return answerGuarded(hello, next, std::move(path), std::move(body));
     };
 }
--- a/src/adapter/auth/peer_hello.h
+++ b/src/adapter/auth/peer_hello.h
@@ -74,14 +74,15 @@
         = std::function<boost::asio::awaitable<std::string>(std::string, std::string)>;
 
 /** Guards the connections of one listener. */
-class PeerGuard
+class PeerGuard : public std::enable_shared_from_this<PeerGuard>
 {
 public:
     explicit PeerGuard(FleetKeys keys) : keys_(std::move(keys)) { }
 
     /**
      * Wraps @p next for one connection: calls reach it only after the hello.
-     * @return Answers with an empty body what is refused. It keeps a reference to this guard.
+     * @pre The guard is owned by a shared_ptr.
+     * @return Answers with an empty body what is refused. It keeps the guard alive.
      */
     PeerCallHandler guard(PeerCallHandler next);
 
--- a/src/adapter/http2/peer_transport.cpp
+++ b/src/adapter/http2/peer_transport.cpp
@@ -46,8 +46,9 @@
         if (error) {
             continue;
         }
+        PeerHandler handler = guard_ ? guard_->guard(handler_) : handler_;
         auto session = std::make_shared<Http2Session>(std::move(socket), Http2Session::Role::Server,
-                                                      handler_);
+                                                      std::move(handler));
         std::erase_if(sessions_, [](const auto &weak) { return weak.expired(); });
         sessions_.push_back(session);
         session->start();
@@ -80,18 +81,49 @@
         co_return Failure{FailureCode::Unavailable, "connect: " + error.message()};
     }
     stream.expires_never();
+    auto session = std::make_shared<Http2Session>(stream.release_socket(),
+                                                  Http2Session::Role::Client, nullptr);
+    session->start();
+    if (!keys_.empty()) {
+        const Result<void> greeted = co_await sayHello(session, timeout);
+        if (!greeted) {
+            ++helloFailures_;
+            session->close();
+            // The caller's own request has not been sent, whatever became of the hello.
+            co_return Failure{FailureCode::Unavailable, greeted.assume_error().context};
+        }
+    }
     // Another coroutine may have connected meanwhile; its connection is as good.
     const auto again = sessions_.find(peer);
     if (again != sessions_.end() && again->second->isOpen()) {
+        session->close();
         co_return again->second;
     }
-    auto session = std::make_shared<Http2Session>(stream.release_socket(),
-                                                  Http2Session::Role::Client, nullptr);
-    session->start();
     sessions_[peer] = session;
     co_return session;
 }
 
+asio::awaitable<Result<void>> PeerCaller::sayHello(std::shared_ptr<Http2Session> session,
+                                                   milliseconds timeout)
+{
+    HelloCaller hello(keys_);
+    std::string request = hello.makeHello();
+    Result<std::string> reply
+            = co_await callSession(session, HelloPath, std::move(request), timeout);
+    if (!reply) {
+        co_return std::move(reply).as_failure();
+    }
+    Result<std::string> proof = hello.onHelloReply(reply.assume_value());
+    if (!proof) {
+        co_return std::move(proof).as_failure();
+    }
+    reply = co_await callSession(session, ProofPath, std::move(proof.assume_value()), timeout);
+    if (!reply) {
+        co_return std::move(reply).as_failure();
+    }
+    co_return HelloCaller::onProofReply(reply.assume_value());
+}
+
 asio::awaitable<Result<std::string>> PeerCaller::call(PeerEndpoint peer, std::string path,
                                                       std::string body, milliseconds timeout)
 {
@@ -99,7 +131,14 @@
     if (!connected) {
         co_return std::move(connected).as_failure();
     }
-    const std::shared_ptr<Http2Session> session = connected.assume_value();
+    co_return co_await callSession(connected.assume_value(), std::move(path), std::move(body),
+                                   timeout);
+}
+
+asio::awaitable<Result<std::string>> PeerCaller::callSession(std::shared_ptr<Http2Session> session,
+                                                             std::string path, std::string body,
+                                                             milliseconds timeout)
+{
     // The timer is the meeting point: it ends either by its time or by the completion's cancel.
     auto timer = std::make_shared<asio::steady_timer>(context_, timeout);
     auto outcome = std::make_shared<std::optional<Result<std::string>>>();
--- a/src/adapter/http2/peer_transport.h
+++ b/src/adapter/http2/peer_transport.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "adapter/auth/peer_hello.h"
 #include "adapter/http2/http2_session.h"
 
 #include <boost/asio/io_context.hpp>
@@ -25,6 +26,13 @@
                  PeerHandler handler);
     void start();
     void stop();
+
+    /** From now on a connection's calls are handled only after a hello. */
+    void requireHello(FleetKeys keys) { guard_ = std::make_shared<PeerGuard>(std::move(keys)); }
+
+    /** @return The refusals; nullptr if no hello is required. */
+    const AuthCounters *refusals() const { return guard_ ? &guard_->counters() : nullptr; }
+
     uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
 private:
@@ -32,6 +40,7 @@
 
     tcp::acceptor acceptor_;
     PeerHandler handler_;
+    std::shared_ptr<PeerGuard> guard_; ///< Absent: peers need no key.
     std::vector<std::weak_ptr<Http2Session>> sessions_;
     bool stopping_ = false;
 };
@@ -53,12 +62,26 @@
     /** Closes every connection. */
     void closeAll();
 
+    /** From now on each connection begins with a hello. */
+    void introduceWith(FleetKeys keys) { keys_ = std::move(keys); }
+
+    /** @return Connections that were given up at the hello, by either side. */
+    uint64_t helloFailures() const { return helloFailures_; }
+
 private:
+    asio::awaitable<Result<std::string>> callSession(std::shared_ptr<Http2Session> session,
+                                                     std::string path, std::string body,
+                                                     milliseconds timeout);
+    asio::awaitable<Result<void>> sayHello(std::shared_ptr<Http2Session> session,
+                                           milliseconds timeout);
     asio::awaitable<Result<std::shared_ptr<Http2Session>>> connect(const PeerEndpoint &peer,
                                                                    milliseconds timeout);
 
     asio::io_context &context_;
-    std::map<PeerEndpoint, std::shared_ptr<Http2Session>> sessions_;
+    std::map<PeerEndpoint, std::shared_ptr<Http2Session>>
+            sessions_; ///< With keys_: each has said its hello.
+    FleetKeys keys_;   ///< The first signs; empty: no hello is said.
+    uint64_t helloFailures_ = 0;
 };
 
 } // namespace wisteriahoist
--- a/src/duty/control_duty.h
+++ b/src/duty/control_duty.h
@@ -29,6 +29,9 @@
     void start();
     void stop() { stopping_ = true; }
 
+    /** Says hello with @p keys to other nodes. @pre Called before start(). */
+    void introduceWith(FleetKeys keys) { peers_.introduceWith(std::move(keys)); }
+
     /** Answers another member's renewal (bytes in, bytes out). */
     asio::awaitable<std::string> onRenew(std::string body);
 
--- a/src/duty/ingress_duty.h
+++ b/src/duty/ingress_duty.h
@@ -18,6 +18,9 @@
 
     void start();
     void stop();
+
+    /** Says hello with @p keys to other nodes. @pre Called before start(). */
+    void introduceWith(FleetKeys keys) { peers_.introduceWith(std::move(keys)); }
     uint16_t port() const { return server_->port(); }
 
     /** Takes a new routing snapshot over. */
--- a/src/duty/peer_duty.h
+++ b/src/duty/peer_duty.h
@@ -16,6 +16,9 @@
 
     void start();
     void stop();
+
+    /** Handles other nodes' calls only after a hello with one of @p keys. @pre Before start(). */
+    void requireHello(FleetKeys keys) { listener_->requireHello(std::move(keys)); }
     uint16_t port() const { return listener_->port(); }
 
 private:
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -49,6 +49,11 @@
     control_ = std::make_unique<ControlDuty>(controlThread_.context(), clock_, platform_,
                                              settings.times, makeSelf(settings, address_),
                                              settings.cell, controlToIngress_, controlToGate_);
+    if (!settings.fleetKeys.empty()) {
+        peer_.requireHello(settings.fleetKeys);
+        ingress_.introduceWith(settings.fleetKeys);
+        control_->introduceWith(settings.fleetKeys);
+    }
     const auto toGate
             = [this](v1::HopRequest request) { return gate_.onRequest(std::move(request)); };
     ingressToGate_.serve(toGate);
--- /dev/null
+++ b/test/unit/auth/peer_guard_test.cpp
@@ -0,0 +1,91 @@
+/** @file peer_guard_test.cpp The hello over real connections between two nodes. */
+
+#include "adapter/http2/peer_transport.h"
+#include "support/story.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+using namespace wisteriahoist;
+
+namespace {
+
+constexpr milliseconds Patience{20000}; ///< Only a hang takes it.
+
+FleetKey makeKey(const std::string &id, char letter)
+{
+    return {id, std::string(FleetSecretBytes, letter)};
+}
+
+asio::awaitable<std::string> echo(std::string path, std::string body)
+{
+    co_return path + " " + body;
+}
+
+/** One call from a node with @p callerKeys to a listener that requires @p listenerKeys. */
+struct Exchange {
+    Result<std::string> answer = Failure{FailureCode::Unavailable, "not sent"};
+    uint64_t missing = 0;
+    uint64_t unknown = 0;
+    uint64_t helloFailures = 0;
+};
+
+Exchange callBetween(const FleetKeys &callerKeys, const FleetKeys &listenerKeys)
+{
+    asio::io_context context;
+    auto listener = std::make_shared<PeerListener>(context, "127.0.0.1", 0, echo);
+    listener->requireHello(listenerKeys);
+    listener->start();
+    PeerCaller caller(context);
+    caller.introduceWith(callerKeys);
+    Exchange exchange;
+    asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                PeerEndpoint peer{"127.0.0.1", listener->port()};
+                exchange.answer = co_await caller.call(peer, "/hop", "body", Patience);
+                caller.closeAll();
+                listener->stop();
+            },
+            asio::detached);
+    context.run();
+    exchange.missing = listener->refusals()->countOf(AuthRefusal::Missing);
+    exchange.unknown = listener->refusals()->countOf(AuthRefusal::UnknownKey);
+    exchange.helloFailures = caller.helloFailures();
+    return exchange;
+}
+
+} // namespace
+
+// Two nodes of a fleet call each other; then a process without a key, one with a key that was
+// withdrawn, and a listener that does not hold the caller's key. No call reaches a handler across a
+// failed hello, and the caller is told that its own request was not sent.
+Test(auth_peer, connections)
+{
+    const FleetKeys keys{{makeKey("k2", 'b')}};
+    SECTION("between nodes of the fleet calls pass")
+    {
+        const Exchange exchange = callBetween(keys, keys);
+        cr_assert(exchange.answer.assume_value() == "/hop body");
+        cr_assert(exchange.helloFailures == 0);
+    }
+    SECTION("a stranger's call is not handled")
+    {
+        const Exchange exchange = callBetween({}, keys);
+        cr_assert(exchange.answer.assume_value().empty());
+        cr_assert(exchange.missing == 1);
+    }
+    SECTION("neither is one with an old key")
+    {
+        const Exchange exchange = callBetween({{makeKey("k1", 'a')}}, keys);
+        cr_assert(exchange.answer.assume_error().code == FailureCode::Unavailable);
+        cr_assert(exchange.unknown == 1);
+        cr_assert(exchange.helloFailures == 1);
+    }
+    SECTION("a listener with another secret is not trusted")
+    {
+        const Exchange exchange = callBetween({{makeKey("k2", 'x')}}, keys);
+        cr_assert(exchange.answer.assume_error().code == FailureCode::Unavailable);
+        cr_assert(exchange.helloFailures == 1);
+    }
+}
