Add: [Operators] Drain a node; one rule of versions for every source of configuration

Cause: a node could be taken out of service only by its backend server; Member compared versions by itself, and refusals of older configurations were not counted. Ruled out: keeping the wish to drain in the platform: a replaced VM is a new node. Failed try: the reply told a cancelled drain as draining, since the member's state follows the reply; the process test found it. The reply now says what the operator wants.

--- a/src/decision/ownership/member.cpp
+++ b/src/decision/ownership/member.cpp
@@ -141,7 +141,7 @@
     request.acknowledgedTerm = acknowledged_;
     request.echoedHeartbeat = echoedHeartbeat_;
     request.sentAt = now;
-    request.configVersion = declarations_.version;
+    request.configVersion = config_.inForce().version;
     request.assignmentVersion = assignmentVersion_;
     request.olderLeaseLeft = std::max(Duration(0), olderLeaseUntil_ - now);
     request.olderEchoAge = now - olderHeartbeatTakenAt_;
@@ -193,8 +193,8 @@
         const TimePoint start = safeguards_.countLeaseFromRequest ? reply.echoedSentAt : now;
         leaseUntil_ = std::max(leaseUntil_, start + reply.leaseLeft);
     }
-    if (reply.config && reply.config->version > declarations_.version) {
-        declarations_ = *reply.config;
+    if (reply.config) {
+        config_.offer(*reply.config);
     }
 }
 
--- a/src/decision/ownership/member.h
+++ b/src/decision/ownership/member.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "decision/config/config_guard.h"
 #include "decision/ownership/ownership_type.h"
 
 #include <set>
@@ -63,7 +64,8 @@
     const NodeAddress *coordinatorAddress() const;
     bool isCoordinator() const;
     TimePoint leaseUntil() const { return leaseUntil_; }
-    const Declarations &declarations() const { return declarations_; }
+    const Declarations &declarations() const { return config_.inForce(); }
+    uint64_t refusedConfigs() const { return config_.refusedCount(); }
     /** As the coordinator told it; ownedTables() takes off what was revoked. */
     const AssignmentRecord &assignment() const { return assignment_; }
     ObjectVersion assignmentVersion() const { return assignmentVersion_; }
@@ -101,7 +103,7 @@
     TimePoint olderHeartbeatTakenAt_ = NeverTime; ///< The same for terms before acknowledged_.
     std::optional<WonTerm> won_;
     Term officeTerm_; ///< Latest term handed out or won.
-    Declarations declarations_;
+    ConfigGuard config_;
     AssignmentRecord assignment_;
     ObjectVersion assignmentVersion_; ///< Invariant: never falls.
     std::vector<MemberInfo> roster_;
--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -396,13 +396,18 @@
         return;
     }
     backend_ = backend;
+    refreshSelf();
+    BOOST_LOG_TRIVIAL(info) << "backend server announced itself for " << backend.service;
+}
+
+void ControlDuty::refreshSelf()
+{
     MemberInfo self = member_.self();
-    self.service = backend.service;
-    self.slots = backend.slots;
-    self.grantMode = backend.grantMode;
-    self.draining = backend.draining;
+    self.service = backend_.service;
+    self.slots = backend_.slots;
+    self.grantMode = backend_.grantMode;
+    self.draining = backend_.draining || operators_.isDraining();
     member_.updateSelf(self);
-    BOOST_LOG_TRIVIAL(info) << "backend server announced itself for " << backend.service;
 }
 
 asio::awaitable<AdminReply> ControlDuty::onAdmin(AdminCall call)
@@ -414,6 +419,7 @@
         break;
     case AdminCall::Kind::Operator:
         reply.body = co_await operators_.call(std::move(call.method), std::move(call.body));
+        refreshSelf();
         break;
     }
     co_return reply;
--- a/src/duty/control_duty.h
+++ b/src/duty/control_duty.h
@@ -62,6 +62,7 @@
     asio::awaitable<void> publish();
     asio::awaitable<void> informIngress(RoutingSnapshotPtr routing);
     void onAnnounce(const BackendInfo &backend);
+    void refreshSelf();
     void stepCoordinator();
     void startCall(CoordinatorStep step);
     std::string objectName(const char *part) const;
--- a/src/duty/operator_service.cpp
+++ b/src/duty/operator_service.cpp
@@ -68,6 +68,17 @@
     reply.set_epoch(slice->epoch.value());
 }
 
+uint32_t countOwned(const AssignmentRecord &assignment, NodeId node)
+{
+    uint32_t owned = 0;
+    for (const auto &[service, table] : assignment.services) {
+        for (const Slice &slice : table.slices()) {
+            owned += slice.owner == node ? 1 : 0;
+        }
+    }
+    return owned;
+}
+
 } // namespace
 
 asio::awaitable<std::string> OperatorService::call(std::string method, std::string body)
@@ -92,6 +103,10 @@
         co_return co_await answer<v1::ExportRequest>(
                 std::move(body), [this](auto request) { return exportStored(std::move(request)); });
     }
+    if (method == "Drain") {
+        co_return co_await answer<v1::DrainRequest>(
+                std::move(body), [this](auto request) { return drain(std::move(request)); });
+    }
     co_return std::string();
 }
 
@@ -146,6 +161,7 @@
         reply.set_coordinator_node(member_.term()->coordinator.value());
     }
     reply.set_config_version(member_.declarations().version);
+    reply.set_refused_configs(member_.refusedConfigs());
     reply.set_assignment_version(member_.assignmentVersion().value());
     const auto left = std::chrono::duration_cast<milliseconds>(member_.leaseUntil() - clock_.now());
     reply.set_lease_left_ms(std::max<int64_t>(0, left.count()));
@@ -204,4 +220,13 @@
     co_return reply;
 }
 
+asio::awaitable<v1::DrainReply> OperatorService::drain(v1::DrainRequest request)
+{
+    draining_ = !request.cancel();
+    v1::DrainReply reply;
+    reply.set_draining(draining_);
+    reply.set_owned_ranges(countOwned(member_.assignment(), member_.self().id));
+    co_return reply;
+}
+
 } // namespace wisteriahoist
--- a/src/duty/operator_service.h
+++ b/src/duty/operator_service.h
@@ -17,7 +17,8 @@
 
 /**
  * Answers the calls of OperatorService in operator.proto. Runs on the control duty's thread and
- * reads the member's state there; it changes only the configuration object in the platform.
+ * reads the member's state there; it changes only the configuration object in the platform,
+ * and whether this node drains.
  */
 class OperatorService
 {
@@ -34,12 +35,16 @@
      */
     asio::awaitable<std::string> call(std::string method, std::string body);
 
+    /** @return Whether an operator takes this node out of service. */
+    bool isDraining() const { return draining_; }
+
 private:
     asio::awaitable<v1::ApplyReply> apply(v1::ApplyRequest request);
     asio::awaitable<v1::DiffReply> diff(v1::DiffRequest request);
     asio::awaitable<v1::StatusReply> status(v1::StatusRequest request);
     asio::awaitable<v1::ExplainReply> explain(v1::ExplainRequest request);
     asio::awaitable<v1::ExportReply> exportStored(v1::ExportRequest request);
+    asio::awaitable<v1::DrainReply> drain(v1::DrainRequest request);
 
     /** @return The highest version that this node has had in force. */
     uint64_t versionFloor() const { return member_.declarations().version; }
@@ -47,6 +52,7 @@
     const Clock &clock_;
     const Member &member_;
     ConfigWriter writer_;
+    bool draining_ = false; ///< Lost with the process: a replaced VM is a new node.
 };
 
 } // namespace wisteriahoist
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -17,8 +17,10 @@
 ABSL_FLAG(std::string, output, "text", "what is printed: text or json");
 ABSL_FLAG(std::string, service, "", "explain: the service of the key");
 ABSL_FLAG(bool, dry_run, false, "apply: check and compare only");
-ABSL_FLAG(bool, wait, false, "apply: until each member has the change in force");
-ABSL_FLAG(uint32_t, wait_ms, 30000, "apply --wait: milliseconds after which it fails");
+ABSL_FLAG(bool, wait, false,
+          "apply: until each member has the change in force; drain: until the node owns no range");
+ABSL_FLAG(uint32_t, wait_ms, 30000, "--wait: milliseconds after which it fails");
+ABSL_FLAG(bool, cancel, false, "drain: serve again");
 ABSL_FLAG(bool, allow_delete, false, "apply: declared services may disappear");
 ABSL_FLAG(bool, allow_rehash, false, "apply: key spaces of declared services may change");
 ABSL_FLAG(bool, allow_unfence, false, "apply: services may go from fenced to unchecked");
@@ -38,6 +40,7 @@
   wisteriahoist status  --admin-port N
   wisteriahoist explain KEY --service NAME --admin-port N
   wisteriahoist export  --admin-port N
+  wisteriahoist drain   --admin-port N [--wait] [--cancel]
   wisteriahoist keygen  ID
 
 Commands that call a node take --node-ip, --key-file and --output text|json as well.
@@ -121,6 +124,10 @@
     if (command == "export") {
         return runExport(options);
     }
+    if (command == "drain") {
+        return runDrain(options, {absl::GetFlag(FLAGS_cancel), absl::GetFlag(FLAGS_wait),
+                                  milliseconds(absl::GetFlag(FLAGS_wait_ms))});
+    }
     const std::string service = absl::GetFlag(FLAGS_service);
     if (argument.empty() || service.empty()) {
         return reportUsage("explain: KEY and --service are needed");
@@ -145,7 +152,7 @@
     if (command == "keygen") {
         return runKeygen(words[2]);
     }
-    const std::vector<std::string> calling{"diff", "apply", "status", "explain", "export"};
+    const std::vector<std::string> calling{"diff", "apply", "status", "explain", "export", "drain"};
     if (std::find(calling.begin(), calling.end(), command) == calling.end()) {
         return reportUsage("unknown command " + command);
     }
--- a/src/program/operator_program.cpp
+++ b/src/program/operator_program.cpp
@@ -258,6 +258,38 @@
     return reportProblems(reply.problems());
 }
 
+int runDrain(const OperatorOptions &options, const DrainOptions &drain)
+{
+    v1::DrainRequest request;
+    request.set_cancel(drain.cancel);
+    const OperatorClient client(options.target, options.keys, CallTimeout);
+    const auto start = SteadyClock::now();
+    v1::DrainReply reply;
+    bool finished = false;
+    while (!finished) {
+        const Result<void> called = client.call("Drain", request, reply);
+        if (!called) {
+            return reportFailure(called.assume_error());
+        }
+        const bool late = SteadyClock::now() - start >= drain.waitBound;
+        finished = !drain.wait || drain.cancel || reply.owned_ranges() == 0 || late;
+        if (!finished) {
+            std::this_thread::sleep_for(PollInterval);
+        }
+    }
+    if (options.form == OutputForm::Json) {
+        printJson(reply);
+    } else {
+        std::cout << (reply.draining() ? "draining" : "serving") << "  ranges "
+                  << reply.owned_ranges() << '\n';
+    }
+    if (drain.wait && !drain.cancel && reply.owned_ranges() > 0) {
+        const Failure failure{FailureCode::DeadlineExceeded, "the node still owns ranges"};
+        return reportFailure(failure);
+    }
+    return reportProblems(reply.problems());
+}
+
 int runKeygen(const std::string &id)
 {
     std::cout << formatKey({id, drawBytes(FleetSecretBytes)});
--- a/src/program/operator_program.h
+++ b/src/program/operator_program.h
@@ -46,6 +46,16 @@
 /** Prints the stored configuration as declarations. @return 0, or 1. */
 int runExport(const OperatorOptions &options);
 
+/** What only drain needs. */
+struct DrainOptions {
+    bool cancel = false;
+    bool wait = false;             ///< Until the node owns no range.
+    milliseconds waitBound{30000}; ///< For wait.
+};
+
+/** Takes the called node out of service, or back in. @return 0, or 1. */
+int runDrain(const OperatorOptions &options, const DrainOptions &drain);
+
 /** Prints a new key named @p id in the form of a key file. @return 0. */
 int runKeygen(const std::string &id);
 
--- a/test/process/operators_test.cpp
+++ b/test/process/operators_test.cpp
@@ -165,6 +165,25 @@
     }
 }
 
+// A VM is to be replaced. Its node is told to drain and gives its ranges to the two others; only
+// when it owns none is the operator told that it may be stopped.
+Test(operators, drain)
+{
+    OperatorStory story("drain");
+    story.declare({"notes"});
+    cr_assert(story.run({"apply", "-f=" + story.folder(), "--wait"}).exitCode == 0);
+    CommandResult explained;
+    for (int tries = 0; tries < 300 && !contains(explained.output, "reason assigned"); ++tries) {
+        explained = story.run({"explain", "kari", "--service=notes"});
+    }
+    cr_assert(contains(explained.output, "reason assigned"));
+    const CommandResult drained = story.run({"drain", "--wait"});
+    cr_assert(drained.exitCode == 0, "%s", drained.errors.c_str());
+    cr_assert(drained.output == "draining  ranges 0\n");
+    const CommandResult back = story.run({"drain", "--cancel"});
+    cr_assert(back.output.starts_with("serving"));
+}
+
 // The platform is lost for good after a change. An apply is told that nothing was done; status goes
 // on from what the node knows and says that the stored version is unknown; nothing reverts.
 Test(operators, platform_down)
