--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,14 @@
 	@cmake --build build/release --target fault-matrix
 	@build/release/tool/fault_matrix/fault-matrix
 
-measure bench:
-	@echo "$@: not there yet" >&2; exit 1
+bench: release
+	@cmake --build build/release --target wisteriahoist-bench
+	@build/release/tool/bench/wisteriahoist-bench build/release/wisteriahoist build/release/wisteriahoist-standin build/bench
+
+measure: install
+	@cmake -S . -B build/release -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+	@cmake --build build/release --target wisteriahoist-measure
+	@build/release/tool/measure/wisteriahoist-measure build/measure
 
 lint: install
 	@scripts/lint.sh
--- a/src/duty/admin_duty.cpp
+++ b/src/duty/admin_duty.cpp
@@ -72,8 +72,8 @@
 } // namespace
 
 AdminDuty::AdminDuty(asio::io_context &context, const std::string &ip, uint16_t port,
-                     FleetKeys keys, AdminLink &control)
-    : control_(control), ip_(ip), verifier_(std::move(keys), ReplayBounds()),
+                     FleetKeys keys, AdminLink &control, const NodeSignals &signals)
+    : control_(control), signals_(signals), ip_(ip), verifier_(std::move(keys), ReplayBounds()),
       server_(std::make_shared<HttpServer>(
               context, ip, port, HttpLimits{},
               [this](HttpRequest request) { return onRequest(std::move(request)); }))
@@ -165,9 +165,26 @@
     co_return response;
 }
 
+HttpResponse AdminDuty::onGet(const std::string &target) const
+{
+    if (target == "/metrics") {
+        return signals_.metricsPage();
+    }
+    if (target == "/healthz") {
+        return signals_.healthPage();
+    }
+    if (target == "/readyz") {
+        return signals_.readyPage();
+    }
+    return makeProblemResponse({http::status::not_found, "not-found", target});
+}
+
 asio::awaitable<HttpResponse> AdminDuty::onRequest(HttpRequest request)
 {
     const std::string target(request.target());
+    if (request.method() == http::verb::get) {
+        co_return onGet(target);
+    }
     if (request.method() != http::verb::post) {
         co_return makeProblemResponse({http::status::not_found, "not-found", target});
     }
--- a/src/duty/admin_duty.h
+++ b/src/duty/admin_duty.h
@@ -5,6 +5,7 @@
 #include "adapter/auth/fleet_authenticator.h"
 #include "adapter/http/http_server.h"
 #include "duty/duty_message.h"
+#include "duty/node_signals.h"
 
 namespace wisteriahoist {
 
@@ -14,7 +15,7 @@
 public:
     /** @param keys The fleet's keys; empty: operators' calls need no signature. */
     AdminDuty(asio::io_context &context, const std::string &ip, uint16_t port, FleetKeys keys,
-              AdminLink &control);
+              AdminLink &control, const NodeSignals &signals);
 
     void start();
     void stop();
@@ -27,10 +28,12 @@
     asio::awaitable<HttpResponse> onRequest(HttpRequest request);
     asio::awaitable<HttpResponse> onAnnounce(const HttpRequest &request);
     asio::awaitable<HttpResponse> onOperator(std::string method, const HttpRequest &request);
+    HttpResponse onGet(const std::string &target) const;
     asio::awaitable<HttpResponse> passOn(AdminCall call);
     Result<void> authenticate(const HttpRequest &request);
 
     AdminLink &control_;
+    const NodeSignals &signals_;
     std::string ip_;        ///< This node's; part of what a signature covers.
     CallVerifier verifier_; ///< Admin thread only.
     std::shared_ptr<HttpServer> server_;
