Add: [Auth] Refused credentials on the metrics page, by side and cause

Cause: refusals were counted and nobody could see them. Conclusion: wisteriahoist_auth_refused_total{side,cause}.

--- a/src/duty/peer_duty.h
+++ b/src/duty/peer_duty.h
@@ -21,6 +21,9 @@
     void requireHello(FleetKeys keys) { listener_->requireHello(std::move(keys)); }
     uint16_t port() const { return listener_->port(); }
 
+    /** @return Refused hellos and calls; nullptr if no hello is required. */
+    const AuthCounters *refusals() const { return listener_->refusals(); }
+
 private:
     asio::awaitable<std::string> onCall(std::string path, std::string body);
     asio::awaitable<std::string> onHop(std::string body);
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -56,6 +56,8 @@
         peer_.requireHello(settings.fleetKeys);
         ingress_.introduceWith(settings.fleetKeys);
         control_->introduceWith(settings.fleetKeys);
+        watchRefusals("operator", admin_.refusals());
+        watchRefusals("peer", *peer_.refusals());
     }
     ingressToGate_.serve([this](v1::HopRequest request) { return passGate(std::move(request)); });
     peerToGate_.serve([this](v1::HopRequest request) {
@@ -98,6 +100,20 @@
     signals_.watchRing("control-gate", controlToGate_);
 }
 
+void NodeProgram::watchRefusals(const std::string &side, const AuthCounters &counters)
+{
+    for (size_t index = 0; index < AuthRefusalCount; ++index) {
+        const auto refusal = static_cast<AuthRefusal>(index);
+        signals_.registry().addComputed(
+                {"wisteriahoist_auth_refused_total",
+                 "Calls and hellos refused for their credential.", MetricKind::Counter},
+                {{"side", side}, {"cause", std::string(refusalName(refusal))}},
+                [&counters, refusal](TimePoint) {
+                    return static_cast<double>(counters.countOf(refusal));
+                });
+    }
+}
+
 void NodeProgram::start()
 {
     ingress_.start();
--- a/src/program/node_program.h
+++ b/src/program/node_program.h
@@ -32,6 +32,7 @@
 
 private:
     void watchSignals();
+    void watchRefusals(const std::string &side, const AuthCounters &counters);
     asio::awaitable<v1::HopReply> passGate(v1::HopRequest request);
 
     BootClockAdapter clock_;
--- a/test/process/operators_test.cpp
+++ b/test/process/operators_test.cpp
@@ -93,24 +93,36 @@
     Fleet fleet_;
 };
 
-/** @return The status with which the node answers the announcement of a backend server at @p ip. */
-unsigned announceFrom(const std::string &ip, uint16_t adminPort)
+HttpResponse exchangeWith(uint16_t adminPort, HttpRequest request)
 {
     asio::io_context context;
     HttpClient client(context.get_executor(), "127.0.0.1", adminPort);
-    HttpRequest request(http::verb::post, "/announce", 11);
-    request.body() = R"({"service": "notes", "port": 9, "slots": 1, "ip": ")" + ip + "\"}";
-    unsigned status = 0;
+    HttpResponse response(http::status::unknown, 11);
     asio::co_spawn(
             context,
             [&]() -> asio::awaitable<void> {
                 Result<HttpResponse> answer
                         = co_await client.exchange(std::move(request), milliseconds(10000));
-                status = answer ? answer.assume_value().result_int() : 0;
+                if (answer) {
+                    response = std::move(answer.assume_value());
+                }
             },
             asio::detached);
     context.run();
-    return status;
+    return response;
+}
+
+/** @return The status with which the node answers the announcement of a backend server at @p ip. */
+unsigned announceFrom(const std::string &ip, uint16_t adminPort)
+{
+    HttpRequest request(http::verb::post, "/announce", 11);
+    request.body() = R"({"service": "notes", "port": 9, "slots": 1, "ip": ")" + ip + "\"}";
+    return exchangeWith(adminPort, std::move(request)).result_int();
+}
+
+std::string getPage(uint16_t adminPort, const std::string &target)
+{
+    return exchangeWith(adminPort, HttpRequest(http::verb::get, target, 11)).body();
 }
 
 bool contains(const std::string &text, const std::string &part)
@@ -221,6 +233,9 @@
         cr_assert(contains(unsignedCall.errors, "unauthorized"));
         cr_assert(contains(story.run(apply, forged).errors, "wrong-signature"));
         cr_assert(contains(story.run(apply, old).errors, "unknown-key"));
+        const std::string metrics = getPage(story.fleet().nodes().front()->adminPort, "/metrics");
+        cr_assert(contains(metrics, "{side=\"operator\",cause=\"missing\"} 1"));
+        cr_assert(contains(metrics, "{side=\"operator\",cause=\"unknown-key\"} 1"));
         const CommandResult exported = story.run({"export", "--output=json"});
         cr_assert(exported.exitCode == 0);
         cr_assert(!contains(exported.output, "notes"));
