--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -407,12 +407,7 @@
         return;
     }
     backend_ = backend;
-    MemberInfo self = member_.self();
-    self.service = backend.service;
-    self.slots = backend.slots;
-    self.grantMode = backend.grantMode;
-    self.draining = backend.draining || leaving_;
-    member_.updateSelf(self);
+    refreshSelf();
     logEvent(LogEvent::BackendAnnounced,
              {{"service", backend.service}, {"draining", backend.draining}});
 }
@@ -421,13 +416,21 @@
 {
     asio::post(context_, [this]() {
         leaving_ = true;
-        MemberInfo self = member_.self();
-        self.draining = true;
-        member_.updateSelf(self);
-        BOOST_LOG_TRIVIAL(info) << "node leaves: draining";
+        refreshSelf();
+        logEvent(LogEvent::DrainStarted, {{"node", member_.self().id.value()}});
     });
 }
 
+void ControlDuty::refreshSelf()
+{
+    MemberInfo self = member_.self();
+    self.service = backend_.service;
+    self.slots = backend_.slots;
+    self.grantMode = backend_.grantMode;
+    self.draining = backend_.draining || operators_.isDraining() || leaving_;
+    member_.updateSelf(self);
+}
+
 asio::awaitable<AdminReply> ControlDuty::onAdmin(AdminCall call)
 {
     AdminReply reply;
@@ -437,6 +440,7 @@
         break;
     case AdminCall::Kind::Operator:
         reply.body = co_await operators_.call(std::move(call.method), std::move(call.body));
+        refreshSelf();
         break;
     }
     co_return reply;
--- a/src/duty/control_duty.h
+++ b/src/duty/control_duty.h
@@ -36,6 +36,9 @@
     /** This node leaves: it is announced as draining, so that its ranges move. Any thread. */
     void beginDrain();
 
+    /** Says hello with @p keys to other nodes. @pre Called before start(). */
+    void introduceWith(FleetKeys keys) { peers_.introduceWith(std::move(keys)); }
+
     /** Answers another member's renewal (bytes in, bytes out). */
     asio::awaitable<std::string> onRenew(std::string body);
 
@@ -67,6 +70,7 @@
     void tellMetrics();
     asio::awaitable<void> informIngress(RoutingSnapshotPtr routing);
     void onAnnounce(const BackendInfo &backend);
+    void refreshSelf();
     void stepCoordinator();
     void startCall(CoordinatorStep step);
     std::string objectName(const char *part) const;
@@ -88,13 +92,9 @@
     BackendInfo backend_;
     std::mt19937_64 random_;
     RoutingSnapshotPtr published_;
-<<<<<<< HEAD
-    bool renewing_ = false; ///< Invariant: at most one renewal is on its way.
-    bool leaving_ = false;  ///< Set once; the node ends after its ranges have moved.
-=======
     std::set<Revocation> publishedRevocations_; ///< Taken off the tables of published_.
     uint32_t renewing_ = 0;                     ///< Renewals on their way; bounded.
->>>>>>> main
+    bool leaving_ = false; ///< Set once; the node ends after its ranges have moved.
     bool stopping_ = false;
     OwnershipMetrics *metrics_ = nullptr; ///< Null: nothing is told.
 };
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -2,18 +2,13 @@
 
 #include "program/node_program.h"
 
-<<<<<<< HEAD
+#include "adapter/log/event_log.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/log/trivial.hpp>
-=======
-#include "adapter/log/event_log.h"
-
-#include <boost/asio/signal_set.hpp>
->>>>>>> main
 #include <iostream>
 
 namespace wisteriahoist {
@@ -61,7 +56,13 @@
     control_ = std::make_unique<ControlDuty>(controlThread_.context(), clock_, meteredPlatform_,
                                              settings.times, makeSelf(settings, address_),
                                              settings.cell, controlToIngress_, controlToGate_);
-    control_->observeWith(signals_.ownership());
+    if (!settings.fleetKeys.empty()) {
+        peer_.requireHello(settings.fleetKeys);
+        ingress_.introduceWith(settings.fleetKeys);
+        control_->introduceWith(settings.fleetKeys);
+        watchRefusals("operator", admin_.refusals());
+        watchRefusals("peer", *peer_.refusals());
+    }
     ingressToGate_.serve([this](v1::HopRequest request) { return passGate(std::move(request)); });
     peerToGate_.serve([this](v1::HopRequest request) {
         signals_.gate().hops.add();
@@ -123,6 +124,20 @@
     signals_.watchRing("control-gate", controlToGate_);
 }
 
+void NodeProgram::watchRefusals(const std::string &side, const AuthCounters &counters)
+{
+    for (size_t index = 0; index < AuthRefusalCount; ++index) {
+        const auto refusal = static_cast<AuthRefusal>(index);
+        signals_.registry().addComputed(
+                {"wisteriahoist_auth_refused_total",
+                 "Calls and hellos refused for their credential.", MetricKind::Counter},
+                {{"side", side}, {"cause", std::string(refusalName(refusal))}},
+                [&counters, refusal](TimePoint) {
+                    return static_cast<double>(counters.countOf(refusal));
+                });
+    }
+}
+
 void NodeProgram::start()
 {
     ingress_.start();
@@ -169,7 +184,7 @@
 asio::awaitable<void> drainOnSignal(NodeProgram &node, asio::signal_set &set)
 {
     co_await set.async_wait(asio::use_awaitable);
-    BOOST_LOG_TRIVIAL(info) << "signal: draining";
+    logEvent(LogEvent::NodeStopping);
     node.beginDrain();
     const auto cut = std::make_shared<bool>(false);
     set.async_wait([cut](const boost::system::error_code &error, int) { *cut = !error; });
@@ -214,9 +229,8 @@
 =======
         logEvent(LogEvent::NodeStarted,
                  {{"node", settings.id.value()}, {"build", WISTERIAHOIST_VERSION}});
->>>>>>> main
+    control_->observeWith(signals_.ownership());
         signals.run();
-        logEvent(LogEvent::NodeStopping);
         node.stop();
         logEvent(LogEvent::NodeStopped);
     } catch (const boost::system::system_error &error) {
--- a/src/program/node_program.h
+++ b/src/program/node_program.h
@@ -40,6 +40,7 @@
 private:
     void watchSignals();
     void makeTraceDuty(const NodeSettings &settings);
+    void watchRefusals(const std::string &side, const AuthCounters &counters);
     asio::awaitable<v1::HopReply> passGate(v1::HopRequest request);
 
     BootClockAdapter clock_;
