--- a/src/decision/routing/slice_table.cpp
+++ b/src/decision/routing/slice_table.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr int CoarserBits = 1; ///< A bucket holds about two ranges: half the index.
+constexpr int CoarserBits = 1;         ///< A bucket holds about two ranges: half the index.
 constexpr size_t SmallestIndexed = 64; ///< Below, a plain binary search touches few cache lines.
 
 } // namespace
