--- a/src/standin/fleet_client.cpp
+++ b/src/standin/fleet_client.cpp
@@ -76,7 +76,7 @@
     request.set(http::field::host, "profiles.poteglad.example");
     request.set("Request-Id", requestId);
     if (method == http::verb::post) {
-        request.set("Idempotency-Key", "\"" + requestId + "\"");
+        request.set("Idempotency-Key", "\"" + requestId + "\";age=0");
     }
     Result<HttpResponse> answer = co_await client.exchange(std::move(request), CallTimeout);
     CallerRecord record;
