--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # The commands of the project; each exits non-zero on failure and ends with one line of figures.
-.PHONY: demo test fault-matrix measure bench lint format proto install release
+.PHONY: tsan demo test fault-matrix measure bench lint format proto install release
 
 install:
 	@scripts/install-deps.sh
 
 release: install
 	@cmake -S . -B build/release -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
-	@cmake --build build/release
+	@cmake --build build/release --target wisteriahoist wisteriahoist-standin
 
 demo: release
 	@build/release/wisteriahoist-standin demo --node_binary build/release/wisteriahoist --directory build/demo --declarations examples/poteglad
@@ -19,8 +19,19 @@
 	@cmake --build build/release --target fault-matrix
 	@build/release/tool/fault_matrix/fault-matrix
 
-measure bench:
-	@echo "$@: not there yet" >&2; exit 1
+bench: release
+	@cmake --build build/release --target wisteriahoist-bench
+	@build/release/tool/bench/wisteriahoist-bench build/release/wisteriahoist build/release/wisteriahoist-standin build/bench
+
+measure: install
+	@cmake -S . -B build/release -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+	@cmake --build build/release --target wisteriahoist-measure
+	@build/release/tool/measure/wisteriahoist-measure build/measure
+
+tsan: install
+	@cmake -S . -B build/tsan -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DWH_SANITIZE=thread >/dev/null
+	@cmake --build build/tsan --target tsan-check
+	@build/tsan/test/tsan/tsan-check
 
 lint: install
 	@scripts/lint.sh
--- /dev/null
+++ b/src/adapter/trace/span_sink.h
@@ -0,0 +1,27 @@
+/** @file span_sink.h Where batches of spans go: a collector over HTTP, or a file. */
+
+#pragma once
+
+#include "adapter/http/http_client.h"
+#include "adapter/trace/trace_settings.h"
+
+#include <memory>
+#include <string>
+
+namespace wisteriahoist {
+
+/** Takes one encoded batch at a time. Runs on the exporter's thread. */
+class SpanSink
+{
+public:
+    virtual ~SpanSink() = default;
+
+    /** @return Whether the batch was taken over. */
+    virtual asio::awaitable<bool> write(std::string batch) = 0;
+};
+
+/** @return The sink that @p settings name. @pre settings.isEnabled() */
+std::unique_ptr<SpanSink> makeSpanSink(const TraceSettings &settings,
+                                       asio::any_io_executor executor);
+
+} // namespace wisteriahoist
--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -4,6 +4,7 @@
 
 #include "adapter/codec/declaration_codec.h"
 #include "adapter/codec/ownership_codec.h"
+#include "adapter/log/event_log.h"
 #include "decision/ownership/least_owned_policy.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,7 +12,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/log/trivial.hpp>
 
 namespace wisteriahoist {
 
@@ -38,7 +38,8 @@
                          RoutingLink &ingress, GrantLink &gate)
     : context_(context), clock_(clock), platform_(platform), times_(times), cell_(std::move(cell)),
       ingress_(ingress), gate_(gate), peers_(context), member_(times, std::move(self)),
-      policy_(std::make_shared<LeastOwnedPolicy>()), random_(std::random_device{}())
+      operators_(clock, platform, member_), policy_(std::make_shared<LeastOwnedPolicy>()),
+      random_(std::random_device{}())
 { }
 
 void ControlDuty::start()
@@ -121,7 +122,7 @@
         return;
     }
     const Term term = won->record.term;
-    BOOST_LOG_TRIVIAL(info) << "coordinator: won term " << term.value() << " of " << cell_;
+    logEvent(LogEvent::TermWon, {{"term", term.value()}, {"cell", cell_}});
     const Coordinator::Office office{won->record, won->version, askedAt};
     coordinator_ = std::make_unique<Coordinator>(times_, office, policy_, clock_.now());
     asio::co_spawn(context_, watchConfig(term), asio::detached);
@@ -208,7 +209,7 @@
     }
     const Term term = coordinator_->term().term;
     if (coordinator_->isDeposed() || member_.acknowledgedTerm() > term) {
-        BOOST_LOG_TRIVIAL(info) << "coordinator: lost term " << term.value();
+        logEvent(LogEvent::TermLost, {{"term", term.value()}, {"cell", cell_}});
         coordinator_.reset();
         asio::co_spawn(context_, readTerm(), asio::detached);
         return;
@@ -288,7 +289,7 @@
         Result<AssignmentRecord> decoded = decodeAssignment(object.assume_value().content);
         if (!decoded) {
             // Taken for absent, it would be overwritten: owners would be lost.
-            BOOST_LOG_TRIVIAL(error) << "assignment object of " << cell_ << " is malformed";
+            logEvent(LogEvent::ObjectMalformed, {{"object", "assignment"}, {"cell", cell_}});
             coordinator_->onAssignmentCallFailed(clock_.now());
             co_return;
         }
@@ -354,8 +355,19 @@
     co_return encodeRenewReply(reply);
 }
 
+void ControlDuty::tellMetrics()
+{
+    if (metrics_ == nullptr) {
+        return;
+    }
+    const std::optional<TermRecord> &term = member_.term();
+    metrics_->term.set(term ? static_cast<double>(term->term.value()) : 0);
+    metrics_->coordinating.set(coordinator_ ? 1 : 0);
+}
+
 asio::awaitable<void> ControlDuty::publish()
 {
+    tellMetrics();
     const bool changed = !published_ || published_->assignmentVersion != member_.assignmentVersion()
                          || published_->declarations.version != member_.declarations().version
                          || publishedRevocations_ != member_.revocations();
@@ -395,13 +407,28 @@
         return;
     }
     backend_ = backend;
+    refreshSelf();
+    logEvent(LogEvent::BackendAnnounced,
+             {{"service", backend.service}, {"draining", backend.draining}});
+}
+
+void ControlDuty::beginDrain()
+{
+    asio::post(context_, [this]() {
+        leaving_ = true;
+        refreshSelf();
+        logEvent(LogEvent::DrainStarted, {{"node", member_.self().id.value()}});
+    });
+}
+
+void ControlDuty::refreshSelf()
+{
     MemberInfo self = member_.self();
-    self.service = backend.service;
-    self.slots = backend.slots;
-    self.grantMode = backend.grantMode;
-    self.draining = backend.draining;
+    self.service = backend_.service;
+    self.slots = backend_.slots;
+    self.grantMode = backend_.grantMode;
+    self.draining = backend_.draining || operators_.isDraining() || leaving_;
     member_.updateSelf(self);
-    BOOST_LOG_TRIVIAL(info) << "backend server announced itself for " << backend.service;
 }
 
 asio::awaitable<AdminReply> ControlDuty::onAdmin(AdminCall call)
@@ -411,64 +438,12 @@
     case AdminCall::Kind::Announce:
         onAnnounce(call.backend);
         break;
-    case AdminCall::Kind::Apply:
-        reply.body = co_await apply(std::move(call.body));
-        break;
-    case AdminCall::Kind::Status:
-        reply.body = status();
+    case AdminCall::Kind::Operator:
+        reply.body = co_await operators_.call(std::move(call.method), std::move(call.body));
+        refreshSelf();
         break;
     }
     co_return reply;
 }
 
-asio::awaitable<std::string> ControlDuty::apply(std::string body)
-{
-    v1::ApplyRequest request;
-    v1::ApplyReply reply;
-    const auto fail = [&reply](const Failure &failure) {
-        v1::Problem *problem = reply.add_problems();
-        problem->set_code(std::string(failureName(failure.code)));
-        problem->set_message(failure.context);
-        return reply.SerializeAsString();
-    };
-    if (!request.ParseFromString(body)) {
-        co_return fail({FailureCode::Malformed, "apply request"});
-    }
-    Result<VersionedObject> stored = co_await platform_.read(ConfigObject);
-    if (!stored) {
-        co_return fail(stored.assume_error());
-    }
-    Declarations declarations = decodeConfiguration(request.configuration());
-    Result<Declarations> current = decodeDeclarations(stored.assume_value().content);
-    declarations.version = current ? current.assume_value().version + 1 : 1;
-    Result<ObjectVersion> written = co_await platform_.write(
-            ConfigObject, stored.assume_value().version, encodeDeclarations(declarations));
-    if (!written) {
-        co_return fail(written.assume_error());
-    }
-    reply.set_version(declarations.version);
-    co_return reply.SerializeAsString();
-}
-
-std::string ControlDuty::status() const
-{
-    v1::StatusReply reply;
-    reply.set_node_id(member_.self().id.value());
-    if (member_.term()) {
-        reply.set_term(member_.term()->term.value());
-        reply.set_coordinator_node(member_.term()->coordinator.value());
-    }
-    reply.set_config_version(member_.declarations().version);
-    reply.set_assignment_version(member_.assignmentVersion().value());
-    const auto left = std::chrono::duration_cast<milliseconds>(member_.leaseUntil() - clock_.now());
-    reply.set_lease_left_ms(std::max<int64_t>(0, left.count()));
-    for (const MemberInfo &info : member_.roster()) {
-        *reply.add_roster() = encodeMember(info);
-    }
-    const v1::AssignmentObject assignment = encodeAssignmentMessage(member_.assignment());
-    *reply.mutable_services() = assignment.services();
-    reply.set_build(WISTERIAHOIST_VERSION);
-    return reply.SerializeAsString();
-}
-
 } // namespace wisteriahoist
--- a/src/duty/control_duty.h
+++ b/src/duty/control_duty.h
@@ -6,6 +6,8 @@
 #include "decision/ownership/coordinator.h"
 #include "decision/ownership/member.h"
 #include "duty/duty_message.h"
+#include "duty/node_signals.h"
+#include "duty/operator_service.h"
 #include "port/clock.h"
 #include "port/platform_store.h"
 
@@ -25,9 +27,18 @@
                 OwnershipTimes times, MemberInfo self, std::string cell, RoutingLink &ingress,
                 GrantLink &gate);
 
+    /** Sets where term and role are told. @pre Called before start(); @p metrics outlives this. */
+    void observeWith(OwnershipMetrics &metrics) { metrics_ = &metrics; }
+
     void start();
     void stop() { stopping_ = true; }
 
+    /** This node leaves: it is announced as draining, so that its ranges move. Any thread. */
+    void beginDrain();
+
+    /** Says hello with @p keys to other nodes. @pre Called before start(). */
+    void introduceWith(FleetKeys keys) { peers_.introduceWith(std::move(keys)); }
+
     /** Answers another member's renewal (bytes in, bytes out). */
     asio::awaitable<std::string> onRenew(std::string body);
 
@@ -56,10 +67,10 @@
     asio::awaitable<void> watchTerm(Term term);
     asio::awaitable<void> watchLoss(Term term);
     asio::awaitable<void> publish();
+    void tellMetrics();
     asio::awaitable<void> informIngress(RoutingSnapshotPtr routing);
-    asio::awaitable<std::string> apply(std::string body);
-    std::string status() const;
     void onAnnounce(const BackendInfo &backend);
+    void refreshSelf();
     void stepCoordinator();
     void startCall(CoordinatorStep step);
     std::string objectName(const char *part) const;
@@ -74,6 +85,7 @@
     GrantLink &gate_;
     PeerCaller peers_;
     Member member_;
+    OperatorService operators_;
     std::shared_ptr<PlacementPolicy> policy_;
     std::unique_ptr<Coordinator>
             coordinator_; ///< Present while this node believes it holds a term.
@@ -82,7 +94,9 @@
     RoutingSnapshotPtr published_;
     std::set<Revocation> publishedRevocations_; ///< Taken off the tables of published_.
     uint32_t renewing_ = 0;                     ///< Renewals on their way; bounded.
+    bool leaving_ = false; ///< Set once; the node ends after its ranges have moved.
     bool stopping_ = false;
+    OwnershipMetrics *metrics_ = nullptr; ///< Null: nothing is told.
 };
 
 } // namespace wisteriahoist
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -2,8 +2,13 @@
 
 #include "program/node_program.h"
 
+#include "adapter/log/event_log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/log/trivial.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <iostream>
 
 namespace wisteriahoist {
@@ -29,7 +34,8 @@
 } // namespace
 
 NodeProgram::NodeProgram(const NodeSettings &settings)
-    : ingressToGate_(ingressThread_.context(), gateThread_.context(), RequestRing),
+    : signals_(clock_, settings.id, settings.signals.trace),
+      ingressToGate_(ingressThread_.context(), gateThread_.context(), RequestRing),
       peerToGate_(peerThread_.context(), gateThread_.context(), RequestRing),
       peerToControl_(peerThread_.context(), controlThread_.context(), ControlRing),
       adminToControl_(adminThread_.context(), controlThread_.context(), ControlRing),
@@ -37,27 +43,99 @@
       controlToGate_(controlThread_.context(), gateThread_.context(), ControlRing),
       platform_(controlThread_.context().get_executor(), settings.platformIp, settings.platformPort,
                 settings.platformTimeout),
+      meteredPlatform_(platform_, signals_.platform()),
       gate_(gateThread_.context(), clock_, settings.id),
-      ingress_(ingressThread_.context(), settings.id, settings.address.ip,
+      ingress_(ingressThread_.context(), clock_, settings.id, settings.address.ip,
                settings.address.callerPort, ingressToGate_),
       peer_(peerThread_.context(), settings.address.ip, settings.address.peerPort, peerToGate_,
             peerToControl_),
       admin_(adminThread_.context(), settings.address.ip, settings.address.adminPort,
-             adminToControl_),
+             settings.fleetKeys, adminToControl_, signals_),
       address_{settings.address.ip, ingress_.port(), peer_.port(), admin_.port()}
 {
-    control_ = std::make_unique<ControlDuty>(controlThread_.context(), clock_, platform_,
+    control_ = std::make_unique<ControlDuty>(controlThread_.context(), clock_, meteredPlatform_,
                                              settings.times, makeSelf(settings, address_),
                                              settings.cell, controlToIngress_, controlToGate_);
-    const auto toGate
-            = [this](v1::HopRequest request) { return gate_.onRequest(std::move(request)); };
-    ingressToGate_.serve(toGate);
-    peerToGate_.serve(toGate);
+    if (!settings.fleetKeys.empty()) {
+        peer_.requireHello(settings.fleetKeys);
+        ingress_.introduceWith(settings.fleetKeys);
+        control_->introduceWith(settings.fleetKeys);
+        watchRefusals("operator", admin_.refusals());
+        watchRefusals("peer", *peer_.refusals());
+    }
+    ingressToGate_.serve([this](v1::HopRequest request) { return passGate(std::move(request)); });
+    peerToGate_.serve([this](v1::HopRequest request) {
+        signals_.gate().hops.add();
+        return passGate(std::move(request));
+    });
     peerToControl_.serve([this](std::string body) { return control_->onRenew(std::move(body)); });
     adminToControl_.serve([this](AdminCall call) { return control_->onAdmin(std::move(call)); });
-    controlToIngress_.serve(
-            [this](RoutingSnapshotPtr routing) { return ingress_.onRouting(std::move(routing)); });
-    controlToGate_.serve([this](GateGrant grant) { return gate_.onGrant(std::move(grant)); });
+    controlToIngress_.serve([this](RoutingSnapshotPtr routing) {
+        signals_.onRouting(*routing);
+        return ingress_.onRouting(std::move(routing));
+    });
+    controlToGate_.serve([this](GateGrant grant) {
+        signals_.onGrant(grant);
+        return gate_.onGrant(std::move(grant));
+    });
+    watchSignals();
+    if (settings.signals.trace.isEnabled()) {
+        makeTraceDuty(settings);
+    }
+}
+
+void NodeProgram::makeTraceDuty(const NodeSettings &settings)
+{
+    SpanResource resource;
+    resource.node = settings.id;
+    resource.failureDomain = settings.failureDomain;
+    resource.build = WISTERIAHOIST_VERSION;
+    resource.bootAt = std::chrono::system_clock::now() - clock_.now().time_since_epoch();
+    trace_ = std::make_unique<TraceDuty>(
+            traceThread_.context(), std::move(resource),
+            makeSpanSink(settings.signals.trace, traceThread_.context().get_executor()),
+            signals_.trace(),
+            std::vector<DutyTracer *>{&signals_.ingressTracer(), &signals_.gateTracer()});
+}
+
+asio::awaitable<v1::HopReply> NodeProgram::passGate(v1::HopRequest request)
+{
+    const TimePoint startedAt = clock_.now();
+    Span span = signals_.gateTracer().startFromHop(SpanStep::Gate, request);
+    v1::HopReply reply = co_await gate_.onRequest(std::move(request));
+    signals_.onGateReply(reply, startedAt);
+    signals_.gateTracer().finish(std::move(span), hopOutcomeName(reply.outcome()),
+                                 reply.outcome() != v1::HOP_OUTCOME_DONE);
+    co_return reply;
+}
+
+void NodeProgram::watchSignals()
+{
+    signals_.watchLoop("ingress", ingressThread_.context());
+    signals_.watchLoop("peer", peerThread_.context());
+    signals_.watchLoop("gate", gateThread_.context());
+    signals_.watchLoop("control", controlThread_.context());
+    signals_.watchLoop("admin", adminThread_.context());
+    signals_.watchRing("ingress-gate", ingressToGate_);
+    signals_.watchRing("peer-gate", peerToGate_);
+    signals_.watchRing("peer-control", peerToControl_);
+    signals_.watchRing("admin-control", adminToControl_);
+    signals_.watchRing("control-ingress", controlToIngress_);
+    signals_.watchRing("control-gate", controlToGate_);
+}
+
+void NodeProgram::watchRefusals(const std::string &side, const AuthCounters &counters)
+{
+    for (size_t index = 0; index < AuthRefusalCount; ++index) {
+        const auto refusal = static_cast<AuthRefusal>(index);
+        signals_.registry().addComputed(
+                {"wisteriahoist_auth_refused_total",
+                 "Calls and hellos refused for their credential.", MetricKind::Counter},
+                {{"side", side}, {"cause", std::string(refusalName(refusal))}},
+                [&counters, refusal](TimePoint) {
+                    return static_cast<double>(counters.countOf(refusal));
+                });
+    }
 }
 
 void NodeProgram::start()
@@ -71,6 +149,10 @@
     peerThread_.start();
     adminThread_.start();
     controlThread_.start();
+    if (trace_) {
+        trace_->start();
+        traceThread_.start();
+    }
 }
 
 void NodeProgram::stop()
@@ -80,8 +162,49 @@
     adminThread_.stop();
     controlThread_.stop();
     gateThread_.stop();
+    traceThread_.stop();
+}
+
+void NodeProgram::beginDrain()
+{
+    control_->beginDrain();
+    ingress_.stop();
+}
+
+DrainProgress NodeProgram::drainProgress() const
+{
+    return {gate_.ownedRanges(), ingress_.openRequests(), gate_.openRequests()};
+}
+
+namespace {
+
+constexpr milliseconds DrainPoll{20};
+
+/** Waits for a signal, then drains @p node. @return What was still open at the end. */
+asio::awaitable<void> drainOnSignal(NodeProgram &node, asio::signal_set &set)
+{
+    co_await set.async_wait(asio::use_awaitable);
+    logEvent(LogEvent::NodeStopping);
+    node.beginDrain();
+    const auto cut = std::make_shared<bool>(false);
+    set.async_wait([cut](const boost::system::error_code &error, int) { *cut = !error; });
+    const auto start = std::chrono::steady_clock::now();
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    DrainStep step = DrainStep::Wait;
+    while (step == DrainStep::Wait && !*cut) {
+        timer.expires_after(DrainPoll);
+        co_await timer.async_wait(asio::use_awaitable);
+        const Duration elapsed = std::chrono::steady_clock::now() - start;
+        step = decideDrain(node.drainProgress(), elapsed, DrainLimits{});
+    }
+    set.cancel();
+    const DrainProgress left = node.drainProgress();
+    std::cout << "drained: cut_requests=" << std::max(left.callerRequests, left.gateRequests)
+              << " ranges_left=" << left.ownedRanges << std::endl;
 }
 
+} // namespace
+
 int runNode(const std::string &settingsFile)
 {
     std::vector<Finding> findings;
@@ -92,17 +215,24 @@
         }
         return 2;
     }
+    const LogOutput log(std::cerr, settings.signals.severity);
     try {
         NodeProgram node(settings);
         asio::io_context signals;
         asio::signal_set set(signals, SIGTERM, SIGINT);
-        set.async_wait([](const boost::system::error_code &, int) {});
         node.start();
         std::cout << "node " << settings.id.value() << " caller_port=" << node.address().callerPort
                   << " peer_port=" << node.address().peerPort
                   << " admin_port=" << node.address().adminPort << std::endl;
+<<<<<<< HEAD
+        asio::co_spawn(signals, drainOnSignal(node, set), asio::detached);
+=======
+        logEvent(LogEvent::NodeStarted,
+                 {{"node", settings.id.value()}, {"build", WISTERIAHOIST_VERSION}});
+    control_->observeWith(signals_.ownership());
         signals.run();
         node.stop();
+        logEvent(LogEvent::NodeStopped);
     } catch (const boost::system::system_error &error) {
         std::cerr << "cannot start: " << error.what() << '\n';
         return 1;
