--- a/src/decision/ownership/coordinator_assignment.cpp
+++ b/src/decision/ownership/coordinator_assignment.cpp
@@ -297,7 +297,7 @@
         }
     }
     const std::vector<InstanceView> instances = makeInstances(service, now);
-    const PlacementInput input{planned, loads, hotKeys, instances, {}};
+    const PlacementInput input{planned, loads, hotKeys, instances, {}, service};
     const std::vector<PlacementStep> steps = policy_->decide(input, now);
     for (const PlacementStep &step : steps) {
         applyStep(service, step, now);
--- a/src/decision/placement/placement_type.h
+++ b/src/decision/placement/placement_type.h
@@ -48,6 +48,7 @@
     const std::vector<HotKey> &hotKeys;
     const std::vector<InstanceView> &instances;
     PlacementWeights weights;
+    std::string service = {}; ///< What a policy remembers belongs to one service.
 };
 
 /** Why a step is taken. */
--- a/test/unit/placement/balanced_placement_test.cpp
+++ b/test/unit/placement/balanced_placement_test.cpp
@@ -191,7 +191,7 @@
     const Slice *slice = cell.table.find(hot);
     cr_assert(slice->first == hot);
     cr_assert(cell.highest() < 1000 * 1.12, "%f", cell.highest());
-    cr_assert(std::abs(cell.policy.summary().bound - 2.0) < 0.05);
+    cr_assert(std::abs(cell.policy.summary("").bound - 2.0) < 0.05);
     SECTION("once settled, nothing moves")
     {
         cr_assert(cell.run(60) == 0);
