--- a/src/program/node_program.h
+++ b/src/program/node_program.h
@@ -5,6 +5,7 @@
 #include "adapter/clock/boot_clock_adapter.h"
 #include "adapter/platform/platform_http_store.h"
 #include "adapter/settings/node_settings.h"
+#include "decision/request/drain_state.h"
 #include "duty/admin_duty.h"
 #include "duty/control_duty.h"
 #include "duty/duty_thread.h"
@@ -27,11 +28,19 @@
     void start();
     void stop();
 
+    /** Stops accepting callers and hands its ranges over; what is open goes on. */
+    void beginDrain();
+
+    /** @return What is still open here. */
+    DrainProgress drainProgress() const;
+
     /** @return The node's addresses with the ports that were bound. */
     const NodeAddress &address() const { return address_; }
 
 private:
     void watchSignals();
+    void makeTraceDuty(const NodeSettings &settings);
+    void watchRefusals(const std::string &side, const AuthCounters &counters);
     asio::awaitable<v1::HopReply> passGate(v1::HopRequest request);
 
     BootClockAdapter clock_;
@@ -41,6 +50,7 @@
     DutyThread gateThread_{"gate"};
     DutyThread controlThread_{"control"};
     DutyThread adminThread_{"admin"};
+    DutyThread traceThread_{"trace"}; ///< Runs only if spans are exported.
 
     GateLink ingressToGate_;
     GateLink peerToGate_;
@@ -56,11 +66,13 @@
     PeerDuty peer_;
     AdminDuty admin_;
     NodeAddress address_;
+    std::unique_ptr<TraceDuty> trace_;     ///< Present if spans are exported.
     std::unique_ptr<ControlDuty> control_; ///< Made last: it needs the bound ports.
 };
 
 /**
- * Runs a node until SIGTERM or SIGINT.
+ * Runs a node until SIGTERM or SIGINT, then drains it. A second signal, or the bound of the drain,
+ * ends it at once; what that cuts is printed.
  * @return The exit code: 0 done, 1 failed, 2 bad settings.
  */
 int runNode(const std::string &settingsFile);
