--- a/src/adapter/settings/node_settings.h
+++ b/src/adapter/settings/node_settings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "adapter/auth/fleet_key.h"
+#include "adapter/settings/signals_settings.h"
 #include "adapter/settings/toml_reader.h"
 #include "decision/ownership/ownership_type.h"
 
@@ -20,6 +21,7 @@
     uint16_t platformPort = 0;
     milliseconds platformTimeout{1000};
     OwnershipTimes times;
+    SignalsSettings signals;
     FleetKeys fleetKeys; ///< Empty only with fleet.allow_unauthenticated.
 };
 
--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -355,8 +355,19 @@
     co_return encodeRenewReply(reply);
 }
 
+void ControlDuty::tellMetrics()
+{
+    if (metrics_ == nullptr) {
+        return;
+    }
+    const std::optional<TermRecord> &term = member_.term();
+    metrics_->term.set(term ? static_cast<double>(term->term.value()) : 0);
+    metrics_->coordinating.set(coordinator_ ? 1 : 0);
+}
+
 asio::awaitable<void> ControlDuty::publish()
 {
+    tellMetrics();
     const bool changed = !published_ || published_->assignmentVersion != member_.assignmentVersion()
                          || published_->declarations.version != member_.declarations().version
                          || publishedRevocations_ != member_.revocations();
@@ -401,13 +412,22 @@
              {{"service", backend.service}, {"draining", backend.draining}});
 }
 
+void ControlDuty::beginDrain()
+{
+    asio::post(context_, [this]() {
+        leaving_ = true;
+        refreshSelf();
+        logEvent(LogEvent::DrainStarted, {{"node", member_.self().id.value()}});
+    });
+}
+
 void ControlDuty::refreshSelf()
 {
     MemberInfo self = member_.self();
     self.service = backend_.service;
     self.slots = backend_.slots;
     self.grantMode = backend_.grantMode;
-    self.draining = backend_.draining || operators_.isDraining();
+    self.draining = backend_.draining || operators_.isDraining() || leaving_;
     member_.updateSelf(self);
 }
 
--- a/src/duty/control_duty.h
+++ b/src/duty/control_duty.h
@@ -6,6 +6,7 @@
 #include "decision/ownership/coordinator.h"
 #include "decision/ownership/member.h"
 #include "duty/duty_message.h"
+#include "duty/node_signals.h"
 #include "duty/operator_service.h"
 #include "port/clock.h"
 #include "port/platform_store.h"
@@ -26,9 +27,15 @@
                 OwnershipTimes times, MemberInfo self, std::string cell, RoutingLink &ingress,
                 GrantLink &gate);
 
+    /** Sets where term and role are told. @pre Called before start(); @p metrics outlives this. */
+    void observeWith(OwnershipMetrics &metrics) { metrics_ = &metrics; }
+
     void start();
     void stop() { stopping_ = true; }
 
+    /** This node leaves: it is announced as draining, so that its ranges move. Any thread. */
+    void beginDrain();
+
     /** Says hello with @p keys to other nodes. @pre Called before start(). */
     void introduceWith(FleetKeys keys) { peers_.introduceWith(std::move(keys)); }
 
@@ -60,6 +67,7 @@
     asio::awaitable<void> watchTerm(Term term);
     asio::awaitable<void> watchLoss(Term term);
     asio::awaitable<void> publish();
+    void tellMetrics();
     asio::awaitable<void> informIngress(RoutingSnapshotPtr routing);
     void onAnnounce(const BackendInfo &backend);
     void refreshSelf();
@@ -86,7 +94,9 @@
     RoutingSnapshotPtr published_;
     std::set<Revocation> publishedRevocations_; ///< Taken off the tables of published_.
     uint32_t renewing_ = 0;                     ///< Renewals on their way; bounded.
+    bool leaving_ = false; ///< Set once; the node ends after its ranges have moved.
     bool stopping_ = false;
+    OwnershipMetrics *metrics_ = nullptr; ///< Null: nothing is told.
 };
 
 } // namespace wisteriahoist
--- a/src/duty/node_signals.h
+++ b/src/duty/node_signals.h
@@ -7,6 +7,7 @@
 #include "adapter/metrics/platform_meter.h"
 #include "decision/health/health_decision.h"
 #include "duty/duty_message.h"
+#include "duty/trace_duty.h"
 #include "port/clock.h"
 
 #include <boost/asio/io_context.hpp>
@@ -14,6 +15,9 @@
 
 namespace wisteriahoist {
 
+/** @return done, not-run or unknown. */
+std::string_view hopOutcomeName(v1::HopOutcome outcome);
+
 /** What the ingress duty counts. */
 struct IngressMetrics {
     explicit IngressMetrics(MetricRegistry &registry);
@@ -31,6 +35,7 @@
     explicit GateMetrics(MetricRegistry &registry);
 
     LabelledCounter &requests; ///< By outcome, as the backend server or the gate ended them.
+    LabelledCounter &notRun;   ///< By reason.
     Counter &hops;             ///< Requests that came from other nodes.
     Distribution &duration;    ///< Seconds in the gate, queue and backend server included.
     Counter &replays;          ///< Answered from the memory of idempotency keys.
@@ -61,7 +66,8 @@
 class NodeSignals
 {
 public:
-    NodeSignals(const Clock &clock, NodeId self);
+    /** @param trace Share of the requests that are traced, and whether spans are kept at all. */
+    NodeSignals(const Clock &clock, NodeId self, const TraceSettings &trace);
 
     /** Watches the event loop of @p duty: a timer on it records each turn. */
     void watchLoop(std::string_view duty, boost::asio::io_context &context);
@@ -84,6 +90,9 @@
     /** A caller was answered. Called on the ingress duty's thread. */
     void onAnswer(const HttpResponse &response, TimePoint startedAt);
 
+    /** A caller's request ended, after its retries. Called on the ingress duty's thread. */
+    void onOutcome(const v1::HopReply &reply);
+
     /** The gate ended a request. Called on the gate duty's thread. */
     void onGateReply(const v1::HopReply &reply, TimePoint startedAt);
 
@@ -97,6 +106,9 @@
     GateMetrics &gate() { return gate_; }
     OwnershipMetrics &ownership() { return ownership_; }
     PlatformMetrics &platform() { return platform_; }
+    TraceMetrics &trace() { return trace_; }
+    DutyTracer &ingressTracer() { return ingressTracer_; } ///< Ingress duty's thread only.
+    DutyTracer &gateTracer() { return gateTracer_; }       ///< Gate duty's thread only.
 
 private:
     struct WatchedLoop {
@@ -116,6 +128,9 @@
     GateMetrics gate_;
     OwnershipMetrics ownership_;
     PlatformMetrics platform_;
+    TraceMetrics trace_;
+    DutyTracer ingressTracer_;
+    DutyTracer gateTracer_;
     std::deque<WatchedLoop> loops_; ///< A deque, since coroutines keep references.
     std::atomic<int64_t> leaseUntil_;
     std::atomic<bool> routingPresent_{false};
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -4,7 +4,11 @@
 
 #include "adapter/log/event_log.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <iostream>
 
 namespace wisteriahoist {
@@ -30,7 +34,7 @@
 } // namespace
 
 NodeProgram::NodeProgram(const NodeSettings &settings)
-    : signals_(clock_, settings.id),
+    : signals_(clock_, settings.id, settings.signals.trace),
       ingressToGate_(ingressThread_.context(), gateThread_.context(), RequestRing),
       peerToGate_(peerThread_.context(), gateThread_.context(), RequestRing),
       peerToControl_(peerThread_.context(), controlThread_.context(), ControlRing),
@@ -41,7 +45,7 @@
                 settings.platformTimeout),
       meteredPlatform_(platform_, signals_.platform()),
       gate_(gateThread_.context(), clock_, settings.id),
-      ingress_(ingressThread_.context(), settings.id, settings.address.ip,
+      ingress_(ingressThread_.context(), clock_, settings.id, settings.address.ip,
                settings.address.callerPort, ingressToGate_),
       peer_(peerThread_.context(), settings.address.ip, settings.address.peerPort, peerToGate_,
             peerToControl_),
@@ -75,13 +79,33 @@
         return gate_.onGrant(std::move(grant));
     });
     watchSignals();
+    if (settings.signals.trace.isEnabled()) {
+        makeTraceDuty(settings);
+    }
+}
+
+void NodeProgram::makeTraceDuty(const NodeSettings &settings)
+{
+    SpanResource resource;
+    resource.node = settings.id;
+    resource.failureDomain = settings.failureDomain;
+    resource.build = WISTERIAHOIST_VERSION;
+    resource.bootAt = std::chrono::system_clock::now() - clock_.now().time_since_epoch();
+    trace_ = std::make_unique<TraceDuty>(
+            traceThread_.context(), std::move(resource),
+            makeSpanSink(settings.signals.trace, traceThread_.context().get_executor()),
+            signals_.trace(),
+            std::vector<DutyTracer *>{&signals_.ingressTracer(), &signals_.gateTracer()});
 }
 
 asio::awaitable<v1::HopReply> NodeProgram::passGate(v1::HopRequest request)
 {
     const TimePoint startedAt = clock_.now();
+    Span span = signals_.gateTracer().startFromHop(SpanStep::Gate, request);
     v1::HopReply reply = co_await gate_.onRequest(std::move(request));
     signals_.onGateReply(reply, startedAt);
+    signals_.gateTracer().finish(std::move(span), hopOutcomeName(reply.outcome()),
+                                 reply.outcome() != v1::HOP_OUTCOME_DONE);
     co_return reply;
 }
 
@@ -125,6 +149,10 @@
     peerThread_.start();
     adminThread_.start();
     controlThread_.start();
+    if (trace_) {
+        trace_->start();
+        traceThread_.start();
+    }
 }
 
 void NodeProgram::stop()
@@ -134,8 +162,49 @@
     adminThread_.stop();
     controlThread_.stop();
     gateThread_.stop();
+    traceThread_.stop();
+}
+
+void NodeProgram::beginDrain()
+{
+    control_->beginDrain();
+    ingress_.stop();
+}
+
+DrainProgress NodeProgram::drainProgress() const
+{
+    return {gate_.ownedRanges(), ingress_.openRequests(), gate_.openRequests()};
+}
+
+namespace {
+
+constexpr milliseconds DrainPoll{20};
+
+/** Waits for a signal, then drains @p node. @return What was still open at the end. */
+asio::awaitable<void> drainOnSignal(NodeProgram &node, asio::signal_set &set)
+{
+    co_await set.async_wait(asio::use_awaitable);
+    logEvent(LogEvent::NodeStopping);
+    node.beginDrain();
+    const auto cut = std::make_shared<bool>(false);
+    set.async_wait([cut](const boost::system::error_code &error, int) { *cut = !error; });
+    const auto start = std::chrono::steady_clock::now();
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    DrainStep step = DrainStep::Wait;
+    while (step == DrainStep::Wait && !*cut) {
+        timer.expires_after(DrainPoll);
+        co_await timer.async_wait(asio::use_awaitable);
+        const Duration elapsed = std::chrono::steady_clock::now() - start;
+        step = decideDrain(node.drainProgress(), elapsed, DrainLimits{});
+    }
+    set.cancel();
+    const DrainProgress left = node.drainProgress();
+    std::cout << "drained: cut_requests=" << std::max(left.callerRequests, left.gateRequests)
+              << " ranges_left=" << left.ownedRanges << std::endl;
 }
 
+} // namespace
+
 int runNode(const std::string &settingsFile)
 {
     std::vector<Finding> findings;
@@ -146,20 +215,22 @@
         }
         return 2;
     }
-    const LogOutput log(std::cerr, LogSeverity::Info);
+    const LogOutput log(std::cerr, settings.signals.severity);
     try {
         NodeProgram node(settings);
         asio::io_context signals;
         asio::signal_set set(signals, SIGTERM, SIGINT);
-        set.async_wait([](const boost::system::error_code &, int) {});
         node.start();
         std::cout << "node " << settings.id.value() << " caller_port=" << node.address().callerPort
                   << " peer_port=" << node.address().peerPort
                   << " admin_port=" << node.address().adminPort << std::endl;
+<<<<<<< HEAD
+        asio::co_spawn(signals, drainOnSignal(node, set), asio::detached);
+=======
         logEvent(LogEvent::NodeStarted,
                  {{"node", settings.id.value()}, {"build", WISTERIAHOIST_VERSION}});
+    control_->observeWith(signals_.ownership());
         signals.run();
-        logEvent(LogEvent::NodeStopping);
         node.stop();
         logEvent(LogEvent::NodeStopped);
     } catch (const boost::system::system_error &error) {
