--- a/src/adapter/trace/span_type.h
+++ b/src/adapter/trace/span_type.h
@@ -41,9 +41,9 @@
     explicit SpanRing(Counter &dropped) : dropped_(dropped), spans_(Capacity) { }
 
     /** Hands @p span over if its trace is sampled. Producing duty's thread. */
-    void push(Span span)
+    void push(const Span &span)
     {
-        if (span.context.sampled && !spans_.push(std::move(span))) {
+        if (span.context.sampled && !spans_.push(span)) {
             dropped_.add();
         }
     }
--- a/src/duty/trace_duty.cpp
+++ b/src/duty/trace_duty.cpp
@@ -73,7 +73,7 @@
     span.end = clock_.now();
     span.outcome = outcome;
     span.failed = failed;
-    ring_.push(std::move(span));
+    ring_.push(span);
 }
 
 TraceDuty::TraceDuty(asio::io_context &context, SpanResource resource,
--- a/test/tsan/tsan_main.cpp
+++ b/test/tsan/tsan_main.cpp
@@ -107,7 +107,7 @@
             Span span;
             span.context.sampled = true;
             span.service = "a service's name longer than a short string";
-            ring.push(std::move(span));
+            ring.push(span);
         }
         done = true;
     });
--- a/test/unit/signals/span_export_test.cpp
+++ b/test/unit/signals/span_export_test.cpp
@@ -59,7 +59,7 @@
     for (size_t index = 0; index < SpanRing::Capacity + 3; ++index) {
         Span span = makeSpan();
         span.context.span = index + 1;
-        ring.push(std::move(span));
+        ring.push(span);
     }
     cr_assert_eq(dropped.value(), 3);
     Span oldest;
@@ -69,7 +69,7 @@
     {
         Span span = makeSpan();
         span.context.sampled = false;
-        ring.push(std::move(span));
+        ring.push(span);
         cr_assert_eq(dropped.value(), 3);
     }
 }
