--- a/src/duty/control_duty.h
+++ b/src/duty/control_duty.h
@@ -33,6 +33,12 @@
     void start();
     void stop() { stopping_ = true; }
 
+    /** This node leaves: it is announced as draining, so that its ranges move. Any thread. */
+    void beginDrain();
+
+    /** Says hello with @p keys to other nodes. @pre Called before start(). */
+    void introduceWith(FleetKeys keys) { peers_.introduceWith(std::move(keys)); }
+
     /** Answers another member's renewal (bytes in, bytes out). */
     asio::awaitable<std::string> onRenew(std::string body);
 
@@ -64,6 +70,7 @@
     void tellMetrics();
     asio::awaitable<void> informIngress(RoutingSnapshotPtr routing);
     void onAnnounce(const BackendInfo &backend);
+    void refreshSelf();
     void stepCoordinator();
     void startCall(CoordinatorStep step);
     std::string objectName(const char *part) const;
@@ -87,6 +94,7 @@
     RoutingSnapshotPtr published_;
     std::set<Revocation> publishedRevocations_; ///< Taken off the tables of published_.
     uint32_t renewing_ = 0;                     ///< Renewals on their way; bounded.
+    bool leaving_ = false; ///< Set once; the node ends after its ranges have moved.
     bool stopping_ = false;
     OwnershipMetrics *metrics_ = nullptr; ///< Null: nothing is told.
 };
--- a/src/duty/peer_duty.h
+++ b/src/duty/peer_duty.h
@@ -16,8 +16,14 @@
 
     void start();
     void stop();
+
+    /** Handles other nodes' calls only after a hello with one of @p keys. @pre Before start(). */
+    void requireHello(FleetKeys keys) { listener_->requireHello(std::move(keys)); }
     uint16_t port() const { return listener_->port(); }
 
+    /** @return Refused hellos and calls; nullptr if no hello is required. */
+    const AuthCounters *refusals() const { return listener_->refusals(); }
+
 private:
     asio::awaitable<std::string> onCall(std::string path, std::string body);
     asio::awaitable<std::string> onHop(std::string body);
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -4,7 +4,11 @@
 
 #include "adapter/log/event_log.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <iostream>
 
 namespace wisteriahoist {
@@ -41,7 +45,7 @@
                 settings.platformTimeout),
       meteredPlatform_(platform_, signals_.platform()),
       gate_(gateThread_.context(), clock_, settings.id),
-      ingress_(ingressThread_.context(), settings.id, settings.address.ip,
+      ingress_(ingressThread_.context(), clock_, settings.id, settings.address.ip,
                settings.address.callerPort, ingressToGate_),
       peer_(peerThread_.context(), settings.address.ip, settings.address.peerPort, peerToGate_,
             peerToControl_),
@@ -52,7 +56,13 @@
     control_ = std::make_unique<ControlDuty>(controlThread_.context(), clock_, meteredPlatform_,
                                              settings.times, makeSelf(settings, address_),
                                              settings.cell, controlToIngress_, controlToGate_);
-    control_->observeWith(signals_.ownership());
+    if (!settings.fleetKeys.empty()) {
+        peer_.requireHello(settings.fleetKeys);
+        ingress_.introduceWith(settings.fleetKeys);
+        control_->introduceWith(settings.fleetKeys);
+        watchRefusals("operator", admin_.refusals());
+        watchRefusals("peer", *peer_.refusals());
+    }
     ingressToGate_.serve([this](v1::HopRequest request) { return passGate(std::move(request)); });
     peerToGate_.serve([this](v1::HopRequest request) {
         signals_.gate().hops.add();
@@ -114,6 +124,20 @@
     signals_.watchRing("control-gate", controlToGate_);
 }
 
+void NodeProgram::watchRefusals(const std::string &side, const AuthCounters &counters)
+{
+    for (size_t index = 0; index < AuthRefusalCount; ++index) {
+        const auto refusal = static_cast<AuthRefusal>(index);
+        signals_.registry().addComputed(
+                {"wisteriahoist_auth_refused_total",
+                 "Calls and hellos refused for their credential.", MetricKind::Counter},
+                {{"side", side}, {"cause", std::string(refusalName(refusal))}},
+                [&counters, refusal](TimePoint) {
+                    return static_cast<double>(counters.countOf(refusal));
+                });
+    }
+}
+
 void NodeProgram::start()
 {
     ingress_.start();
@@ -141,6 +165,46 @@
     traceThread_.stop();
 }
 
+void NodeProgram::beginDrain()
+{
+    control_->beginDrain();
+    ingress_.stop();
+}
+
+DrainProgress NodeProgram::drainProgress() const
+{
+    return {gate_.ownedRanges(), ingress_.openRequests(), gate_.openRequests()};
+}
+
+namespace {
+
+constexpr milliseconds DrainPoll{20};
+
+/** Waits for a signal, then drains @p node. @return What was still open at the end. */
+asio::awaitable<void> drainOnSignal(NodeProgram &node, asio::signal_set &set)
+{
+    co_await set.async_wait(asio::use_awaitable);
+    logEvent(LogEvent::NodeStopping);
+    node.beginDrain();
+    const auto cut = std::make_shared<bool>(false);
+    set.async_wait([cut](const boost::system::error_code &error, int) { *cut = !error; });
+    const auto start = std::chrono::steady_clock::now();
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    DrainStep step = DrainStep::Wait;
+    while (step == DrainStep::Wait && !*cut) {
+        timer.expires_after(DrainPoll);
+        co_await timer.async_wait(asio::use_awaitable);
+        const Duration elapsed = std::chrono::steady_clock::now() - start;
+        step = decideDrain(node.drainProgress(), elapsed, DrainLimits{});
+    }
+    set.cancel();
+    const DrainProgress left = node.drainProgress();
+    std::cout << "drained: cut_requests=" << std::max(left.callerRequests, left.gateRequests)
+              << " ranges_left=" << left.ownedRanges << std::endl;
+}
+
+} // namespace
+
 int runNode(const std::string &settingsFile)
 {
     std::vector<Finding> findings;
@@ -156,15 +220,17 @@
         NodeProgram node(settings);
         asio::io_context signals;
         asio::signal_set set(signals, SIGTERM, SIGINT);
-        set.async_wait([](const boost::system::error_code &, int) {});
         node.start();
         std::cout << "node " << settings.id.value() << " caller_port=" << node.address().callerPort
                   << " peer_port=" << node.address().peerPort
                   << " admin_port=" << node.address().adminPort << std::endl;
+<<<<<<< HEAD
+        asio::co_spawn(signals, drainOnSignal(node, set), asio::detached);
+=======
         logEvent(LogEvent::NodeStarted,
                  {{"node", settings.id.value()}, {"build", WISTERIAHOIST_VERSION}});
+    control_->observeWith(signals_.ownership());
         signals.run();
-        logEvent(LogEvent::NodeStopping);
         node.stop();
         logEvent(LogEvent::NodeStopped);
     } catch (const boost::system::system_error &error) {
