Add: [Placement] Measured loads reach the coordinator's balanced placement; drain serves until ranges move

Cause: the coordinator placed by counts alone, and a draining backend server refused its own keys at once although they had no other owner yet. Change: the gate counts by range and key, reports once a second with a renewal; reports of ranges that have moved on are left out. A draining backend server is served for at most 3 s more. Ruled out: a report in every renewal (17 ranges a node at target would take most of 3 KB/s).

--- a/src/decision/ownership/coordinator.cpp
+++ b/src/decision/ownership/coordinator.cpp
@@ -365,7 +365,10 @@
     if (request.sentAt >= member.sentAt) {
         member.sentAt = request.sentAt;
         member.info = request.member;
-        member.loads = request.loads;
+        if (!request.loads.empty()) {
+            member.loads = request.loads;
+            member.loadsAt = now;
+        }
     }
     if (request.acknowledgedTerm == term_.term) {
         member.hasAcknowledged = true;
--- a/src/decision/ownership/coordinator.h
+++ b/src/decision/ownership/coordinator.h
@@ -94,6 +94,7 @@
         bool lost = false;                     ///< As of the latest tick.
         bool leaving = false; ///< A roster without it may be stored: no lease, no ranges.
         std::vector<ServiceLoad> loads;
+        TimePoint loadsAt = NeverTime; ///< Arrival of loads; old ones weigh less.
     };
     struct JoiningState {
         MemberInfo info;
@@ -136,6 +137,8 @@
     void placeRanges(TimePoint now);
     SliceTable plannedTable(const std::string &service, const SliceTable &table) const;
     bool isUrgent(const SliceTable &planned) const;
+    static void addLoads(const ServiceLoad &load, NodeId owner, const SliceTable &planned,
+                         std::vector<SliceLoad> &loads, std::vector<HotKey> &hotKeys);
     void decidePlacement(const std::string &service, const SliceTable &planned, TimePoint now);
     std::vector<InstanceView> makeInstances(const std::string &service, TimePoint now) const;
     void applyStep(const std::string &service, const PlacementStep &step, TimePoint now);
--- a/src/decision/ownership/coordinator_assignment.cpp
+++ b/src/decision/ownership/coordinator_assignment.cpp
@@ -235,7 +235,7 @@
         instance.live = !member.lost;
         instance.draining = member.info.draining;
         instance.cold = !owns && now - wonAt_ < ColdTime;
-        instance.reportAge = now - member.heard;
+        instance.reportAge = now - std::max(member.loadsAt, wonAt_);
         instances.push_back(std::move(instance));
     }
     return instances;
@@ -283,6 +283,24 @@
     }
 }
 
+void Coordinator::addLoads(const ServiceLoad &load, NodeId owner, const SliceTable &planned,
+                           std::vector<SliceLoad> &loads, std::vector<HotKey> &hotKeys)
+{
+    // A report made before a move still names the range: counted, it would double the load.
+    for (const SliceLoad &slice : load.slices) {
+        const Slice *known = planned.find(slice.first);
+        if (known != nullptr && known->first == slice.first && known->owner == owner) {
+            loads.push_back(slice);
+        }
+    }
+    for (const HotKey &key : load.hotKeys) {
+        const Slice *known = planned.find(key.hash);
+        if (known != nullptr && known->owner == owner) {
+            hotKeys.push_back(key);
+        }
+    }
+}
+
 void Coordinator::decidePlacement(const std::string &service, const SliceTable &planned,
                                   TimePoint now)
 {
@@ -291,8 +309,7 @@
     for (const auto &[id, member] : members_) {
         for (const ServiceLoad &load : member.loads) {
             if (load.service == service) {
-                loads.insert(loads.end(), load.slices.begin(), load.slices.end());
-                hotKeys.insert(hotKeys.end(), load.hotKeys.begin(), load.hotKeys.end());
+                addLoads(load, id, planned, loads, hotKeys);
             }
         }
     }
--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -5,7 +5,7 @@
 #include "adapter/codec/declaration_codec.h"
 #include "adapter/codec/ownership_codec.h"
 #include "adapter/log/event_log.h"
-#include "decision/ownership/least_owned_policy.h"
+#include "decision/placement/balanced_placement.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr milliseconds LoadInterval{1000};
 constexpr milliseconds TickInterval{25};
 constexpr milliseconds WatchWait{10000};
 constexpr milliseconds WatchRetry{500};
@@ -38,7 +39,7 @@
                          RoutingLink &ingress, GrantLink &gate)
     : context_(context), clock_(clock), platform_(platform), times_(times), cell_(std::move(cell)),
       ingress_(ingress), gate_(gate), peers_(context), member_(times, std::move(self)),
-      operators_(clock, platform, member_), policy_(std::make_shared<LeastOwnedPolicy>()),
+      operators_(clock, platform, member_), policy_(std::make_shared<BalancedPlacement>()),
       random_(std::random_device{}())
 { }
 
@@ -322,6 +323,7 @@
     }
     ++renewing_;
     const RenewRequest request = member_.makeRenew(clock_.now());
+    member_.updateLoads({}); // Sent once; the next report replaces it.
     Result<RenewReply> reply = Failure{FailureCode::Unavailable, "no coordinator"};
     if (member_.isCoordinator()) {
         RenewReply own;
@@ -393,6 +395,16 @@
     Result<Accepted> accepted = co_await gate_.call(std::move(grant));
     if (accepted) {
         member_.onDrained(revoked);
+        reportLoads(std::move(accepted.assume_value().loads), clock_.now());
+    }
+}
+
+void ControlDuty::reportLoads(std::vector<ServiceLoad> loads, TimePoint now)
+{
+    // With every renewal, 17 ranges alone would cost most of the 3 KB/s that control may take.
+    if (now - loadsReportedAt_ >= LoadInterval) {
+        loadsReportedAt_ = now;
+        member_.updateLoads(std::move(loads));
     }
 }
 
--- a/src/duty/control_duty.h
+++ b/src/duty/control_duty.h
@@ -69,6 +69,7 @@
     asio::awaitable<void> publish();
     void tellMetrics();
     asio::awaitable<void> informIngress(RoutingSnapshotPtr routing);
+    void reportLoads(std::vector<ServiceLoad> loads, TimePoint now);
     void onAnnounce(const BackendInfo &backend);
     void refreshSelf();
     void stepCoordinator();
@@ -92,6 +93,7 @@
     BackendInfo backend_;
     std::mt19937_64 random_;
     RoutingSnapshotPtr published_;
+    TimePoint loadsReportedAt_ = NeverTime;
     std::set<Revocation> publishedRevocations_; ///< Taken off the tables of published_.
     uint32_t renewing_ = 0;                     ///< Renewals on their way; bounded.
     bool leaving_ = false; ///< Set once; the node ends after its ranges have moved.
--- a/src/duty/duty_message.h
+++ b/src/duty/duty_message.h
@@ -29,7 +29,9 @@
 };
 
 /** The receiver has taken the message over. */
-struct Accepted { };
+struct Accepted {
+    std::vector<ServiceLoad> loads; ///< From the gate: what its ranges carry.
+};
 
 /** One operator's or backend server's call, from the admin duty to the control duty. */
 struct AdminCall {
--- a/src/duty/gate_duty.cpp
+++ b/src/duty/gate_duty.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 
-constexpr milliseconds DrainPoll{2};  ///< How often a lost range's running requests are looked at.
+constexpr milliseconds DrainPoll{2}; ///< How often a lost range's running requests are looked at.
+/** A backend server that drains runs what it owns until its ranges have moved, at most so long. */
+constexpr milliseconds DrainGrace{3000};
 constexpr size_t WarmConnections = 4; ///< Opened ahead of need; a new one costs about 1 ms.
 
 /** @return How an exchange without an answer ended. */
@@ -49,6 +51,9 @@
 asio::awaitable<Accepted> GateDuty::onGrant(GateGrant grant)
 {
     const BackendInfo previous = grant_.backend;
+    if (grant.backend.draining && !previous.draining) {
+        drainingSince_ = clock_.now();
+    }
     const bool rerouted = grant.routing != grant_.routing;
     grant_ = std::move(grant);
     if (rerouted) {
@@ -64,7 +69,20 @@
         beast::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    co_return Accepted{};
+    Accepted accepted;
+    accepted.loads.push_back(makeLoad(clock_.now()));
+    co_return accepted;
+}
+
+ServiceLoad GateDuty::makeLoad(TimePoint now)
+{
+    LoadReport report = load_.report(now);
+    return {grant_.backend.service, std::move(report.ranges), std::move(report.hotKeys)};
+}
+
+bool GateDuty::hasDrained(TimePoint now) const
+{
+    return grant_.backend.draining && now - drainingSince_ >= DrainGrace;
 }
 
 void GateDuty::takeRouting(TimePoint now)
@@ -103,10 +121,10 @@
                                     v1::HopReply &reply) const
 {
     const bool served = client_ && grant_.backend.service == request.service();
-    if (!served || grant_.backend.draining) {
+    const TimePoint now = clock_.now();
+    if (!served || hasDrained(now)) {
         return RequestEnd::NoBackend;
     }
-    const TimePoint now = clock_.now();
     if (now >= call.deadline) {
         return RequestEnd::DeadlineOver;
     }
@@ -237,8 +255,10 @@
         fillVerdict(reply, RequestStage::Queued, refusal);
         co_return;
     }
+    if (request.keyed()) {
+        load_.record(KeyHash(reply.range_first()), KeyHash(request.key_hash()), clock_.now());
+    }
     co_await handOver(request, call, reply);
-    co_return;
 }
 
 BackendGrant GateDuty::makeGrant(const v1::HopRequest &request, const Call &call,
--- a/src/duty/gate_duty.h
+++ b/src/duty/gate_duty.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "adapter/http/http_client.h"
+#include "decision/placement/load_tracker.h"
 #include "decision/request/deduplication_table.h"
 #include "decision/request/inflight_registry.h"
 #include "duty/duty_message.h"
@@ -43,6 +44,8 @@
     size_t ownedRanges() const { return ownedRanges_.load(std::memory_order_relaxed); }
 
 private:
+    ServiceLoad makeLoad(TimePoint now);
+    bool hasDrained(TimePoint now) const;
     /** One request at the gate. */
     struct Call {
         explicit Call(asio::io_context &context) : waiter(std::make_shared<SlotWaiter>(context)) { }
@@ -77,6 +80,8 @@
     DeduplicationTable deduplication_{DeduplicationLimits{}};
     SlotQueue slots_;
     std::map<CallName, std::shared_ptr<Call>> calls_; ///< For cancelling.
+    LoadTracker load_;                                ///< Requests handed over, by range and key.
+    TimePoint drainingSince_ = NeverTime;             ///< Start of the backend server's drain.
     std::atomic<size_t> openRequests_{0};
     std::atomic<size_t> ownedRanges_{0};
 };
