--- a/src/adapter/settings/declaration_writer.cpp
+++ b/src/adapter/settings/declaration_writer.cpp
@@ -61,6 +61,8 @@
     writer.text("repetition", repetitionName(route.repetition));
     writer.duration("deadline_ms", route.deadline);
     writer.duration("patience_ms", route.patience);
+    writer.text("missing_key", missingKeyName(route.missingKey));
+    writer.text("missing_age", missingAgeName(route.missingAge));
 }
 
 void writeService(const ServiceDeclaration &service, TomlWriter &writer)
@@ -69,6 +71,7 @@
     writer.text("name", service.name);
     writer.text("host", service.host);
     writer.text("grant_mode", grantModeName(service.grantMode));
+    writer.text("misrouted", misroutedName(service.misrouted));
     writer.blankLine();
     writeKeySpace(service.keySpace, writer);
     for (const RouteRule &route : service.routes) {
--- a/src/decision/config/declaration_diff.cpp
+++ b/src/decision/config/declaration_diff.cpp
@@ -99,6 +99,10 @@
                      repetitionName(after.repetition));
     comparer.compare("deadline_ms", before.deadline, after.deadline);
     comparer.compare("patience_ms", before.patience, after.patience);
+    comparer.compare("missing_key", missingKeyName(before.missingKey),
+                     missingKeyName(after.missingKey));
+    comparer.compare("missing_age", missingAgeName(before.missingAge),
+                     missingAgeName(after.missingAge));
     if (changes.size() == found) {
         // A member that has no line above differs: never call different routes equal.
         comparer.add(ConfigChangeKind::Changed, "", describeRoute(before), describeRoute(after));
@@ -114,6 +118,7 @@
     const size_t found = changes.size();
     comparer.compare("host", before.host, after.host);
     comparer.compare("grant_mode", grantModeName(before.grantMode), grantModeName(after.grantMode));
+    comparer.compare("misrouted", misroutedName(before.misrouted), misroutedName(after.misrouted));
     Comparer keySpace = comparer.below("key_space");
     keySpace.compare("place", keyPlaceName(before.keySpace.place),
                      keyPlaceName(after.keySpace.place));
@@ -168,6 +173,21 @@
     return mode == GrantMode::Fenced ? "fenced" : "unchecked";
 }
 
+std::string_view missingKeyName(MissingKey missing)
+{
+    return missing == MissingKey::SingleAttempt ? "single-attempt" : "refuse";
+}
+
+std::string_view missingAgeName(MissingAge missing)
+{
+    return missing == MissingAge::FirstSending ? "first-sending" : "refuse";
+}
+
+std::string_view misroutedName(Misrouted misrouted)
+{
+    return misrouted == Misrouted::Redirect ? "redirect" : "forward";
+}
+
 std::vector<ConfigChange> diffDeclarations(const Declarations &before, const Declarations &after)
 {
     std::vector<ConfigChange> changes;
--- a/src/decision/config/declaration_diff.h
+++ b/src/decision/config/declaration_diff.h
@@ -13,6 +13,9 @@
 std::string_view keyPlaceName(KeyPlace place);
 std::string_view repetitionName(Repetition repetition);
 std::string_view grantModeName(GrantMode mode);
+std::string_view missingKeyName(MissingKey missing);
+std::string_view missingAgeName(MissingAge missing);
+std::string_view misroutedName(Misrouted misrouted);
 /** @} */
 
 /**
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -56,6 +56,7 @@
     control_ = std::make_unique<ControlDuty>(controlThread_.context(), clock_, meteredPlatform_,
                                              settings.times, makeSelf(settings, address_),
                                              settings.cell, controlToIngress_, controlToGate_);
+    control_->observeWith(signals_.ownership());
     if (!settings.fleetKeys.empty()) {
         peer_.requireHello(settings.fleetKeys);
         ingress_.introduceWith(settings.fleetKeys);
@@ -224,12 +225,9 @@
         std::cout << "node " << settings.id.value() << " caller_port=" << node.address().callerPort
                   << " peer_port=" << node.address().peerPort
                   << " admin_port=" << node.address().adminPort << std::endl;
-<<<<<<< HEAD
         asio::co_spawn(signals, drainOnSignal(node, set), asio::detached);
-=======
         logEvent(LogEvent::NodeStarted,
                  {{"node", settings.id.value()}, {"build", WISTERIAHOIST_VERSION}});
-    control_->observeWith(signals_.ownership());
         signals.run();
         node.stop();
         logEvent(LogEvent::NodeStopped);
--- a/test/unit/config/round_trip_test.cpp
+++ b/test/unit/config/round_trip_test.cpp
@@ -45,6 +45,8 @@
     route.repetition = *rc::gen::element(Repetition::Idempotent, Repetition::MustNotRepeat);
     route.deadline = milliseconds(*rc::gen::inRange<int64_t>(1, MaxDeadline.count() + 1));
     route.patience = milliseconds(*rc::gen::inRange<int64_t>(0, route.deadline.count() + 1));
+    route.missingKey = *rc::gen::element(MissingKey::Refuse, MissingKey::SingleAttempt);
+    route.missingAge = *rc::gen::element(MissingAge::Refuse, MissingAge::FirstSending);
     return route;
 }
 
@@ -57,6 +59,7 @@
         service.name = "s" + std::to_string(index) + drawText("abc019-", 20);
         service.host = "h" + std::to_string(index) + "." + drawText("abc019-.", 20);
         service.grantMode = *rc::gen::element(GrantMode::Fenced, GrantMode::Unchecked);
+        service.misrouted = *rc::gen::element(Misrouted::Forward, Misrouted::Redirect);
         service.keySpace = drawKeySpace();
         const auto routes = *rc::gen::inRange<size_t>(1, 5);
         for (size_t route = 0; route < routes; ++route) {
