--- a/tool/fault_matrix/ownership_model.cpp
+++ b/tool/fault_matrix/ownership_model.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr milliseconds TickInterval{25};
 constexpr milliseconds PlatformTimeout{500};
 constexpr std::chrono::microseconds MinDelay{300};
 constexpr int DelaySpread = 1500; // us
