--- a/src/decision/routing/slice_table.cpp
+++ b/src/decision/routing/slice_table.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr int CoarserBits = 1; ///< A bucket holds about two ranges: half the index.
+constexpr int CoarserBits = 1;         ///< A bucket holds about two ranges: half the index.
 constexpr size_t SmallestIndexed = 64; ///< Below, a plain binary search touches few cache lines.
 
 } // namespace
@@ -25,7 +25,7 @@
 
 void SliceTable::buildIndex()
 {
-    const int bits = std::bit_width(slices_.size() - 1) - CoarserBits;
+    const int bits = static_cast<int>(std::bit_width(slices_.size() - 1)) - CoarserBits;
     const size_t buckets = size_t{1} << bits;
     shift_ = 64 - bits;
     index_.resize(buckets + 1);
--- a/test/unit/placement/balanced_placement_test.cpp
+++ b/test/unit/placement/balanced_placement_test.cpp
@@ -78,7 +78,7 @@
         for (const auto &[hash, rate] : keys) {
             hot.push_back({hash, rate});
         }
-        const auto steps = policy.decide({table, reported, hot, instances, weights}, now);
+        auto steps = policy.decide({table, reported, hot, instances, weights}, now);
         for (const PlacementStep &one : steps) {
             carryOut(one);
         }
--- a/tool/measure/measure_main.cpp
+++ b/tool/measure/measure_main.cpp
@@ -49,12 +49,6 @@
 void printSummary(const std::vector<Totals> &totals)
 {
     const Totals &own = totals.front();
-    if (totals[1].traces == 0) {
-        std::printf("trial: imbalance=%.3f bound=%.3f churn=%.4f unavailable_ms=%.1f\n",
-                    own.meanOf(own.imbalance), own.meanOf(own.bound), own.meanOf(own.churn),
-                    own.meanOf(own.unavailable));
-        return;
-    }
     const Totals *even = nullptr;
     const Totals *calm = nullptr;
     for (size_t index = 1; index < totals.size(); ++index) {
@@ -69,7 +63,7 @@
                 calm->meanOf(calm->churn));
 }
 
-int run(const std::filesystem::path &folder, size_t contenderCount)
+int run(const std::filesystem::path &folder)
 {
     std::filesystem::create_directories(folder);
     std::ofstream file(folder / "placement.csv");
@@ -82,7 +76,7 @@
     for (const Trace &trace : makeTraces(TraceSeed)) {
         std::unique_ptr<Contender> contenders[]
                 = {makeBalanced(), makeNeverMoves(), makeRing(), makeBoundedRing()};
-        for (size_t index = 0; index < contenderCount; ++index) {
+        for (size_t index = 0; index < totals.size(); ++index) {
             const Score score = runTrace(trace, *contenders[index], CountSeed);
             totals[index].add(score);
             writeRow(file, score);
@@ -100,5 +94,5 @@
 
 int main(int argc, char **argv)
 {
-    return wisteriahoist::measure::run(argc > 1 ? argv[1] : "build/measure", argc > 2 ? 1 : 4);
+    return wisteriahoist::measure::run(argc > 1 ? argv[1] : "build/measure");
 }
