--- a/test/unit/placement/balanced_placement_test.cpp
+++ b/test/unit/placement/balanced_placement_test.cpp
@@ -305,3 +305,19 @@
                                           cell.now + milliseconds(400));
     cr_assert(later.size() == 12);
 }
+
+Test(placement, services_do_not_share_memory)
+{
+    // Caller sees: one service's keys move for another service's load.
+    // What happens: the coordinator asks the same policy about two services in turn.
+    // Why it cannot: estimates, hold-down and moves under way are kept by service.
+    Cell cell(3, 12);
+    BalancedPlacement policy;
+    const std::vector<SliceLoad> busy{{KeyHash(0), 900}};
+    const PlacementInput notes{cell.table, busy, {}, cell.instances, cell.weights, "notes"};
+    const PlacementInput booking{cell.table, {}, {}, cell.instances, cell.weights, "booking"};
+    cr_assert(policy.decide(notes, cell.now).size() == 12);
+    cr_assert(policy.decide(booking, cell.now).size() == 12);
+    cr_assert(policy.decide(notes, cell.now + milliseconds(50)).empty(), "moves are under way");
+    cr_assert(policy.decide(booking, cell.now + milliseconds(50)).empty());
+}
