--- a/src/decision/routing/slice_table.cpp
+++ b/src/decision/routing/slice_table.cpp
@@ -25,7 +25,7 @@
 
 void SliceTable::buildIndex()
 {
-    const int bits = std::bit_width(slices_.size() - 1) - CoarserBits;
+    const int bits = static_cast<int>(std::bit_width(slices_.size() - 1)) - CoarserBits;
     const size_t buckets = size_t{1} << bits;
     shift_ = 64 - bits;
     index_.resize(buckets + 1);
