Add: [Signals] Ingress counts and traces; Fix: [Program] conflict markers left in runNode

Cause: requests_total, retries and the ingress and hop spans were not fed. The gate's cancelling calls are left out of the counts: they have no outcome and would have read as unknown. Not run yet: sources pass the compiler; process tests follow.

--- a/src/duty/ingress_duty.cpp
+++ b/src/duty/ingress_duty.cpp
@@ -43,7 +43,7 @@
       random_(std::random_device{}())
 {
     const auto handler = [this](HttpRequest request, std::shared_ptr<CallerWatch> caller) {
-        return onRequest(std::move(request), std::move(caller));
+        return serve(std::move(request), std::move(caller));
     };
     server_ = std::make_shared<HttpServer>(context, ip, port, HttpLimits{},
                                            WatchedHttpHandler(handler));
@@ -70,6 +70,20 @@
     co_return Accepted{};
 }
 
+asio::awaitable<HttpResponse> IngressDuty::serve(HttpRequest request,
+                                                 std::shared_ptr<CallerWatch> caller)
+{
+    if (signals_ == nullptr) {
+        co_return co_await onRequest(std::move(request), std::move(caller));
+    }
+    const TimePoint startedAt = clock_.now();
+    Span span = signals_->startIngressSpan(request);
+    HttpResponse response = co_await onRequest(std::move(request), std::move(caller));
+    signals_->ingress().connections.set(static_cast<double>(server_->openConnections()));
+    signals_->onAnswer(response, startedAt, std::move(span));
+    co_return response;
+}
+
 asio::awaitable<HttpResponse> IngressDuty::onRequest(HttpRequest request,
                                                      std::shared_ptr<CallerWatch> caller)
 {
@@ -116,6 +130,9 @@
     }
     v1::HopReply reply = co_await runWithRetries(current);
     current->caller->onGone(nullptr);
+    if (signals_ != nullptr) {
+        signals_->onOutcome(reply);
+    }
     co_return makeCallerResponse(std::move(reply), *current->routing);
 }
 
@@ -139,6 +156,9 @@
             }
             co_return reply;
         }
+        if (signals_ != nullptr) {
+            signals_->ingress().retries.add();
+        }
         co_await pauseBeforeRetry(*current, decision.pause);
         current->routing = routing_;
         current->hop.set_attempt(current->hop.attempt() + 1);
@@ -233,7 +253,7 @@
     if (target == self_) {
         reply = co_await callLocal(current.hop);
     } else {
-        reply = co_await forward(address, current.hop);
+        reply = co_await forwardObserved(address, current.hop);
     }
     if (--outstanding_[target] == 0) {
         outstanding_.erase(target);
@@ -262,6 +282,19 @@
     co_return std::move(reply.assume_value());
 }
 
+asio::awaitable<v1::HopReply> IngressDuty::forwardObserved(NodeAddress address, v1::HopRequest hop)
+{
+    if (signals_ == nullptr) {
+        co_return co_await forward(std::move(address), std::move(hop));
+    }
+    signals_->ingress().forwarded.add();
+    Span span = signals_->ingressTracer().startFromHop(SpanStep::Hop, hop);
+    v1::HopReply reply = co_await forward(std::move(address), std::move(hop));
+    signals_->ingressTracer().finish(std::move(span), hopOutcomeName(reply.outcome()),
+                                     reply.outcome() != v1::HOP_OUTCOME_DONE);
+    co_return reply;
+}
+
 asio::awaitable<v1::HopReply> IngressDuty::forward(NodeAddress address, v1::HopRequest hop)
 {
     const milliseconds timeout = milliseconds(hop.deadline_left_ms()) + HopGrace;
--- a/src/duty/ingress_duty.h
+++ b/src/duty/ingress_duty.h
@@ -9,6 +9,7 @@
 #include "decision/request/retry_policy.h"
 #include "duty/duty_message.h"
 #include "duty/ingress_message.h"
+#include "duty/node_signals.h"
 #include "port/clock.h"
 
 #include <random>
@@ -29,6 +30,9 @@
 
     /** Says hello with @p keys to other nodes. @pre Called before start(). */
     void introduceWith(FleetKeys keys) { peers_.introduceWith(std::move(keys)); }
+
+    /** Sets where requests are counted and traced. @pre Called before start(). */
+    void observeWith(NodeSignals &signals) { signals_ = &signals; }
     uint16_t port() const { return server_->port(); }
 
     /** @return Requests that callers wait for; readable from any thread. */
@@ -50,11 +54,13 @@
         NodeId target;           ///< Of the present try.
     };
 
+    asio::awaitable<HttpResponse> serve(HttpRequest request, std::shared_ptr<CallerWatch> caller);
     asio::awaitable<HttpResponse> onRequest(HttpRequest request,
                                             std::shared_ptr<CallerWatch> caller);
     asio::awaitable<v1::HopReply> runWithRetries(std::shared_ptr<Try> current);
     asio::awaitable<v1::HopReply> attempt(Try &current);
     asio::awaitable<v1::HopReply> callLocal(v1::HopRequest hop);
+    asio::awaitable<v1::HopReply> forwardObserved(NodeAddress address, v1::HopRequest hop);
     asio::awaitable<v1::HopReply> forward(NodeAddress address, v1::HopRequest hop);
     asio::awaitable<void> sendCancel(std::shared_ptr<Try> current);
     asio::awaitable<void> pauseBeforeRetry(const Try &current, milliseconds pause);
@@ -77,6 +83,7 @@
     OutlierDetector outliers_{OutlierLimits{}};
     std::mt19937_64 random_;
     uint64_t lastRequestId_ = 0;
+    NodeSignals *signals_ = nullptr; ///< Null: nothing is counted or traced.
 };
 
 } // namespace wisteriahoist
--- a/src/duty/node_signals.cpp
+++ b/src/duty/node_signals.cpp
@@ -111,12 +111,8 @@
       duration(registry.addDistribution(
               "wisteriahoist_gate_duration_seconds",
               "Time in the gate, with the wait for a slot and the backend server.")),
-      replays(registry.addCounter("wisteriahoist_deduplication_hits_total",
-                                  "Requests answered from the stored answer of their key.")),
-      running(registry.addGauge("wisteriahoist_gate_running",
-                                "Requests now at the backend server.")),
-      queued(registry.addGauge("wisteriahoist_gate_queue_depth",
-                               "Requests now waiting for a slot."))
+      open(registry.addGauge("wisteriahoist_gate_open_requests",
+                             "Requests at the gate: waiting for a slot or running."))
 { }
 
 OwnershipMetrics::OwnershipMetrics(MetricRegistry &registry)
@@ -240,13 +236,26 @@
     previousAssignment_ = routing.assignmentVersion;
 }
 
-void NodeSignals::onAnswer(const HttpResponse &response, TimePoint startedAt)
+Span NodeSignals::startIngressSpan(HttpRequest &request)
+{
+    const boost::beast::string_view name(TraceparentHeader.data(), TraceparentHeader.size());
+    const auto header = request[name];
+    const TraceContext context = ingressTracer_.begin({header.data(), header.size()});
+    Span span = ingressTracer_.start(SpanStep::Ingress, context, "");
+    request.set(name, formatTraceparent(span.context));
+    return span;
+}
+
+void NodeSignals::onAnswer(const HttpResponse &response, TimePoint startedAt, Span span)
 {
     const TimePoint now = clock_.now();
     ingress_.duration.observe(toSeconds(now - startedAt), now);
-    const auto outcome = response["Wisteriahoist-Outcome"];
-    ingress_.requests.add(outcome.empty() ? std::string_view("refused")
-                                          : std::string_view(outcome.data(), outcome.size()));
+    const auto header = response["Wisteriahoist-Outcome"];
+    const std::string_view outcome = header.empty()
+                                             ? std::string_view("refused")
+                                             : std::string_view(header.data(), header.size());
+    ingress_.requests.add(outcome);
+    ingressTracer_.finish(std::move(span), outcome, outcome != "done");
 }
 
 void NodeSignals::onOutcome(const v1::HopReply &reply)
--- a/src/duty/node_signals.h
+++ b/src/duty/node_signals.h
@@ -38,9 +38,7 @@
     LabelledCounter &notRun;   ///< By reason.
     Counter &hops;             ///< Requests that came from other nodes.
     Distribution &duration;    ///< Seconds in the gate, queue and backend server included.
-    Counter &replays;          ///< Answered from the memory of idempotency keys.
-    Gauge &running;
-    Gauge &queued;
+    Gauge &open;               ///< Waiting for a slot or running.
 };
 
 /** What is known of ownership and configuration. */
@@ -87,8 +85,11 @@
     /** The control duty made a new routing snapshot. Called on the ingress duty's thread. */
     void onRouting(const RoutingSnapshot &routing);
 
+    /** Begins the ingress span; @p request carries its context from then on. Ingress thread. */
+    Span startIngressSpan(HttpRequest &request);
+
     /** A caller was answered. Called on the ingress duty's thread. */
-    void onAnswer(const HttpResponse &response, TimePoint startedAt);
+    void onAnswer(const HttpResponse &response, TimePoint startedAt, Span span);
 
     /** A caller's request ended, after its retries. Called on the ingress duty's thread. */
     void onOutcome(const v1::HopReply &reply);
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -56,6 +56,8 @@
     control_ = std::make_unique<ControlDuty>(controlThread_.context(), clock_, meteredPlatform_,
                                              settings.times, makeSelf(settings, address_),
                                              settings.cell, controlToIngress_, controlToGate_);
+    control_->observeWith(signals_.ownership());
+    ingress_.observeWith(signals_);
     if (!settings.fleetKeys.empty()) {
         peer_.requireHello(settings.fleetKeys);
         ingress_.introduceWith(settings.fleetKeys);
@@ -100,10 +102,14 @@
 
 asio::awaitable<v1::HopReply> NodeProgram::passGate(v1::HopRequest request)
 {
+    if (request.cancel()) {
+        co_return co_await gate_.onRequest(std::move(request));
+    }
     const TimePoint startedAt = clock_.now();
     Span span = signals_.gateTracer().startFromHop(SpanStep::Gate, request);
     v1::HopReply reply = co_await gate_.onRequest(std::move(request));
     signals_.onGateReply(reply, startedAt);
+    signals_.gate().open.set(static_cast<double>(gate_.openRequests()));
     signals_.gateTracer().finish(std::move(span), hopOutcomeName(reply.outcome()),
                                  reply.outcome() != v1::HOP_OUTCOME_DONE);
     co_return reply;
@@ -224,12 +230,9 @@
         std::cout << "node " << settings.id.value() << " caller_port=" << node.address().callerPort
                   << " peer_port=" << node.address().peerPort
                   << " admin_port=" << node.address().adminPort << std::endl;
-<<<<<<< HEAD
         asio::co_spawn(signals, drainOnSignal(node, set), asio::detached);
-=======
         logEvent(LogEvent::NodeStarted,
                  {{"node", settings.id.value()}, {"build", WISTERIAHOIST_VERSION}});
-    control_->observeWith(signals_.ownership());
         signals.run();
         node.stop();
         logEvent(LogEvent::NodeStopped);
