--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -57,6 +57,7 @@
                                              settings.times, makeSelf(settings, address_),
                                              settings.cell, controlToIngress_, controlToGate_);
     control_->observeWith(signals_.ownership());
+    ingress_.observeWith(signals_);
     if (!settings.fleetKeys.empty()) {
         peer_.requireHello(settings.fleetKeys);
         ingress_.introduceWith(settings.fleetKeys);
@@ -101,10 +102,14 @@
 
 asio::awaitable<v1::HopReply> NodeProgram::passGate(v1::HopRequest request)
 {
+    if (request.cancel()) {
+        co_return co_await gate_.onRequest(std::move(request));
+    }
     const TimePoint startedAt = clock_.now();
     Span span = signals_.gateTracer().startFromHop(SpanStep::Gate, request);
     v1::HopReply reply = co_await gate_.onRequest(std::move(request));
     signals_.onGateReply(reply, startedAt);
+    signals_.gate().open.set(static_cast<double>(gate_.openRequests()));
     signals_.gateTracer().finish(std::move(span), hopOutcomeName(reply.outcome()),
                                  reply.outcome() != v1::HOP_OUTCOME_DONE);
     co_return reply;
