--- a/src/adapter/settings/declaration_loader.cpp
+++ b/src/adapter/settings/declaration_loader.cpp
@@ -75,19 +75,13 @@
     service.grantMode = reader.choice("grant_mode", {"fenced", "unchecked"}, 0) == 0
                                 ? GrantMode::Fenced
                                 : GrantMode::Unchecked;
-<<<<<<< HEAD
     service.misrouted = reader.choice("misrouted", {"forward", "redirect"}, 0) == 1
                                 ? Misrouted::Redirect
                                 : Misrouted::Forward;
-    if (const toml::table *table = reader.table("key_space", true)) {
-        TomlReader keySpace(*table, file, "service.key_space", findings);
-        readKeySpace(keySpace, service.keySpace);
-=======
     if (const toml::table *child = reader.table("key_space", true)) {
         noteLocations(*child, path + ".key_space", file);
         TomlReader keySpace(*child, file, path + ".key_space", findings_);
         service.keySpace = readKeySpace(keySpace);
->>>>>>> main
     }
     for (const toml::table *child : reader.tables("route")) {
         const std::string routePath
--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -413,7 +413,6 @@
         MemberInfo self = member_.self();
         self.draining = true;
         member_.updateSelf(self);
-        BOOST_LOG_TRIVIAL(info) << "node leaves: draining";
     });
 }
 
--- a/src/duty/control_duty.h
+++ b/src/duty/control_duty.h
@@ -83,13 +83,9 @@
     BackendInfo backend_;
     std::mt19937_64 random_;
     RoutingSnapshotPtr published_;
-<<<<<<< HEAD
-    bool renewing_ = false; ///< Invariant: at most one renewal is on its way.
-    bool leaving_ = false;  ///< Set once; the node ends after its ranges have moved.
-=======
     std::set<Revocation> publishedRevocations_; ///< Taken off the tables of published_.
     uint32_t renewing_ = 0;                     ///< Renewals on their way; bounded.
->>>>>>> main
+    bool leaving_ = false; ///< Set once; the node ends after its ranges have moved.
     bool stopping_ = false;
 };
 
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -2,18 +2,13 @@
 
 #include "program/node_program.h"
 
-<<<<<<< HEAD
+#include "adapter/log/event_log.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/log/trivial.hpp>
-=======
-#include "adapter/log/event_log.h"
-
-#include <boost/asio/signal_set.hpp>
->>>>>>> main
 #include <iostream>
 
 namespace wisteriahoist {
@@ -143,7 +138,6 @@
 asio::awaitable<void> drainOnSignal(NodeProgram &node, asio::signal_set &set)
 {
     co_await set.async_wait(asio::use_awaitable);
-    BOOST_LOG_TRIVIAL(info) << "signal: draining";
     node.beginDrain();
     const auto cut = std::make_shared<bool>(false);
     set.async_wait([cut](const boost::system::error_code &error, int) { *cut = !error; });
@@ -183,12 +177,9 @@
         std::cout << "node " << settings.id.value() << " caller_port=" << node.address().callerPort
                   << " peer_port=" << node.address().peerPort
                   << " admin_port=" << node.address().adminPort << std::endl;
-<<<<<<< HEAD
         asio::co_spawn(signals, drainOnSignal(node, set), asio::detached);
-=======
         logEvent(LogEvent::NodeStarted,
                  {{"node", settings.id.value()}, {"build", WISTERIAHOIST_VERSION}});
->>>>>>> main
         signals.run();
         logEvent(LogEvent::NodeStopping);
         node.stop();
