--- a/src/decision/ownership/member.h
+++ b/src/decision/ownership/member.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "decision/config/config_guard.h"
 #include "decision/ownership/ownership_type.h"
 
 #include <set>
@@ -63,7 +64,8 @@
     const NodeAddress *coordinatorAddress() const;
     bool isCoordinator() const;
     TimePoint leaseUntil() const { return leaseUntil_; }
-    const Declarations &declarations() const { return declarations_; }
+    const Declarations &declarations() const { return config_.inForce(); }
+    uint64_t refusedConfigs() const { return config_.refusedCount(); }
     /** As the coordinator told it; ownedTables() takes off what was revoked. */
     const AssignmentRecord &assignment() const { return assignment_; }
     ObjectVersion assignmentVersion() const { return assignmentVersion_; }
@@ -101,14 +103,15 @@
     TimePoint olderHeartbeatTakenAt_ = NeverTime; ///< The same for terms before acknowledged_.
     std::optional<WonTerm> won_;
     Term officeTerm_; ///< Latest term handed out or won.
-    Declarations declarations_;
+    ConfigGuard config_;
     AssignmentRecord assignment_;
     ObjectVersion assignmentVersion_; ///< Invariant: never falls.
     std::vector<MemberInfo> roster_;
     std::set<Revocation> revocations_; ///< Kept until a newer assignment no longer has the ranges.
     std::set<Revocation> drained_;     ///< Invariant: a subset of revocations_.
     std::vector<ServiceLoad> loads_;
-    uint32_t campaigns_ = 0;   ///< Without a lasting coordinator since; doubles the wait.
+    uint32_t quickRenewals_ = 0; ///< Under this term, sent ahead of the interval; bounded.
+    uint32_t campaigns_ = 0;     ///< Without a lasting coordinator since; doubles the wait.
     uint32_t silentReads_ = 0; ///< Reads since the coordinator last answered; lengthens the pause.
     bool started_ = false;
     bool termKnown_ = false;   ///< The term object has been read since the coordinator fell silent.
--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -355,8 +355,19 @@
     co_return encodeRenewReply(reply);
 }
 
+void ControlDuty::tellMetrics()
+{
+    if (metrics_ == nullptr) {
+        return;
+    }
+    const std::optional<TermRecord> &term = member_.term();
+    metrics_->term.set(term ? static_cast<double>(term->term.value()) : 0);
+    metrics_->coordinating.set(coordinator_ ? 1 : 0);
+}
+
 asio::awaitable<void> ControlDuty::publish()
 {
+    tellMetrics();
     const bool changed = !published_ || published_->assignmentVersion != member_.assignmentVersion()
                          || published_->declarations.version != member_.declarations().version
                          || publishedRevocations_ != member_.revocations();
@@ -396,12 +407,7 @@
         return;
     }
     backend_ = backend;
-    MemberInfo self = member_.self();
-    self.service = backend.service;
-    self.slots = backend.slots;
-    self.grantMode = backend.grantMode;
-    self.draining = backend.draining || leaving_;
-    member_.updateSelf(self);
+    refreshSelf();
     logEvent(LogEvent::BackendAnnounced,
              {{"service", backend.service}, {"draining", backend.draining}});
 }
@@ -410,12 +416,21 @@
 {
     asio::post(context_, [this]() {
         leaving_ = true;
-        MemberInfo self = member_.self();
-        self.draining = true;
-        member_.updateSelf(self);
+        refreshSelf();
+        logEvent(LogEvent::DrainStarted, {{"node", member_.self().id.value()}});
     });
 }
 
+void ControlDuty::refreshSelf()
+{
+    MemberInfo self = member_.self();
+    self.service = backend_.service;
+    self.slots = backend_.slots;
+    self.grantMode = backend_.grantMode;
+    self.draining = backend_.draining || operators_.isDraining() || leaving_;
+    member_.updateSelf(self);
+}
+
 asio::awaitable<AdminReply> ControlDuty::onAdmin(AdminCall call)
 {
     AdminReply reply;
@@ -425,6 +440,7 @@
         break;
     case AdminCall::Kind::Operator:
         reply.body = co_await operators_.call(std::move(call.method), std::move(call.body));
+        refreshSelf();
         break;
     }
     co_return reply;
--- a/src/duty/ingress_duty.h
+++ b/src/duty/ingress_duty.h
@@ -26,6 +26,9 @@
 
     /** Stops accepting connections; what is open is served to its end. */
     void stop();
+
+    /** Says hello with @p keys to other nodes. @pre Called before start(). */
+    void introduceWith(FleetKeys keys) { peers_.introduceWith(std::move(keys)); }
     uint16_t port() const { return server_->port(); }
 
     /** @return Requests that callers wait for; readable from any thread. */
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 NodeProgram::NodeProgram(const NodeSettings &settings)
-    : signals_(clock_, settings.id),
+    : signals_(clock_, settings.id, settings.signals.trace),
       ingressToGate_(ingressThread_.context(), gateThread_.context(), RequestRing),
       peerToGate_(peerThread_.context(), gateThread_.context(), RequestRing),
       peerToControl_(peerThread_.context(), controlThread_.context(), ControlRing),
@@ -56,6 +56,14 @@
     control_ = std::make_unique<ControlDuty>(controlThread_.context(), clock_, meteredPlatform_,
                                              settings.times, makeSelf(settings, address_),
                                              settings.cell, controlToIngress_, controlToGate_);
+    control_->observeWith(signals_.ownership());
+    if (!settings.fleetKeys.empty()) {
+        peer_.requireHello(settings.fleetKeys);
+        ingress_.introduceWith(settings.fleetKeys);
+        control_->introduceWith(settings.fleetKeys);
+        watchRefusals("operator", admin_.refusals());
+        watchRefusals("peer", *peer_.refusals());
+    }
     ingressToGate_.serve([this](v1::HopRequest request) { return passGate(std::move(request)); });
     peerToGate_.serve([this](v1::HopRequest request) {
         signals_.gate().hops.add();
@@ -72,13 +80,33 @@
         return gate_.onGrant(std::move(grant));
     });
     watchSignals();
+    if (settings.signals.trace.isEnabled()) {
+        makeTraceDuty(settings);
+    }
+}
+
+void NodeProgram::makeTraceDuty(const NodeSettings &settings)
+{
+    SpanResource resource;
+    resource.node = settings.id;
+    resource.failureDomain = settings.failureDomain;
+    resource.build = WISTERIAHOIST_VERSION;
+    resource.bootAt = std::chrono::system_clock::now() - clock_.now().time_since_epoch();
+    trace_ = std::make_unique<TraceDuty>(
+            traceThread_.context(), std::move(resource),
+            makeSpanSink(settings.signals.trace, traceThread_.context().get_executor()),
+            signals_.trace(),
+            std::vector<DutyTracer *>{&signals_.ingressTracer(), &signals_.gateTracer()});
 }
 
 asio::awaitable<v1::HopReply> NodeProgram::passGate(v1::HopRequest request)
 {
     const TimePoint startedAt = clock_.now();
+    Span span = signals_.gateTracer().startFromHop(SpanStep::Gate, request);
     v1::HopReply reply = co_await gate_.onRequest(std::move(request));
     signals_.onGateReply(reply, startedAt);
+    signals_.gateTracer().finish(std::move(span), hopOutcomeName(reply.outcome()),
+                                 reply.outcome() != v1::HOP_OUTCOME_DONE);
     co_return reply;
 }
 
@@ -97,6 +125,20 @@
     signals_.watchRing("control-gate", controlToGate_);
 }
 
+void NodeProgram::watchRefusals(const std::string &side, const AuthCounters &counters)
+{
+    for (size_t index = 0; index < AuthRefusalCount; ++index) {
+        const auto refusal = static_cast<AuthRefusal>(index);
+        signals_.registry().addComputed(
+                {"wisteriahoist_auth_refused_total",
+                 "Calls and hellos refused for their credential.", MetricKind::Counter},
+                {{"side", side}, {"cause", std::string(refusalName(refusal))}},
+                [&counters, refusal](TimePoint) {
+                    return static_cast<double>(counters.countOf(refusal));
+                });
+    }
+}
+
 void NodeProgram::start()
 {
     ingress_.start();
@@ -108,6 +150,10 @@
     peerThread_.start();
     adminThread_.start();
     controlThread_.start();
+    if (trace_) {
+        trace_->start();
+        traceThread_.start();
+    }
 }
 
 void NodeProgram::stop()
@@ -117,6 +163,7 @@
     adminThread_.stop();
     controlThread_.stop();
     gateThread_.stop();
+    traceThread_.stop();
 }
 
 void NodeProgram::beginDrain()
@@ -138,6 +185,7 @@
 asio::awaitable<void> drainOnSignal(NodeProgram &node, asio::signal_set &set)
 {
     co_await set.async_wait(asio::use_awaitable);
+    logEvent(LogEvent::NodeStopping);
     node.beginDrain();
     const auto cut = std::make_shared<bool>(false);
     set.async_wait([cut](const boost::system::error_code &error, int) { *cut = !error; });
@@ -168,7 +216,7 @@
         }
         return 2;
     }
-    const LogOutput log(std::cerr, LogSeverity::Info);
+    const LogOutput log(std::cerr, settings.signals.severity);
     try {
         NodeProgram node(settings);
         asio::io_context signals;
@@ -181,7 +229,6 @@
         logEvent(LogEvent::NodeStarted,
                  {{"node", settings.id.value()}, {"build", WISTERIAHOIST_VERSION}});
         signals.run();
-        logEvent(LogEvent::NodeStopping);
         node.stop();
         logEvent(LogEvent::NodeStopped);
     } catch (const boost::system::system_error &error) {
