--- a/tool/fault_matrix/model_node.cpp
+++ b/tool/fault_matrix/model_node.cpp
@@ -88,8 +88,10 @@
     }
     const TimePoint now = clockOf(node);
     const Coordinator::Office office{won->record, won->version, askedAt};
-    node.coordinator = std::make_unique<Coordinator>(settings_.times, office, policy_, now,
-                                                     settings_.safeguards);
+    // One for each term: a policy may remember times, and clocks differ between nodes.
+    auto policy = std::make_shared<LeastOwnedPolicy>();
+    node.coordinator = std::make_unique<Coordinator>(settings_.times, office, std::move(policy),
+                                                     now, settings_.safeguards);
     node.coordinator->onDeclarations(declarations_, now);
     stepCoordinator(index);
 }
--- a/tool/fault_matrix/ownership_model.h
+++ b/tool/fault_matrix/ownership_model.h
@@ -169,7 +169,6 @@
     uint64_t order_ = 0;
     std::priority_queue<Event, std::vector<Event>, Later> events_;
     std::vector<ModelNode> nodes_;
-    std::shared_ptr<PlacementPolicy> policy_ = std::make_shared<LeastOwnedPolicy>();
     StoredObject<TermRecord> term_;
     StoredObject<AssignmentRecord> assignment_;
     Declarations declarations_;
