--- a/tool/bench/process_usage.cpp
+++ b/tool/bench/process_usage.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core.hpp>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -23,7 +24,7 @@
     std::string line;
     while (std::getline(stream, line)) {
         if (line.starts_with(field + ":")) {
-            return std::stod(line.substr(field.size() + 1));
+            return std::strtod(line.c_str() + field.size() + 1, nullptr);
         }
     }
     return 0;
@@ -74,7 +75,7 @@
             continue;
         }
         const std::string value = line.substr(space + 1);
-        samples[line.substr(0, space)] = value == "NaN" ? 0 : std::stod(value);
+        samples[line.substr(0, space)] = value == "NaN" ? 0 : std::strtod(value.c_str(), nullptr);
     }
     return samples;
 }
