--- a/tool/bench/process_usage.cpp
+++ b/tool/bench/process_usage.cpp
@@ -37,11 +37,12 @@
     beast::error_code error;
     stream.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port), error);
     HttpRequest request(http::verb::get, target, 11);
+    request.set(http::field::host, "127.0.0.1");
     http::write(stream, request, error);
     beast::flat_buffer buffer;
     HttpResponse response;
     http::read(stream, buffer, response, error);
-    return error ? std::string() : response.body();
+    return error || response.result() != http::status::ok ? std::string() : response.body();
 }
 
 } // namespace
