Add: [Operators] confirm-lost, and a declared priority of the measures for placement

Cause: the loss of more than half of a roster ends by an operator's typed word, which had no command; the shipped weights of both users were selected by no declaration. A service's priority chooses the placement's weights.

--- a/src/adapter/codec/declaration_codec.cpp
+++ b/src/adapter/codec/declaration_codec.cpp
@@ -6,6 +6,31 @@
 
 namespace {
 
+v1::MeasurePriority encodePriority(MeasurePriority priority)
+{
+    switch (priority) {
+    case MeasurePriority::Even:
+        return v1::MEASURE_PRIORITY_UNSPECIFIED;
+    case MeasurePriority::UnavailableTime:
+        return v1::MEASURE_PRIORITY_UNAVAILABLE_TIME;
+    case MeasurePriority::Churn:
+        return v1::MEASURE_PRIORITY_CHURN;
+    }
+    return v1::MEASURE_PRIORITY_UNSPECIFIED;
+}
+
+MeasurePriority decodePriority(v1::MeasurePriority priority)
+{
+    switch (priority) {
+    case v1::MEASURE_PRIORITY_UNAVAILABLE_TIME:
+        return MeasurePriority::UnavailableTime;
+    case v1::MEASURE_PRIORITY_CHURN:
+        return MeasurePriority::Churn;
+    default:
+        return MeasurePriority::Even;
+    }
+}
+
 v1::KeyPlace encodeKeyPlace(KeyPlace place)
 {
     switch (place) {
@@ -76,6 +101,7 @@
     }
     message.set_grant_mode(encodeGrantMode(service.grantMode));
     message.set_redirect_misrouted(service.misrouted == Misrouted::Redirect);
+    message.set_priority(encodePriority(service.priority));
 }
 
 ServiceDeclaration decodeService(const v1::Service &message)
@@ -93,6 +119,7 @@
     }
     service.grantMode = decodeGrantMode(message.grant_mode());
     service.misrouted = message.redirect_misrouted() ? Misrouted::Redirect : Misrouted::Forward;
+    service.priority = decodePriority(message.priority());
     return service;
 }
 
--- a/src/adapter/settings/declaration_loader.cpp
+++ b/src/adapter/settings/declaration_loader.cpp
@@ -78,6 +78,8 @@
     service.misrouted = reader.choice("misrouted", {"forward", "redirect"}, 0) == 1
                                 ? Misrouted::Redirect
                                 : Misrouted::Forward;
+    service.priority = static_cast<MeasurePriority>(
+            reader.choice("priority", {"even", "unavailable-time", "churn"}, 0));
     if (const toml::table *child = reader.table("key_space", true)) {
         noteLocations(*child, path + ".key_space", file);
         TomlReader keySpace(*child, file, path + ".key_space", findings_);
--- a/src/adapter/settings/declaration_writer.cpp
+++ b/src/adapter/settings/declaration_writer.cpp
@@ -72,6 +72,7 @@
     writer.text("host", service.host);
     writer.text("grant_mode", grantModeName(service.grantMode));
     writer.text("misrouted", misroutedName(service.misrouted));
+    writer.text("priority", priorityName(service.priority));
     writer.blankLine();
     writeKeySpace(service.keySpace, writer);
     for (const RouteRule &route : service.routes) {
--- a/src/decision/config/declaration_diff.cpp
+++ b/src/decision/config/declaration_diff.cpp
@@ -119,6 +119,7 @@
     comparer.compare("host", before.host, after.host);
     comparer.compare("grant_mode", grantModeName(before.grantMode), grantModeName(after.grantMode));
     comparer.compare("misrouted", misroutedName(before.misrouted), misroutedName(after.misrouted));
+    comparer.compare("priority", priorityName(before.priority), priorityName(after.priority));
     Comparer keySpace = comparer.below("key_space");
     keySpace.compare("place", keyPlaceName(before.keySpace.place),
                      keyPlaceName(after.keySpace.place));
@@ -183,6 +184,19 @@
     return missing == MissingAge::FirstSending ? "first-sending" : "refuse";
 }
 
+std::string_view priorityName(MeasurePriority priority)
+{
+    switch (priority) {
+    case MeasurePriority::Even:
+        return "even";
+    case MeasurePriority::UnavailableTime:
+        return "unavailable-time";
+    case MeasurePriority::Churn:
+        return "churn";
+    }
+    return "even";
+}
+
 std::string_view misroutedName(Misrouted misrouted)
 {
     return misrouted == Misrouted::Redirect ? "redirect" : "forward";
--- a/src/decision/config/declaration_diff.h
+++ b/src/decision/config/declaration_diff.h
@@ -16,6 +16,7 @@
 std::string_view missingKeyName(MissingKey missing);
 std::string_view missingAgeName(MissingAge missing);
 std::string_view misroutedName(Misrouted misrouted);
+std::string_view priorityName(MeasurePriority priority);
 /** @} */
 
 /**
--- a/src/decision/config/declaration_type.h
+++ b/src/decision/config/declaration_type.h
@@ -35,6 +35,13 @@
     FirstSending, ///< Taken as the first; a repeat after a change of owner runs again.
 };
 
+/** Which measure the placement of a service weighs most. */
+enum class MeasurePriority {
+    Even,            ///< None first.
+    UnavailableTime, ///< An owner who waits leaves.
+    Churn,           ///< State is costly to move; callers can wait.
+};
+
 /** What an ingress does with a request whose owner is another node. */
 enum class Misrouted {
     Forward,  ///< Runs it there and returns the answer.
@@ -78,6 +85,7 @@
     std::vector<RouteRule> routes; ///< The first that matches decides.
     GrantMode grantMode = GrantMode::Fenced;
     Misrouted misrouted = Misrouted::Forward;
+    MeasurePriority priority = MeasurePriority::Even;
     bool operator==(const ServiceDeclaration &) const = default;
 };
 
--- a/src/decision/ownership/coordinator_assignment.cpp
+++ b/src/decision/ownership/coordinator_assignment.cpp
@@ -3,6 +3,7 @@
 
 #include "decision/ownership/backoff_func.h"
 #include "decision/ownership/coordinator.h"
+#include "decision/placement/table/placement_profiles.h"
 
 #include <algorithm>
 
@@ -10,6 +11,19 @@
 
 namespace {
 
+PlacementWeights weightsFor(MeasurePriority priority)
+{
+    switch (priority) {
+    case MeasurePriority::Even:
+        return {};
+    case MeasurePriority::UnavailableTime:
+        return PotegladWeights;
+    case MeasurePriority::Churn:
+        return KalahariWeights;
+    }
+    return {};
+}
+
 constexpr milliseconds RetryBase{50};          ///< First pause after a platform call failed.
 constexpr uint32_t MaxRetryRound = 6;          ///< The pause doubles so often.
 constexpr milliseconds PlacementInterval{500}; ///< Between decisions that nothing urgent asks for.
@@ -314,7 +328,10 @@
         }
     }
     const std::vector<InstanceView> instances = makeInstances(service, now);
-    const PlacementInput input{planned, loads, hotKeys, instances, {}, service};
+    const ServiceDeclaration *declared = declarations_.findService(service);
+    const PlacementWeights weights
+            = weightsFor(declared == nullptr ? MeasurePriority::Even : declared->priority);
+    const PlacementInput input{planned, loads, hotKeys, instances, weights, service};
     const std::vector<PlacementStep> steps = policy_->decide(input, now);
     for (const PlacementStep &step : steps) {
         applyStep(service, step, now);
--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -39,7 +39,7 @@
                          RoutingLink &ingress, GrantLink &gate)
     : context_(context), clock_(clock), platform_(platform), times_(times), cell_(std::move(cell)),
       ingress_(ingress), gate_(gate), peers_(context), member_(times, std::move(self)),
-      operators_(clock, platform, member_), policy_(std::make_shared<BalancedPlacement>()),
+      operators_(clock, platform, member_, cell_), policy_(std::make_shared<BalancedPlacement>()),
       random_(std::random_device{}())
 { }
 
--- a/src/duty/operator_service.cpp
+++ b/src/duty/operator_service.cpp
@@ -107,6 +107,10 @@
         co_return co_await answer<v1::DrainRequest>(
                 std::move(body), [this](auto request) { return drain(std::move(request)); });
     }
+    if (method == "ConfirmLost") {
+        co_return co_await answer<v1::ConfirmLostRequest>(
+                std::move(body), [this](auto request) { return confirmLost(std::move(request)); });
+    }
     co_return std::string();
 }
 
@@ -220,6 +224,20 @@
     co_return reply;
 }
 
+asio::awaitable<v1::ConfirmLostReply> OperatorService::confirmLost(v1::ConfirmLostRequest request)
+{
+    const Term known = member_.term() ? member_.term()->term : Term(0);
+    Result<Term> confirmed = co_await lossConfirmer_.confirm(Term(request.term()), known,
+                                                             request.confirmed_by());
+    v1::ConfirmLostReply reply;
+    if (confirmed) {
+        reply.set_term(confirmed.assume_value().value());
+    } else {
+        encodeFailure(confirmed.assume_error(), *reply.add_problems());
+    }
+    co_return reply;
+}
+
 asio::awaitable<v1::DrainReply> OperatorService::drain(v1::DrainRequest request)
 {
     draining_ = !request.cancel();
--- a/src/duty/operator_service.h
+++ b/src/duty/operator_service.h
@@ -4,6 +4,7 @@
 
 #include "decision/ownership/member.h"
 #include "duty/config_writer.h"
+#include "duty/loss_confirmer.h"
 #include "port/clock.h"
 #include "port/platform_store.h"
 #include "wisteriahoist/v1/operator.pb.h"
@@ -23,8 +24,11 @@
 class OperatorService
 {
 public:
-    OperatorService(const Clock &clock, PlatformStore &platform, const Member &member)
-        : clock_(clock), member_(member), writer_(platform, ConfigWriterTimes())
+    /** @param cell The cell's name; its objects lie under cells/CELL/. */
+    OperatorService(const Clock &clock, PlatformStore &platform, const Member &member,
+                    const std::string &cell)
+        : clock_(clock), member_(member), writer_(platform, ConfigWriterTimes()),
+          lossConfirmer_(platform, "cells/" + cell + "/loss")
     { }
 
     /**
@@ -45,6 +49,7 @@
     asio::awaitable<v1::ExplainReply> explain(v1::ExplainRequest request);
     asio::awaitable<v1::ExportReply> exportStored(v1::ExportRequest request);
     asio::awaitable<v1::DrainReply> drain(v1::DrainRequest request);
+    asio::awaitable<v1::ConfirmLostReply> confirmLost(v1::ConfirmLostRequest request);
 
     /** @return The highest version that this node has had in force. */
     uint64_t versionFloor() const { return member_.declarations().version; }
@@ -52,6 +57,7 @@
     const Clock &clock_;
     const Member &member_;
     ConfigWriter writer_;
+    LossConfirmer lossConfirmer_;
     bool draining_ = false; ///< Lost with the process: a replaced VM is a new node.
 };
 
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -21,6 +21,8 @@
           "apply: until each member has the change in force; drain: until the node owns no range");
 ABSL_FLAG(uint32_t, wait_ms, 30000, "--wait: milliseconds after which it fails");
 ABSL_FLAG(bool, cancel, false, "drain: serve again");
+ABSL_FLAG(uint64_t, term, 0, "confirm-lost: the term up to which silent members are gone");
+ABSL_FLAG(std::string, confirmed_by, "", "confirm-lost: who says so, for the record");
 ABSL_FLAG(bool, allow_delete, false, "apply: declared services may disappear");
 ABSL_FLAG(bool, allow_rehash, false, "apply: key spaces of declared services may change");
 ABSL_FLAG(bool, allow_unfence, false, "apply: services may go from fenced to unchecked");
@@ -41,6 +43,7 @@
   wisteriahoist explain KEY --service NAME --admin-port N
   wisteriahoist export  --admin-port N
   wisteriahoist drain   --admin-port N [--wait] [--cancel]
+  wisteriahoist confirm-lost --admin-port N --term N --confirmed-by WHO
   wisteriahoist keygen  ID
 
 Commands that call a node take --node-ip, --key-file and --output text|json as well.
@@ -128,6 +131,9 @@
         return runDrain(options, {absl::GetFlag(FLAGS_cancel), absl::GetFlag(FLAGS_wait),
                                   milliseconds(absl::GetFlag(FLAGS_wait_ms))});
     }
+    if (command == "confirm-lost") {
+        return runConfirmLost(options, absl::GetFlag(FLAGS_term), absl::GetFlag(FLAGS_confirmed_by));
+    }
     const std::string service = absl::GetFlag(FLAGS_service);
     if (argument.empty() || service.empty()) {
         return reportUsage("explain: KEY and --service are needed");
@@ -152,7 +158,7 @@
     if (command == "keygen") {
         return runKeygen(words[2]);
     }
-    const std::vector<std::string> calling{"diff", "apply", "status", "explain", "export", "drain"};
+    const std::vector<std::string> calling{"diff", "apply", "status", "explain", "export", "drain", "confirm-lost"};
     if (std::find(calling.begin(), calling.end(), command) == calling.end()) {
         return reportUsage("unknown command " + command);
     }
--- a/src/program/operator_program.cpp
+++ b/src/program/operator_program.cpp
@@ -290,6 +290,25 @@
     return reportProblems(reply.problems());
 }
 
+int runConfirmLost(const OperatorOptions &options, uint64_t term, const std::string &confirmedBy)
+{
+    v1::ConfirmLostRequest request;
+    request.set_term(term);
+    request.set_confirmed_by(confirmedBy);
+    v1::ConfirmLostReply reply;
+    const Result<void> called = OperatorClient(options.target, options.keys, CallTimeout)
+                                        .call("ConfirmLost", request, reply);
+    if (!called) {
+        return reportFailure(called.assume_error());
+    }
+    if (options.form == OutputForm::Json) {
+        printJson(reply);
+    } else if (reply.problems().empty()) {
+        std::cout << "confirmed up to term " << reply.term() << '\n';
+    }
+    return reportProblems(reply.problems());
+}
+
 int runKeygen(const std::string &id)
 {
     std::cout << formatKey({id, drawBytes(FleetSecretBytes)});
--- a/src/program/operator_program.h
+++ b/src/program/operator_program.h
@@ -56,6 +56,12 @@
 /** Takes the called node out of service, or back in. @return 0, or 1. */
 int runDrain(const OperatorOptions &options, const DrainOptions &drain);
 
+/**
+ * Says that whatever has not acknowledged a term above @p term is gone for good.
+ * @return 0, or 1.
+ */
+int runConfirmLost(const OperatorOptions &options, uint64_t term, const std::string &confirmedBy);
+
 /** Prints a new key named @p id in the form of a key file. @return 0. */
 int runKeygen(const std::string &id);
 
--- a/test/unit/config/round_trip_test.cpp
+++ b/test/unit/config/round_trip_test.cpp
@@ -60,6 +60,8 @@
         service.host = "h" + std::to_string(index) + "." + drawText("abc019-.", 20);
         service.grantMode = *rc::gen::element(GrantMode::Fenced, GrantMode::Unchecked);
         service.misrouted = *rc::gen::element(Misrouted::Forward, Misrouted::Redirect);
+        service.priority = *rc::gen::element(
+                MeasurePriority::Even, MeasurePriority::UnavailableTime, MeasurePriority::Churn);
         service.keySpace = drawKeySpace();
         const auto routes = *rc::gen::inRange<size_t>(1, 5);
         for (size_t route = 0; route < routes; ++route) {
