--- a/src/duty/operator_service.cpp
+++ b/src/duty/operator_service.cpp
@@ -227,8 +227,8 @@
 asio::awaitable<v1::ConfirmLostReply> OperatorService::confirmLost(v1::ConfirmLostRequest request)
 {
     const Term known = member_.term() ? member_.term()->term : Term(0);
-    Result<Term> confirmed = co_await lossConfirmer_.confirm(Term(request.term()), known,
-                                                             request.confirmed_by());
+    Result<Term> confirmed
+            = co_await lossConfirmer_.confirm(Term(request.term()), known, request.confirmed_by());
     v1::ConfirmLostReply reply;
     if (confirmed) {
         reply.set_term(confirmed.assume_value().value());
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -132,7 +132,8 @@
                                   milliseconds(absl::GetFlag(FLAGS_wait_ms))});
     }
     if (command == "confirm-lost") {
-        return runConfirmLost(options, absl::GetFlag(FLAGS_term), absl::GetFlag(FLAGS_confirmed_by));
+        return runConfirmLost(options, absl::GetFlag(FLAGS_term),
+                              absl::GetFlag(FLAGS_confirmed_by));
     }
     const std::string service = absl::GetFlag(FLAGS_service);
     if (argument.empty() || service.empty()) {
@@ -158,7 +159,8 @@
     if (command == "keygen") {
         return runKeygen(words[2]);
     }
-    const std::vector<std::string> calling{"diff", "apply", "status", "explain", "export", "drain", "confirm-lost"};
+    const std::vector<std::string> calling{"diff",   "apply", "status",      "explain",
+                                           "export", "drain", "confirm-lost"};
     if (std::find(calling.begin(), calling.end(), command) == calling.end()) {
         return reportUsage("unknown command " + command);
     }
--- a/src/standin/demo_program.cpp
+++ b/src/standin/demo_program.cpp
@@ -227,6 +227,7 @@
         node->backend->signal(SIGTERM);
     }
     require(audit_.notRunButRan == 0, "told not run means not run");
+    std::cout << "idempotent requests run again by a retry: " << audit_.repeated << std::endl;
     std::cout << "demo: requests=" << audit_.requests << " answered=" << audit_.answered
               << " not_run=" << audit_.notRun << " unknown=" << audit_.unknown
               << " lost=" << audit_.lost << " duplicated=" << audit_.duplicated
--- a/src/standin/fleet_client.cpp
+++ b/src/standin/fleet_client.cpp
@@ -81,6 +81,7 @@
     Result<HttpResponse> answer = co_await client.exchange(std::move(request), CallTimeout);
     CallerRecord record;
     record.requestId = requestId;
+    record.mustNotRepeat = method == http::verb::post;
     HttpResponse response(http::status::service_unavailable, 11);
     if (answer) {
         response = std::move(answer.assume_value());
--- a/src/standin/request_audit.cpp
+++ b/src/standin/request_audit.cpp
@@ -46,7 +46,9 @@
     for (const CallerRecord &caller : callers) {
         ++result.requests;
         const uint64_t ran = runCount[caller.requestId];
-        result.duplicated += ran > 1 ? 1 : 0;
+        if (ran > 1) {
+            ++(caller.mustNotRepeat ? result.duplicated : result.repeated);
+        }
         switch (caller.outcome) {
         case ToldOutcome::Done:
             ++result.answered;
