--- a/src/standin/backend_standin.cpp
+++ b/src/standin/backend_standin.cpp
@@ -37,6 +37,21 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count();
 }
 
+/** @return How long a request may run: to its deadline, and to the end of its grant if that is
+ * checked. */
+milliseconds allowedTime(const HttpRequest &request, bool checksGrant)
+{
+    milliseconds allowed = milliseconds::max();
+    if (request.find("Wisteriahoist-Deadline-Ms") != request.end()) {
+        allowed = milliseconds(headerNumber(request, "Wisteriahoist-Deadline-Ms"));
+    }
+    if (checksGrant && request.find("Wisteriahoist-Grant-Expires-Ms") != request.end()) {
+        allowed = std::min(allowed,
+                           milliseconds(headerNumber(request, "Wisteriahoist-Grant-Expires-Ms")));
+    }
+    return allowed;
+}
+
 HttpResponse makeNotRun(std::string_view type)
 {
     HttpResponse response = makeProblemResponse(
@@ -60,9 +75,11 @@
     : context_(context), behaviour_(std::move(behaviour)), ip_(ip),
       started_(std::chrono::steady_clock::now())
 {
-    server_ = std::make_shared<HttpServer>(
-            context, ip, port, HttpLimits{},
-            [this](HttpRequest request) { return handle(std::move(request)); });
+    const WatchedHttpHandler handler
+            = [this](HttpRequest request, std::shared_ptr<CallerWatch> caller) {
+                  return handle(std::move(request), std::move(caller));
+              };
+    server_ = std::make_shared<HttpServer>(context, ip, port, HttpLimits{}, handler);
 }
 
 void BackendStandin::start()
@@ -104,7 +121,8 @@
     }
 }
 
-asio::awaitable<HttpResponse> BackendStandin::handle(HttpRequest request)
+asio::awaitable<HttpResponse> BackendStandin::handle(HttpRequest request,
+                                                     std::shared_ptr<CallerWatch> caller)
 {
     const auto target = request.target();
     if (target == "/_log") {
@@ -117,10 +135,11 @@
         applyControl(request);
         co_return makeHealth();
     }
-    co_return co_await run(std::move(request));
+    co_return co_await run(std::move(request), std::move(caller));
 }
 
-asio::awaitable<HttpResponse> BackendStandin::run(HttpRequest request)
+asio::awaitable<HttpResponse> BackendStandin::run(HttpRequest request,
+                                                  std::shared_ptr<CallerWatch> caller)
 {
     const bool cold = std::chrono::steady_clock::now() - started_ < behaviour_.coldStart;
     if (behaviour_.shedding || cold || running_ >= behaviour_.slots) {
@@ -129,6 +148,10 @@
     }
     const std::string key = headerText(request, "Wisteriahoist-Key");
     const uint64_t epoch = headerNumber(request, "Wisteriahoist-Epoch");
+    if (allowedTime(request, behaviour_.fenced && !key.empty()) == milliseconds(0)) {
+        ++fencedOff_;
+        co_return makeNotRun("grant-over");
+    }
     if (behaviour_.fenced && !key.empty()) {
         uint64_t &highest = highestEpoch_[key];
         if (epoch < highest) {
@@ -142,11 +165,20 @@
     const std::string requestId = headerText(request, "Request-Id");
     runs_.push_back({requestId, headerText(request, "Idempotency-Key"), key, epoch,
                      bootMicroseconds(), false});
-    asio::steady_timer timer(context_, behaviour_.workTime);
+    const milliseconds allowed = allowedTime(request, behaviour_.fenced && !key.empty());
+    asio::steady_timer timer(context_, std::min(behaviour_.workTime, allowed));
     beast::error_code ignored;
+    caller->onGone([&timer]() { timer.cancel(); });
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    runs_[index].finished = true;
+    caller->onGone(nullptr);
     --running_;
+    if (allowed < behaviour_.workTime || caller->isGone()) {
+        // It began, so nobody may say that it was not run; it ends here and does no more.
+        ++cutRuns_;
+        co_return makeProblemResponse({http::status::gateway_timeout, "run-cut",
+                                       "its deadline or grant is over, or it was cancelled"});
+    }
+    runs_[index].finished = true;
     HttpResponse response(http::status::ok, 11);
     response.set(http::field::content_type, "text/plain");
     response.body() = makeBackendBody(key, requestId, request.body());
@@ -171,13 +203,19 @@
     return response;
 }
 
-HttpResponse BackendStandin::makeHealth() const
+HttpResponse BackendStandin::makeHealth()
 {
+    const auto now = std::chrono::steady_clock::now();
+    if (now - healthAt_ >= behaviour_.healthLag) {
+        healthAt_ = now;
+        healthRunning_ = running_;
+    }
     boost::json::object health;
-    health["running"]
-            = behaviour_.claimedLoad >= 0 ? behaviour_.claimedLoad : static_cast<int32_t>(running_);
+    health["running"] = behaviour_.claimedLoad >= 0 ? behaviour_.claimedLoad
+                                                    : static_cast<int32_t>(healthRunning_);
     health["shed"] = shed_;
     health["fenced_off"] = fencedOff_;
+    health["cut"] = cutRuns_;
     HttpResponse response(http::status::ok, 11);
     response.body() = boost::json::serialize(health);
     return response;
@@ -200,6 +238,9 @@
     if (const auto *work = object.if_contains("work_ms")) {
         behaviour_.workTime = milliseconds(work->to_number<int64_t>());
     }
+    if (const auto *lag = object.if_contains("health_lag_ms")) {
+        behaviour_.healthLag = milliseconds(lag->to_number<int64_t>());
+    }
     if (const auto *load = object.if_contains("claimed_load")) {
         behaviour_.claimedLoad = load->to_number<int32_t>();
     }
--- a/src/standin/backend_standin.h
+++ b/src/standin/backend_standin.h
@@ -22,6 +22,7 @@
     bool draining = false;     ///< Announces that it leaves; what reaches it still runs.
     bool shedding = false;     ///< Sheds every request.
     int32_t claimedLoad = -1;  ///< What the health endpoint says; -1: the truth.
+    milliseconds healthLag{0}; ///< Age that the health endpoint's truth may have.
 };
 
 /** One request that the stand-in ran. */
@@ -55,11 +56,11 @@
     void announceTo(const std::string &ip, uint16_t adminPort);
 
 private:
-    asio::awaitable<HttpResponse> handle(HttpRequest request);
-    asio::awaitable<HttpResponse> run(HttpRequest request);
+    asio::awaitable<HttpResponse> handle(HttpRequest request, std::shared_ptr<CallerWatch> caller);
+    asio::awaitable<HttpResponse> run(HttpRequest request, std::shared_ptr<CallerWatch> caller);
     asio::awaitable<void> announceLoop(std::string ip, uint16_t adminPort);
     HttpResponse makeLog() const;
-    HttpResponse makeHealth() const;
+    HttpResponse makeHealth();
     void applyControl(const HttpRequest &request);
 
     asio::io_context &context_;
@@ -73,6 +74,9 @@
     uint32_t running_ = 0; ///< Invariant: at most behaviour_.slots.
     uint64_t shed_ = 0;
     uint64_t fencedOff_ = 0;
+    uint64_t cutRuns_ = 0; ///< Ended by their deadline, the end of their grant, or a cancellation.
+    uint32_t healthRunning_ = 0;                     ///< What the health endpoint knows.
+    std::chrono::steady_clock::time_point healthAt_; ///< When it learned that.
     bool stopping_ = false;
 };
 
