Codechange: [Clock] One coroutine for a pause instead of four

Cause: config writer, control duty, platform stand-in and fleet client each had the same timer wait. Ruled out: taking over the waits in loops that re-arm one timer (gate, ingress, slot queue): they are cancelled or bounded differently. Behaviour is unchanged; no test was touched.

--- /dev/null
+++ b/src/adapter/clock/pause_func.h
@@ -0,0 +1,14 @@
+/** @file pause_func.h A coroutine's wait for a time. */
+
+#pragma once
+
+#include "core/time_type.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace wisteriahoist {
+
+/** Waits for @p duration on the executor of the coroutine that awaits it. */
+boost::asio::awaitable<void> pauseFor(milliseconds duration);
+
+} // namespace wisteriahoist
--- a/src/duty/config_writer.cpp
+++ b/src/duty/config_writer.cpp
@@ -3,6 +3,7 @@
 
 #include "duty/config_writer.h"
 
+#include "adapter/clock/pause_func.h"
 #include "adapter/codec/config_codec.h"
 
 #include <algorithm>
@@ -26,13 +27,6 @@
            || code == FailureCode::Malformed;
 }
 
-asio::awaitable<void> pauseFor(milliseconds duration)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 PlatformStore::Pending<ConfigWriter::Stored> ConfigWriter::readStored()
--- a/src/duty/control_duty.cpp
+++ b/src/duty/control_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "duty/control_duty.h"
 
+#include "adapter/clock/pause_func.h"
 #include "adapter/codec/declaration_codec.h"
 #include "adapter/codec/ownership_codec.h"
 #include "adapter/log/event_log.h"
@@ -25,13 +26,6 @@
 constexpr uint32_t MaxRenewals = 3; ///< On their way at once: one lost must not hold up the next.
 const std::string ConfigObject = "config";
 
-asio::awaitable<void> pause(asio::io_context &context, milliseconds duration)
-{
-    asio::steady_timer timer(context, duration);
-    beast::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 ControlDuty::ControlDuty(asio::io_context &context, const Clock &clock, PlatformStore &platform,
@@ -65,7 +59,7 @@
             break;
         }
         stepCoordinator();
-        co_await pause(context_, TickInterval);
+        co_await pauseFor(TickInterval);
     }
 }
 
@@ -148,7 +142,7 @@
     while (isCoordinating(term)) {
         Result<VersionedObject> object = co_await platform_.watch(ConfigObject, known, WatchWait);
         if (!object) {
-            co_await pause(context_, WatchRetry);
+            co_await pauseFor(WatchRetry);
             continue;
         }
         if (object.assume_value().version > known) {
@@ -173,7 +167,7 @@
             co_return;
         }
         if (!object) {
-            co_await pause(context_, WatchRetry);
+            co_await pauseFor(WatchRetry);
             continue;
         }
         std::optional<TermRecord> record;
@@ -183,14 +177,14 @@
         }
         coordinator_->onTermSeen(object.assume_value().version, record, askedAt);
         if (object.assume_value().version > coordinator_->termVersion()) {
-            co_await pause(context_, TickInterval); // Our own write, its reply still on its way.
+            co_await pauseFor(TickInterval); // Our own write, its reply still on its way.
         }
     }
 }
 
 asio::awaitable<void> ControlDuty::watchLoss(Term term)
 {
-    co_await pause(context_, LossCheckAfter);
+    co_await pauseFor(LossCheckAfter);
     while (isCoordinating(term) && !coordinator_->areRostersClosed(clock_.now())) {
         Result<VersionedObject> object = co_await platform_.read(objectName("loss"));
         if (object && isCoordinating(term)) {
@@ -199,7 +193,7 @@
                 coordinator_->onLossConfirmed(confirmed.assume_value(), clock_.now());
             }
         }
-        co_await pause(context_, WatchRetry);
+        co_await pauseFor(WatchRetry);
     }
 }
 
--- a/src/standin/fleet_client.cpp
+++ b/src/standin/fleet_client.cpp
@@ -3,6 +3,7 @@
 #include "standin/fleet_client.h"
 
 #include "adapter/auth/fleet_authenticator.h"
+#include "adapter/clock/pause_func.h"
 #include "standin/backend_standin.h"
 
 #include <algorithm>
@@ -51,9 +52,7 @@
 
 asio::awaitable<void> FleetClient::pause(milliseconds duration)
 {
-    asio::steady_timer timer(context_, duration);
-    beast::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_await pauseFor(duration);
 }
 
 asio::awaitable<bool> FleetClient::waitUntil(Condition condition)
--- a/src/standin/platform_standin.cpp
+++ b/src/standin/platform_standin.cpp
@@ -2,6 +2,7 @@
 
 #include "standin/platform_standin.h"
 
+#include "adapter/clock/pause_func.h"
 #include "port/platform_store.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -75,13 +76,6 @@
     return true;
 }
 
-asio::awaitable<void> PlatformStandin::sleep(milliseconds delay)
-{
-    asio::steady_timer timer(context_, delay);
-    beast::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 asio::awaitable<HttpResponse> PlatformStandin::handle(HttpRequest request)
 {
     const std::string target(request.target());
@@ -89,10 +83,10 @@
         co_return handleControl(request);
     }
     while (faults_.silent) {
-        co_await sleep(milliseconds(50));
+        co_await pauseFor(milliseconds(50));
     }
     if (faults_.delay.count() > 0) {
-        co_await sleep(faults_.delay);
+        co_await pauseFor(faults_.delay);
     }
     if (faults_.down) {
         co_return makeProblemResponse({http::status::service_unavailable, "outage", "down"});
@@ -176,7 +170,7 @@
     if (faults_.loseReplies > 0) {
         --faults_.loseReplies;
         // The write took effect; the writer's call runs into its timeout.
-        co_await sleep(milliseconds(10000));
+        co_await pauseFor(milliseconds(10000));
     }
     HttpResponse response(http::status::ok, 11);
     response.set(http::field::etag, "\"" + std::to_string(lastVersion_) + "\"");
--- a/src/standin/platform_standin.h
+++ b/src/standin/platform_standin.h
@@ -50,7 +50,6 @@
     asio::awaitable<HttpResponse> handle(HttpRequest request);
     asio::awaitable<HttpResponse> handleWatch(const HttpRequest &request, const std::string &name);
     asio::awaitable<HttpResponse> handleWrite(const HttpRequest &request, const std::string &name);
-    asio::awaitable<void> sleep(milliseconds delay);
     HttpResponse handleList(const std::string &prefix) const;
     HttpResponse handleControl(const HttpRequest &request);
     HttpResponse makeObjectResponse(const std::string &name) const;
