--- a/src/adapter/codec/config_codec.cpp
+++ b/src/adapter/codec/config_codec.cpp
@@ -50,6 +50,7 @@
     case FailureCode::RateLimited:
         return v1::PROBLEM_CODE_RATE_LIMITED;
     case FailureCode::Unavailable:
+    case FailureCode::HistoryGone:
         return v1::PROBLEM_CODE_UNAVAILABLE;
     case FailureCode::Ambiguous:
         return v1::PROBLEM_CODE_AMBIGUOUS;
--- /dev/null
+++ b/src/adapter/codec/record_codec.cpp
@@ -0,0 +1,172 @@
+/** @file record_codec.cpp The product's own records in the store, as JSON by schema. */
+
+#include "adapter/codec/record_codec.h"
+
+#include "wisteriahoist/v1/objects.pb.h"
+
+#include <google/protobuf/util/json_util.h>
+
+namespace wisteriahoist {
+
+namespace {
+
+std::string toJson(const google::protobuf::Message &message)
+{
+    std::string text;
+    const auto status = google::protobuf::util::MessageToJsonString(message, &text);
+    return status.ok() ? text : std::string("{}");
+}
+
+/** Fields of a later release are ignored: during an upgrade both releases read the records. */
+Result<void> fromJson(std::string_view content, google::protobuf::Message &message)
+{
+    google::protobuf::util::JsonParseOptions options;
+    options.ignore_unknown_fields = true;
+    const auto status = google::protobuf::util::JsonStringToMessage(
+            {content.data(), content.size()}, &message, options);
+    if (!status.ok()) {
+        return Failure{FailureCode::Malformed, status.ToString()};
+    }
+    return boost::outcome_v2::success();
+}
+
+v1::BackendState encodeState(BackendState state)
+{
+    switch (state) {
+    case BackendState::Absent:
+        return v1::BACKEND_STATE_UNSPECIFIED;
+    case BackendState::Ready:
+        return v1::BACKEND_STATE_READY;
+    case BackendState::Draining:
+        return v1::BACKEND_STATE_DRAINING;
+    case BackendState::Down:
+        return v1::BACKEND_STATE_DOWN;
+    }
+    return v1::BACKEND_STATE_UNSPECIFIED;
+}
+
+BackendState decodeState(v1::BackendState state)
+{
+    switch (state) {
+    case v1::BACKEND_STATE_READY:
+        return BackendState::Ready;
+    case v1::BACKEND_STATE_DRAINING:
+        return BackendState::Draining;
+    case v1::BACKEND_STATE_DOWN:
+        return BackendState::Down;
+    default:
+        return BackendState::Absent;
+    }
+}
+
+} // namespace
+
+std::string encodeMember(const MemberRecord &member)
+{
+    v1::MemberRecord message;
+    message.set_node_id(member.node.value());
+    message.set_name(member.name);
+    message.set_life(member.life.value());
+    message.set_ip(member.ip);
+    message.set_peer_port(member.peerPort);
+    message.set_failure_domain(member.failureDomain);
+    message.set_service(member.service);
+    message.set_backend(member.backend);
+    message.set_state(encodeState(member.state));
+    message.set_slots(member.slots);
+    message.set_stopping(member.stopping);
+    return toJson(message);
+}
+
+Result<MemberRecord> decodeMember(std::string_view content)
+{
+    v1::MemberRecord message;
+    Result<void> parsed = fromJson(content, message);
+    if (!parsed) {
+        return std::move(parsed).as_failure();
+    }
+    if (message.node_id() == 0 || message.peer_port() == 0 || message.peer_port() > UINT16_MAX) {
+        return Failure{FailureCode::Malformed, "member without id or port"};
+    }
+    MemberRecord member;
+    member.node = NodeId(message.node_id());
+    member.name = message.name();
+    member.life = Incarnation(message.life());
+    member.ip = message.ip();
+    member.peerPort = static_cast<uint16_t>(message.peer_port());
+    member.failureDomain = message.failure_domain();
+    member.service = message.service();
+    member.backend = message.backend();
+    member.state = decodeState(message.state());
+    member.slots = message.slots();
+    member.stopping = message.stopping();
+    return member;
+}
+
+std::string encodeRangeTable(const RangeTable &table)
+{
+    v1::RangeTableRecord message;
+    message.set_highest_fence(table.highestFence.value());
+    for (const RangeEntry &entry : table.entries) {
+        v1::RangeRecord *range = message.add_ranges();
+        range->set_first(entry.first.value());
+        range->set_node_id(entry.holder.node.value());
+        range->set_life(entry.holder.life.value());
+        range->set_backend(entry.holder.backend);
+        range->set_fence(entry.fence.value());
+        range->set_handover(entry.handover);
+    }
+    return toJson(message);
+}
+
+Result<RangeTable> decodeRangeTable(std::string_view content)
+{
+    v1::RangeTableRecord message;
+    Result<void> parsed = fromJson(content, message);
+    if (!parsed) {
+        return std::move(parsed).as_failure();
+    }
+    RangeTable table;
+    table.highestFence = Epoch(message.highest_fence());
+    for (const v1::RangeRecord &range : message.ranges()) {
+        RangeEntry entry;
+        entry.first = ShardKey(range.first());
+        entry.holder = {NodeId(range.node_id()), Incarnation(range.life()), range.backend()};
+        entry.fence = Epoch(range.fence());
+        entry.handover = range.handover();
+        const bool inOrder = table.entries.empty() ? entry.first == ShardKey(0)
+                                                   : table.entries.back().first < entry.first;
+        if (!inOrder || entry.first > LastShardKey || entry.fence > table.highestFence) {
+            return Failure{FailureCode::Malformed, "ranges out of order, or a fence too high"};
+        }
+        table.entries.push_back(std::move(entry));
+    }
+    return table;
+}
+
+std::string encodeLease(const LeaseRecord &lease)
+{
+    v1::LeaseRecord message;
+    message.set_node_id(lease.node.value());
+    message.set_life(lease.life.value());
+    message.set_renewal(lease.renewal);
+    message.set_revoked_by(lease.revokedBy.value());
+    return toJson(message);
+}
+
+Result<LeaseRecord> decodeLease(std::string_view content)
+{
+    v1::LeaseRecord message;
+    Result<void> parsed = fromJson(content, message);
+    if (!parsed) {
+        return std::move(parsed).as_failure();
+    }
+    LeaseRecord lease;
+    lease.node = NodeId(message.node_id());
+    lease.life = Incarnation(message.life());
+    lease.renewal = message.renewal();
+    lease.revokedBy = NodeId(message.revoked_by());
+    return lease;
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/adapter/codec/record_codec.h
@@ -0,0 +1,34 @@
+/** @file record_codec.h The product's own records in the store, as JSON by schema. */
+
+#pragma once
+
+#include "core/failure_type.h"
+#include "decision/member/member_type.h"
+#include "decision/range/range_type.h"
+
+#include <string>
+#include <string_view>
+
+namespace wisteriahoist {
+
+/** A lease record: each renewal changes it, so its revision tells whether its holder lives. */
+struct LeaseRecord {
+    NodeId node;
+    Incarnation life;
+    uint64_t renewal = 0;
+    NodeId revokedBy; ///< InvalidNode: it has not been taken away.
+    bool operator==(const LeaseRecord &) const = default;
+};
+
+std::string encodeMember(const MemberRecord &member);
+Result<MemberRecord> decodeMember(std::string_view content);
+
+std::string encodeRangeTable(const RangeTable &table);
+
+/** @return Malformed also if the ranges break the invariant of a table. */
+Result<RangeTable> decodeRangeTable(std::string_view content);
+
+std::string encodeLease(const LeaseRecord &lease);
+Result<LeaseRecord> decodeLease(std::string_view content);
+
+} // namespace wisteriahoist
--- a/src/adapter/http/http_client.h
+++ b/src/adapter/http/http_client.h
@@ -10,6 +10,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/beast/core.hpp>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -25,11 +26,19 @@
     RequestStage stage() const { return stage_; }
     bool isCancelled() const { return cancelled_; }
 
+    /** @return Whether the address refused the connection: nothing listens there. */
+    bool isRefused() const { return refused_; }
+
+    /** Answers for which @p belongs is false are dropped, and the next one is waited for. */
+    void expect(std::function<bool(const HttpResponse &)> belongs) { belongs_ = std::move(belongs); }
+
 private:
     friend class HttpClient;
     beast::tcp_stream *stream_ = nullptr; ///< Set while a connection is in use.
     RequestStage stage_ = RequestStage::Received;
     bool cancelled_ = false;
+    bool refused_ = false;
+    std::function<bool(const HttpResponse &)> belongs_; ///< Empty: any answer belongs.
 };
 
 /** Bounds of a client's pool. */
@@ -37,6 +46,11 @@
     size_t idle = 128;                 ///< Connections kept without a request.
     std::chrono::seconds idleTime{30}; ///< An older one is closed.
     milliseconds silence{2000};        ///< Unacknowledged bytes for so long end a connection.
+    std::chrono::seconds probeAfter{5};    ///< A connection without any bytes is probed then.
+    std::chrono::seconds probeInterval{1}; ///< Between two probes.
+    uint32_t probes = 3;                   ///< Unanswered ones that end it.
+    milliseconds connect{0};               ///< For a new connection; 0: the exchange's timeout.
+    bool unframed = false; ///< Answers that end with their connection are taken for whole.
 };
 
 /**
@@ -70,20 +84,21 @@
     using SteadyTime = std::chrono::steady_clock::time_point;
     struct Idle {
         Connection connection;
-        SteadyTime since;
+        SteadyTime until; ///< The other side may close it after that.
     };
 
-    asio::awaitable<Result<Connection>> open(SteadyTime deadline);
+    asio::awaitable<Result<Connection>> open(SteadyTime deadline, ExchangeControl &control);
     asio::awaitable<Result<HttpResponse>> read(beast::tcp_stream &stream, bool headOnly,
                                                ExchangeControl &control);
     void limitSilence(tcp::socket &socket) const;
     Connection takeIdle();
-    void putIdle(Connection connection);
+    void putIdle(Connection connection, std::chrono::milliseconds idleTime);
+    std::chrono::milliseconds idleTimeOf(const HttpResponse &response) const;
 
     asio::any_io_executor executor_;
     tcp::endpoint endpoint_;
     PoolLimits limits_;
-    std::deque<Idle> idle_; ///< Oldest first. Invariant: no request is outstanding on any of them.
+    std::deque<Idle> idle_; ///< The last one was used last. Invariant: no request is outstanding on any of them.
     uint64_t connectionsOpened_ = 0;
 };
 
--- a/src/adapter/http/http_server.cpp
+++ b/src/adapter/http/http_server.cpp
@@ -164,7 +164,7 @@
     stream.expires_never();
     HttpResponse response = co_await handleWatched(stream, std::move(request));
     response.version(11);
-    response.keep_alive(keepAlive && !stopping_);
+    response.keep_alive(keepAlive && !stopping_ && !closing_);
     co_return co_await write(stream, std::move(response), headOnly);
 }
 
@@ -172,6 +172,8 @@
                                                         HttpRequest request)
 {
     auto watch = std::make_shared<CallerWatch>();
+    beast::error_code unknown;
+    watch->setIp(stream.socket().remote_endpoint(unknown).address().to_string());
     auto active = std::make_shared<bool>(true);
     asio::cancellation_signal ended;
     const auto onReadable = [watch, active, &stream](beast::error_code error) {
--- a/src/adapter/http/http_server.h
+++ b/src/adapter/http/http_server.h
@@ -34,6 +34,12 @@
     /** Stops accepting; open connections finish the request they are at and are then closed. */
     void stop();
 
+    /** From now on each answer is the last one on its connection; new ones are still accepted. */
+    void closeAfterAnswers() { closing_ = true; }
+
+    /** Takes over new bounds, for requests that are read from now on. */
+    void setLimits(const HttpLimits &limits) { limits_ = limits; }
+
     uint16_t port() const { return acceptor_.local_endpoint().port(); }
     size_t openConnections() const { return openConnections_; }
 
@@ -58,6 +64,7 @@
     std::atomic<size_t> openRequests_{0};
     size_t openConnections_ = 0; ///< Invariant: at most limits_.connections.
     bool stopping_ = false;
+    bool closing_ = false;
 };
 
 } // namespace wisteriahoist
--- a/src/adapter/http/http_type.h
+++ b/src/adapter/http/http_type.h
@@ -28,7 +28,7 @@
 struct HttpLimits {
     uint32_t headerBytes = 16 * 1024; ///< Beyond: 431.
     uint64_t bodyBytes = 1024 * 1024; ///< Beyond: 413.
-    std::chrono::seconds idle{60};    ///< A kept-alive connection without a request is closed.
+    milliseconds idle{60000};         ///< A kept-alive connection without a request is closed.
     size_t connections = 4096;        ///< Beyond: 503 and close.
 };
 
@@ -44,6 +44,10 @@
 public:
     bool isGone() const { return gone_; }
 
+    /** @return The caller's IP number. */
+    const std::string &ip() const { return ip_; }
+    void setIp(std::string ip) { ip_ = std::move(ip); }
+
     /** Sets what to do when the caller goes; called at most once, on the server's thread. */
     void onGone(std::function<void()> action) { action_ = std::move(action); }
 
@@ -57,6 +61,7 @@
 
 private:
     std::function<void()> action_;
+    std::string ip_;
     bool gone_ = false;
 };
 
--- /dev/null
+++ b/src/adapter/http/request_protocol.h
@@ -0,0 +1,57 @@
+/** @file request_protocol.h What callers and backend servers say in the headers of a request. */
+
+#pragma once
+
+#include "adapter/http/http_type.h"
+#include "core/failure_type.h"
+#include "decision/range/range_type.h"
+
+#include <optional>
+
+namespace wisteriahoist {
+
+/** What a caller says with its request. */
+struct RequestTerms {
+    std::string attemptId;                ///< Names this attempt of this caller.
+    std::optional<milliseconds> timeLeft; ///< How long the caller waits.
+    std::optional<ShardKey> shardKey;
+};
+
+/** What a backend server is told with a request. */
+struct BackendTerms {
+    milliseconds timeLeft{0};  ///< It stops work then.
+    std::string backend;       ///< The life that is to run the request; another one refuses.
+    std::string callerService; ///< Service beside which the request was made.
+};
+
+/** What a backend server's answer shows. */
+enum class AnswerKind {
+    Complete,    ///< Its own whole answer, whatever the status.
+    NotExecuted, ///< It says that it has not run the request.
+    OtherLife,   ///< Another life than the named one has the address; not run.
+    Foreign,     ///< It answers another request.
+    Unproven,    ///< A success without the mark that proves it.
+};
+
+/** Reads and writes the headers that callers and backend servers understand. */
+class RequestProtocol
+{
+public:
+    virtual ~RequestProtocol() = default;
+
+    /** @return BadArgument if the terms are missing or malformed. */
+    virtual Result<RequestTerms> readTerms(const HttpRequest &request) const = 0;
+
+    /** Sets the headers for the backend server, whatever the caller had put there. */
+    virtual void setTerms(HttpRequest &request, const BackendTerms &terms) const = 0;
+
+    virtual AnswerKind judge(const HttpResponse &response, const std::string &attemptId) const = 0;
+
+    /** Tells the caller when to come back. */
+    virtual void setRetryAfter(HttpResponse &response, milliseconds wait) const = 0;
+
+    /** @return The life that an OtherLife answer names; empty if none. */
+    virtual std::string namedBackend(const HttpResponse &response) const = 0;
+};
+
+} // namespace wisteriahoist
--- a/src/adapter/http2/peer_transport.cpp
+++ b/src/adapter/http2/peer_transport.cpp
@@ -68,10 +68,36 @@
 asio::awaitable<Result<std::shared_ptr<Http2Session>>> PeerCaller::connect(const PeerEndpoint &peer,
                                                                            milliseconds timeout)
 {
+    if (connectTimeout_.count() > 0) {
+        timeout = std::min(timeout, connectTimeout_);
+    }
     const auto found = sessions_.find(peer);
     if (found != sessions_.end() && found->second->isOpen()) {
         co_return found->second;
     }
+    const auto begun = opening_.find(peer);
+    if (begun != opening_.end()) {
+        const std::shared_ptr<Opening> opening = begun->second;
+        beast::error_code ignored;
+        co_await opening->ended.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        const auto opened = sessions_.find(peer);
+        if (opened != sessions_.end() && opened->second->isOpen()) {
+            co_return opened->second;
+        }
+        co_return Failure{FailureCode::Unavailable, "connect: failed for another call"};
+    }
+    const auto opening = std::make_shared<Opening>(context_);
+    opening->ended.expires_after(timeout);
+    opening_[peer] = opening;
+    auto session = co_await open(peer, timeout);
+    opening_.erase(peer);
+    opening->ended.cancel();
+    co_return session;
+}
+
+asio::awaitable<Result<std::shared_ptr<Http2Session>>> PeerCaller::open(const PeerEndpoint &peer,
+                                                                        milliseconds timeout)
+{
     std::erase_if(sessions_, [](const auto &entry) { return !entry.second->isOpen(); });
     beast::tcp_stream stream(context_);
     stream.expires_after(timeout);
@@ -94,12 +120,6 @@
             co_return Failure{FailureCode::Unavailable, greeted.assume_error().context};
         }
     }
-    // Another coroutine may have connected meanwhile; its connection is as good.
-    const auto again = sessions_.find(peer);
-    if (again != sessions_.end() && again->second->isOpen()) {
-        session->close();
-        co_return again->second;
-    }
     sessions_[peer] = session;
     co_return session;
 }
--- a/src/adapter/http2/peer_transport.h
+++ b/src/adapter/http2/peer_transport.h
@@ -7,6 +7,7 @@
 #include "adapter/http2/http2_session.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 
 namespace wisteriahoist {
@@ -65,6 +66,9 @@
     /** From now on each connection begins with a hello. */
     void introduceWith(FleetKeys keys) { keys_ = std::move(keys); }
 
+    /** Bounds the opening of a connection; without it, a call's own timeout does. */
+    void limitConnect(milliseconds timeout) { connectTimeout_ = timeout; }
+
     /** @return Connections that were given up at the hello, by either side. */
     uint64_t helloFailures() const { return helloFailures_; }
 
@@ -74,13 +78,23 @@
                                                      milliseconds timeout);
     asio::awaitable<Result<void>> sayHello(std::shared_ptr<Http2Session> session,
                                            milliseconds timeout);
+    /** A connection that is being opened; everyone who needs it waits for the same one. */
+    struct Opening {
+        explicit Opening(asio::io_context &context) : ended(context) { }
+        asio::steady_timer ended; ///< Cancelled when the attempt has ended.
+    };
+
     asio::awaitable<Result<std::shared_ptr<Http2Session>>> connect(const PeerEndpoint &peer,
                                                                    milliseconds timeout);
+    asio::awaitable<Result<std::shared_ptr<Http2Session>>> open(const PeerEndpoint &peer,
+                                                                milliseconds timeout);
 
     asio::io_context &context_;
     std::map<PeerEndpoint, std::shared_ptr<Http2Session>>
             sessions_; ///< With keys_: each has said its hello.
+    std::map<PeerEndpoint, std::shared_ptr<Opening>> opening_;
     FleetKeys keys_;   ///< The first signs; empty: no hello is said.
+    milliseconds connectTimeout_{0}; ///< 0: none of its own.
     uint64_t helloFailures_ = 0;
 };
 
--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -44,6 +44,16 @@
         {LogEvent::OperatorChange, "operator-change", LogSeverity::Info},
         {LogEvent::TraceExportFailing, "trace-export-failing", LogSeverity::Warning},
         {LogEvent::TraceExportBack, "trace-export-back", LogSeverity::Info},
+        {LogEvent::RequestEnded, "request-ended", LogSeverity::Info},
+        {LogEvent::BackendChanged, "backend-changed", LogSeverity::Info},
+        {LogEvent::GrantRefused, "grant-refused", LogSeverity::Warning},
+        {LogEvent::LeaseRevoked, "lease-revoked", LogSeverity::Warning},
+        {LogEvent::RangeLeaving, "range-leaving", LogSeverity::Info},
+        {LogEvent::RangesWritten, "ranges-written", LogSeverity::Info},
+        {LogEvent::RangesNotWritten, "ranges-not-written", LogSeverity::Warning},
+        {LogEvent::MemberPublished, "member-published", LogSeverity::Info},
+        {LogEvent::SettingsReloaded, "settings-reloaded", LogSeverity::Info},
+        {LogEvent::SettingsRefused, "settings-refused", LogSeverity::Error},
 }};
 
 constexpr bool isTableInOrder()
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -51,7 +51,17 @@
     OperatorChange,
     TraceExportFailing,
     TraceExportBack,
-    Last = TraceExportBack,
+    RequestEnded,      ///< A caller was answered; one line for each request.
+    BackendChanged,    ///< State or life of the backend server beside the node.
+    GrantRefused,      ///< The backend server has seen a higher fence.
+    LeaseRevoked,      ///< This node has taken another one's lease away.
+    RangeLeaving,      ///< A range is being released for another holder.
+    RangesWritten,     ///< This node has changed the table of its service.
+    RangesNotWritten,  ///< The change failed, or its outcome is not known.
+    MemberPublished,   ///< This node has written what it is and what is beside it.
+    SettingsReloaded,
+    SettingsRefused,   ///< The settings file has changed for the worse; the old settings stay.
+    Last = SettingsRefused,
 };
 
 /** The value of one field. */
--- a/src/core/failure_type.cpp
+++ b/src/core/failure_type.cpp
@@ -29,6 +29,8 @@
         return "unauthorized";
     case FailureCode::Overloaded:
         return "overloaded";
+    case FailureCode::HistoryGone:
+        return "history-gone";
     }
     return "unknown";
 }
--- a/src/core/failure_type.h
+++ b/src/core/failure_type.h
@@ -21,6 +21,7 @@
     Malformed,        ///< Bytes that the codec or the protocol refuses.
     Unauthorized,     ///< The credential is missing or wrong.
     Overloaded,       ///< A bounded queue or ring was full; nothing was done.
+    HistoryGone,      ///< The changes that were asked for are no longer known; list again.
 };
 
 /** @return The stable name of @p code as it appears in bodies and logs. */
--- /dev/null
+++ b/src/decision/member/backend_monitor.h
@@ -0,0 +1,77 @@
+/** @file backend_monitor.h Which life of the backend server beside this node is up, and how it is. */
+
+#pragma once
+
+#include "decision/member/member_type.h"
+
+#include <deque>
+
+namespace wisteriahoist {
+
+/** Bounds of the monitor. */
+struct MonitorLimits {
+    /** Refused connections in a row that end a life; the second rules out a listener that restarts. */
+    uint32_t refusals = 2;
+    /** Lives that are remembered as ended; late reports of older ones have long arrived. */
+    size_t endedLives = 16;
+};
+
+/**
+ * Follows the backend server beside the node from its own reports and from what connections to it
+ * show. Reports may arrive late, also after a crash and after the next life's first report, so a
+ * life that has ended stays ended.
+ */
+class BackendMonitor
+{
+public:
+    explicit BackendMonitor(MonitorLimits limits) : limits_(limits) { }
+
+    /** @return Whether state or life has changed. */
+    bool onReport(const BackendReport &report, TimePoint now);
+
+    /** The backend server has said that it leaves for good. @return Whether anything changed. */
+    bool onDeregister(const std::string &backend);
+
+    /** Its address answered for another life, or an order named one. @return As above. */
+    bool onOtherLife(const std::string &backend, TimePoint now);
+
+    /** A connection to its address was refused. @return Whether the life has ended by it. */
+    bool onRefusedConnection();
+
+    /** A request or an order was answered. @return Whether a silent one is back. */
+    bool onAnswer(TimePoint now);
+
+    /** Nothing has answered for long: take it as Down until it answers or reports again. */
+    bool onSilence();
+
+    BackendState state() const { return state_; }
+    const std::string &backend() const { return backend_; }
+    uint32_t slots() const { return slots_; }
+    const std::string &service() const { return service_; }
+    TimePoint heardAt() const { return heardAt_; }
+
+    /** @return Whether the backend server is slow since it has just started. */
+    bool isCold(TimePoint now) const { return now < coldUntil_; }
+
+    /** @return Whether the life is known to be over, so that it holds nothing any more. */
+    bool isGone() const { return gone_; }
+
+private:
+    void beginLife(const std::string &backend);
+    void endLife();
+
+    MonitorLimits limits_;
+    std::string backend_;
+    std::string service_;
+    BackendState state_ = BackendState::Absent;
+    uint32_t slots_ = 0;
+    uint64_t sequence_ = 0;
+    uint32_t refusals_ = 0;
+    bool gone_ = false;
+    bool leaving_ = false; ///< Deregistered or draining; only a new life ends that.
+    TimePoint heardAt_ = NeverTime;
+    TimePoint coldUntil_ = NeverTime;
+    std::deque<std::string> ended_;
+};
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/decision/member/member_type.h
@@ -0,0 +1,49 @@
+/** @file member_type.h What each node publishes of itself and of the backend server beside it. */
+
+#pragma once
+
+#include "core/id_type.h"
+#include "core/time_type.h"
+
+#include <string>
+#include <vector>
+
+namespace wisteriahoist {
+
+/** What a node says of the backend server beside it. */
+enum class BackendState {
+    Absent,   ///< None has announced itself yet.
+    Ready,    ///< Takes requests.
+    Draining, ///< Leaving: takes no new requests.
+    Down,     ///< It crashed, or has fallen silent.
+};
+
+/** One node and the backend server beside it, as the node itself has published it. */
+struct MemberRecord {
+    NodeId node;
+    std::string name;       ///< For people; from the node's settings.
+    Incarnation life;       ///< Of the node's process.
+    std::string ip;         ///< Of the node's listener for other nodes.
+    uint16_t peerPort = 0;
+    std::string failureDomain;
+    std::string service;    ///< Of the backend server.
+    std::string backend;    ///< Id of the backend server's life; empty while Absent.
+    BackendState state = BackendState::Absent;
+    uint32_t slots = 0;     ///< Requests that the backend server runs at once.
+    bool stopping = false;  ///< The node's process has been told to end.
+    bool operator==(const MemberRecord &) const = default;
+
+    bool takesRequests() const { return state == BackendState::Ready && !stopping; }
+};
+
+/** A heartbeat of a backend server, as its node received it. */
+struct BackendReport {
+    std::string backend; ///< Id of its life.
+    std::string service;
+    BackendState state = BackendState::Ready;
+    uint32_t slots = 0;
+    milliseconds coldFor{0}; ///< How much longer it stays slow after its start.
+    uint64_t sequence = 0;   ///< Rises with each report of one life.
+};
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/decision/range/range_keeper.cpp
@@ -0,0 +1,234 @@
+/** @file range_keeper.cpp What one node grants to the backend server beside it. */
+
+#include "decision/range/range_keeper.h"
+
+#include <algorithm>
+
+namespace wisteriahoist {
+
+namespace {
+constexpr milliseconds ReleaseRetry{100}; ///< Between two tries of a release without an answer.
+}
+
+void RangeKeeper::onTable(const RangeTable &table, const std::optional<RangeHolder> &self,
+                          TimePoint now)
+{
+    std::vector<Held> next;
+    for (size_t index = 0; index < table.entries.size(); ++index) {
+        const RangeEntry &entry = table.entries[index];
+        if (self && entry.holder == *self) {
+            takeEntry(table.spanOf(index), entry, now, next);
+        }
+    }
+    held_ = std::move(next);
+}
+
+void RangeKeeper::takeEntry(const KeySpan &span, const RangeEntry &entry, TimePoint now,
+                            std::vector<Held> &next) const
+{
+    Held fresh;
+    fresh.fence = entry.fence;
+    fresh.handover = entry.handover;
+    fresh.dueAt = now;
+    uint32_t begin = span.first.value();
+    // What was granted, or is being released, under this fence goes on; the rest is new.
+    for (const Held &known : held_) {
+        if (known.fence != entry.fence || !known.span.overlaps(span)) {
+            continue;
+        }
+        Held kept = known;
+        kept.span = {std::max(known.span.first, span.first), std::min(known.span.last, span.last)};
+        if (kept.span != known.span) {
+            kept.granting = false;
+            kept.releasing = false;
+        }
+        if (begin < kept.span.first.value()) {
+            fresh.span = {ShardKey(begin), ShardKey(kept.span.first.value() - 1)};
+            next.push_back(fresh);
+        }
+        begin = kept.span.last.value() + 1;
+        next.push_back(std::move(kept));
+    }
+    if (begin <= span.last.value()) {
+        fresh.span = {ShardKey(begin), span.last};
+        next.push_back(std::move(fresh));
+    }
+}
+
+void RangeKeeper::onBackendGone()
+{
+    held_.clear();
+}
+
+std::vector<GrantOrder> RangeKeeper::takeDueGrants(TimePoint leaseUntil, TimePoint now)
+{
+    std::vector<GrantOrder> orders;
+    const auto left = std::chrono::duration_cast<milliseconds>(leaseUntil - now);
+    const milliseconds hold = std::min(times_.hold, left);
+    if (hold < times_.least) {
+        return orders;
+    }
+    const auto drift = std::chrono::duration_cast<Duration>(hold * times_.driftShare);
+    for (Held &held : held_) {
+        if (held.granting || held.refused || held.leaving || now < held.dueAt) {
+            continue;
+        }
+        held.granting = true;
+        held.lapsesAt = std::max(held.lapsesAt, now + hold + drift + times_.arrival);
+        orders.push_back({held.span, held.fence, hold, held.handover});
+    }
+    return orders;
+}
+
+void RangeKeeper::onGrantEnd(const GrantOrder &order, OrderResult result, TimePoint sentAt)
+{
+    // A range may have been cut since the order was sent; the grant covers each part.
+    for (Held &held : held_) {
+        if (held.fence == order.fence && order.span.covers(held.span)) {
+            held.granting = false;
+            applyGrantEnd(held, order, result, sentAt);
+        }
+    }
+}
+
+void RangeKeeper::applyGrantEnd(Held &held, const GrantOrder &order, OrderResult result,
+                                TimePoint sentAt) const
+{
+    switch (result) {
+    case OrderResult::Accepted:
+        held.confirmedUntil = std::max(held.confirmedUntil, sentAt + order.hold);
+        held.dueAt = sentAt + times_.renewEvery;
+        break;
+    case OrderResult::HigherFence:
+        // Sending the same fence again can only be refused again.
+        held.refused = true;
+        held.confirmedUntil = NeverTime;
+        break;
+    case OrderResult::Unanswered:
+        held.dueAt = sentAt; // At once: the same call again renews the grant.
+        break;
+    }
+}
+
+void RangeKeeper::beginRelease(const KeySpan &span)
+{
+    std::vector<Held> next;
+    for (Held &held : held_) {
+        if (!held.span.overlaps(span) || held.leaving) {
+            next.push_back(std::move(held));
+            continue;
+        }
+        const KeySpan middle{std::max(held.span.first, span.first),
+                             std::min(held.span.last, span.last)};
+        if (held.span.first < middle.first) {
+            Held left = held;
+            left.span.last = ShardKey(middle.first.value() - 1);
+            left.granting = false;
+            next.push_back(std::move(left));
+        }
+        Held leaving = held;
+        leaving.span = middle;
+        leaving.leaving = true;
+        leaving.granting = false;
+        next.push_back(std::move(leaving));
+        if (middle.last < held.span.last) {
+            Held right = held;
+            right.span.first = ShardKey(middle.last.value() + 1);
+            right.granting = false;
+            next.push_back(std::move(right));
+        }
+    }
+    held_ = std::move(next);
+}
+
+std::vector<ReleaseOrder> RangeKeeper::takeDueReleases(TimePoint now)
+{
+    std::vector<ReleaseOrder> orders;
+    for (Held &held : held_) {
+        if (held.leaving && !held.releasing && !held.released && held.releaseDueAt <= now) {
+            held.releasing = true;
+            orders.push_back({held.span, held.fence});
+        }
+    }
+    return orders;
+}
+
+void RangeKeeper::onReleaseEnd(const ReleaseOrder &order, OrderResult result,
+                               const std::string &handover, TimePoint now)
+{
+    Held *held = findExact(order.span, order.fence);
+    if (held == nullptr) {
+        return;
+    }
+    held->releasing = false;
+    if (result == OrderResult::Unanswered) {
+        held->releaseDueAt = now + ReleaseRetry;
+        return;
+    }
+    held->released = true;
+    held->releaseToken = handover;
+}
+
+std::vector<ReleasedRange> RangeKeeper::releasedRanges(TimePoint now) const
+{
+    std::vector<ReleasedRange> released;
+    for (const Held &held : held_) {
+        if (held.leaving && (held.released || held.lapsesAt <= now)) {
+            released.push_back({held.span, held.fence, held.releaseToken});
+        }
+    }
+    return released;
+}
+
+bool RangeKeeper::admits(ShardKey key, TimePoint leaseUntil, TimePoint now) const
+{
+    const Held *held = find(key);
+    return held != nullptr && !held->leaving && now < held->confirmedUntil && now < leaseUntil;
+}
+
+bool RangeKeeper::isLeaving(ShardKey key) const
+{
+    const Held *held = find(key);
+    return held != nullptr && held->leaving;
+}
+
+std::vector<KeySpan> RangeKeeper::refusedSpans() const
+{
+    std::vector<KeySpan> spans;
+    for (const Held &held : held_) {
+        if (held.refused && !held.leaving) {
+            spans.push_back(held.span);
+        }
+    }
+    return spans;
+}
+
+std::vector<KeySpan> RangeKeeper::heldSpans() const
+{
+    std::vector<KeySpan> spans;
+    for (const Held &held : held_) {
+        if (!held.leaving) {
+            spans.push_back(held.span);
+        }
+    }
+    return spans;
+}
+
+RangeKeeper::Held *RangeKeeper::findExact(const KeySpan &span, Epoch fence)
+{
+    const auto found = std::find_if(held_.begin(), held_.end(), [&](const Held &held) {
+        return held.span == span && held.fence == fence;
+    });
+    return found == held_.end() ? nullptr : &*found;
+}
+
+const RangeKeeper::Held *RangeKeeper::find(ShardKey key) const
+{
+    const auto next
+            = std::upper_bound(held_.begin(), held_.end(), key, [](ShardKey value, const Held &held) {
+                  return value < held.span.first;
+              });
+    return next == held_.begin() || std::prev(next)->span.last < key ? nullptr : &*std::prev(next);
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/decision/range/range_keeper.h
@@ -0,0 +1,136 @@
+/** @file range_keeper.h What one node grants to the backend server beside it, renews and takes back. */
+
+#pragma once
+
+#include "decision/range/range_type.h"
+
+#include <optional>
+
+namespace wisteriahoist {
+
+/** Times of grants. */
+struct GrantTimes {
+    /**
+     * How long a grant lasts. After a backend server falls silent its keys wait for so long; after
+     * a crash of the node alone its backend server keeps its keys for so long, which outlasts a
+     * restart (1 to 3.5 s on the users' sites), so that the keys need no warm-up.
+     */
+    milliseconds hold{4000};
+    /** Three renewals may be lost before a grant lapses. */
+    milliseconds renewEvery{1000};
+    /** No grant is sent for less: it would lapse about when it arrives. */
+    milliseconds least{300};
+    /** A backend server's clock may run 2% slow: its hold lasts so much longer than ours. */
+    double driftShare = 0.02;
+    /** Between the sending of a grant and its arrival on the same VM. */
+    milliseconds arrival{100};
+};
+
+/** A call to the backend server: take these keys, or keep them. */
+struct GrantOrder {
+    KeySpan span;
+    Epoch fence;
+    milliseconds hold{0};
+    std::string handover; ///< Empty: none.
+};
+
+/** A call to the backend server: stop new work on these keys, answer when the old work has ended. */
+struct ReleaseOrder {
+    KeySpan span;
+    Epoch fence;
+};
+
+/** How a call ended. */
+enum class OrderResult {
+    Accepted,
+    HigherFence, ///< The backend server has seen a higher fence on one of the keys.
+    Unanswered,  ///< It may take effect, also seconds later.
+};
+
+/** A range that the backend server holds no more and that may be given to another one. */
+struct ReleasedRange {
+    KeySpan span;
+    Epoch fence;
+    std::string handover; ///< Empty if it was not released but outwaited.
+};
+
+/**
+ * The only one that grants to its backend server, since nobody else can reach it. It admits a
+ * request only for a key whose grant was confirmed and has not lapsed on this node's own clock.
+ *
+ * Invariant: a range is reported as released only after the backend server has confirmed it, or
+ * after the latest grant ever sent for any of its keys, answered or not, has run out.
+ */
+class RangeKeeper
+{
+public:
+    explicit RangeKeeper(GrantTimes times) : times_(times) { }
+
+    /** Takes over the stored table, and who this node and its backend server are at present. */
+    void onTable(const RangeTable &table, const std::optional<RangeHolder> &self, TimePoint now);
+
+    /** The backend server's life has ended for certain: it holds nothing any more. */
+    void onBackendGone();
+
+    /** @return The grants to send now; each counts as sent. @param leaseUntil No grant outlasts it. */
+    std::vector<GrantOrder> takeDueGrants(TimePoint leaseUntil, TimePoint now);
+
+    /** @param sentAt The time at which takeDueGrants() gave the order. */
+    void onGrantEnd(const GrantOrder &order, OrderResult result, TimePoint sentAt);
+
+    /** Stops admitting and renewing @p span, to be released. Spans that are not held are ignored. */
+    void beginRelease(const KeySpan &span);
+
+    /** @return The releases to send now; each counts as sent until onReleaseEnd(). */
+    std::vector<ReleaseOrder> takeDueReleases(TimePoint now);
+
+    void onReleaseEnd(const ReleaseOrder &order, OrderResult result, const std::string &handover,
+                      TimePoint now);
+
+    /** @return Ranges that may be written to others; they stay listed until the table names them
+     *  others'. */
+    std::vector<ReleasedRange> releasedRanges(TimePoint now) const;
+
+    /** @return Whether a request for @p key may be handed to the backend server. */
+    bool admits(ShardKey key, TimePoint leaseUntil, TimePoint now) const;
+
+    /** @return Whether @p key is on its way to another holder. */
+    bool isLeaving(ShardKey key) const;
+
+    /** @return Fences that the backend server refused; the table needs higher ones for them. */
+    std::vector<KeySpan> refusedSpans() const;
+
+    /** @return Spans held and not leaving, in order. */
+    std::vector<KeySpan> heldSpans() const;
+
+    size_t size() const { return held_.size(); }
+
+private:
+    struct Held {
+        KeySpan span;
+        Epoch fence;
+        std::string handover;
+        TimePoint confirmedUntil = NeverTime; ///< On this node's clock, from the sending.
+        TimePoint lapsesAt = NeverTime;       ///< Of the latest grant sent, clock drift included.
+        TimePoint dueAt = NeverTime;          ///< Of the next grant.
+        bool granting = false;                ///< A grant is on its way.
+        bool refused = false;                 ///< Its fence is used up.
+        bool leaving = false;
+        bool releasing = false; ///< A release is on its way.
+        bool released = false;  ///< The backend server has confirmed.
+        TimePoint releaseDueAt = NeverTime;
+        std::string releaseToken;
+    };
+
+    void takeEntry(const KeySpan &span, const RangeEntry &entry, TimePoint now,
+                   std::vector<Held> &next) const;
+    void applyGrantEnd(Held &held, const GrantOrder &order, OrderResult result,
+                       TimePoint sentAt) const;
+    Held *findExact(const KeySpan &span, Epoch fence);
+    const Held *find(ShardKey key) const;
+
+    GrantTimes times_;
+    std::vector<Held> held_; ///< Sorted by span; disjoint.
+};
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/decision/range/range_planner.cpp
@@ -0,0 +1,187 @@
+/** @file range_planner.cpp Which ranges go to which holder. */
+
+#include "decision/range/range_planner.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace wisteriahoist {
+
+namespace {
+
+/** Load that every key is taken to have besides what was measured, over all keys together. */
+constexpr double IdleLoad = 0.05;
+/** A candidate without room still gets this share of the level: its report may be old. */
+constexpr double LeastShare = 0.02;
+
+/** @return What each candidate takes so that all come out at one level of busy slots per slot. */
+std::vector<double> levelShares(const std::vector<RangeCandidate> &candidates, double load)
+{
+    double low = 0;
+    double high = load;
+    for (const RangeCandidate &candidate : candidates) {
+        high = std::max(high, candidate.busySlots / candidate.slots + load);
+    }
+    const auto roomAt = [&candidates](double level) {
+        return std::accumulate(candidates.begin(), candidates.end(), 0.0,
+                               [level](double sum, const RangeCandidate &candidate) {
+                                   const double room
+                                           = level * candidate.slots - candidate.busySlots;
+                                   return sum + std::max(0.0, room);
+                               });
+    };
+    constexpr int Steps = 40; // Halvings: far below the precision of any load.
+    for (int step = 0; step < Steps; ++step) {
+        const double middle = (low + high) / 2;
+        (roomAt(middle) < load ? low : high) = middle;
+    }
+    std::vector<double> shares;
+    for (const RangeCandidate &candidate : candidates) {
+        const double room = high * candidate.slots - candidate.busySlots;
+        shares.push_back(std::max(room, load * LeastShare));
+    }
+    return shares;
+}
+
+/** Walks over keys in order and tells the load of each. */
+class KeyWalk
+{
+public:
+    KeyWalk(const std::vector<KeyRate> &rates, double idlePerKey)
+        : rates_(rates), idlePerKey_(idlePerKey)
+    { }
+
+    double loadOf(uint32_t key)
+    {
+        while (next_ < rates_.size() && rates_[next_].key.value() < key) {
+            ++next_;
+        }
+        const bool measured = next_ < rates_.size() && rates_[next_].key.value() == key;
+        return idlePerKey_ + (measured ? rates_[next_].busySlots : 0);
+    }
+
+private:
+    const std::vector<KeyRate> &rates_;
+    double idlePerKey_;
+    size_t next_ = 0;
+};
+
+double sumOf(const std::vector<KeyRate> &rates)
+{
+    return std::accumulate(
+            rates.begin(), rates.end(), 0.0,
+            [](double sum, const KeyRate &rate) { return sum + rate.busySlots; });
+}
+
+} // namespace
+
+std::vector<RangeMove> planGiveAway(const std::vector<KeySpan> &spans,
+                                    const std::vector<KeyRate> &rates,
+                                    const std::vector<RangeCandidate> &candidates)
+{
+    std::vector<RangeMove> moves;
+    uint32_t keys = 0;
+    for (const KeySpan &span : spans) {
+        keys += span.size();
+    }
+    if (candidates.empty() || keys == 0) {
+        return moves;
+    }
+    const double measured = sumOf(rates);
+    const double total = measured + std::max(measured * IdleLoad, IdleLoad);
+    const std::vector<double> shares = levelShares(candidates, total);
+    const double shareSum = std::accumulate(shares.begin(), shares.end(), 0.0);
+    KeyWalk walk(rates, (total - measured) / keys);
+    size_t target = 0;
+    double taken = 0;
+    double bound = shares[0] / shareSum * total;
+    for (const KeySpan &span : spans) {
+        uint32_t begin = span.first.value();
+        for (uint32_t key = begin; key <= span.last.value(); ++key) {
+            const double load = walk.loadOf(key);
+            // A key goes to the side on which most of its load lies.
+            if (taken + load / 2 > bound && target + 1 < candidates.size()) {
+                if (key > begin) {
+                    moves.push_back({{ShardKey(begin), ShardKey(key - 1)},
+                                     candidates[target].holder});
+                }
+                begin = key;
+                while (taken + load / 2 > bound && target + 1 < candidates.size()) {
+                    ++target;
+                    bound += shares[target] / shareSum * total;
+                }
+            }
+            taken += load;
+        }
+        moves.push_back({{ShardKey(begin), span.last}, candidates[target].holder});
+    }
+    return moves;
+}
+
+namespace {
+
+/** A part at one end of a span, and its load. */
+struct EndPart {
+    KeySpan span;
+    double load = 0;
+};
+
+/** @return The largest part at the front (or back) of @p span with a load of @p most or less. */
+EndPart cutEnd(const KeySpan &span, std::vector<KeyRate> rates, double most, bool front)
+{
+    EndPart part;
+    if (!front) {
+        std::reverse(rates.begin(), rates.end());
+    }
+    for (const KeyRate &rate : rates) {
+        if (!span.contains(rate.key)) {
+            continue;
+        }
+        if (part.load + rate.busySlots > most) {
+            break;
+        }
+        part.load += rate.busySlots;
+        part.span = front ? KeySpan{span.first, rate.key} : KeySpan{rate.key, span.last};
+    }
+    return part;
+}
+
+} // namespace
+
+std::optional<RangeMove> planBalance(const RangeCandidate &self, const std::vector<KeySpan> &spans,
+                                     const std::vector<KeyRate> &rates,
+                                     const std::vector<RangeCandidate> &candidates,
+                                     const BalanceLimits &limits)
+{
+    const auto shareOf = [](const RangeCandidate &candidate) {
+        return candidate.busySlots / candidate.slots;
+    };
+    const auto idlest = std::min_element(candidates.begin(), candidates.end(),
+                                         [&shareOf](const auto &left, const auto &right) {
+                                             return shareOf(left) < shareOf(right);
+                                         });
+    if (idlest == candidates.end() || shareOf(self) < limits.busyShare
+        || shareOf(self) - shareOf(*idlest) < limits.margin) {
+        return std::nullopt;
+    }
+    const double gap = shareOf(self) - shareOf(*idlest);
+    const double most = gap * limits.part * std::min(self.slots, idlest->slots);
+    EndPart best;
+    for (const KeySpan &span : spans) {
+        for (const bool front : {true, false}) {
+            const EndPart part = cutEnd(span, rates, most, front);
+            // Nothing is gained if the whole range moves and its holder is left without any.
+            const bool whole = part.span == span && spans.size() == 1;
+            if (part.load > best.load && !whole) {
+                best = part;
+            }
+        }
+    }
+    // A part that hardly weighs anything is not worth the move.
+    if (best.load < most / 4) {
+        return std::nullopt;
+    }
+    return RangeMove{best.span, idlest->holder};
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/decision/range/range_planner.h
@@ -0,0 +1,58 @@
+/** @file range_planner.h Which ranges go to which holder: when one leaves, is lost, or is too busy. */
+
+#pragma once
+
+#include "decision/range/key_load.h"
+
+#include <optional>
+
+namespace wisteriahoist {
+
+/** A backend server that may be given keys. */
+struct RangeCandidate {
+    RangeHolder holder;
+    double busySlots = 0; ///< By its latest report; 0 if there is none.
+    double slots = 1;     ///< That it has.
+    uint32_t keys = 0;    ///< Keys that it holds at present.
+};
+
+/** A range and who is to hold it. */
+struct RangeMove {
+    KeySpan span;
+    RangeHolder holder;
+    bool operator==(const RangeMove &) const = default;
+};
+
+/** When a holder gives a part of its load away. */
+struct BalanceLimits {
+    /** Below this share of its slots a holder keeps what it has: nobody waits there. */
+    double busyShare = 0.7;
+    /** By so much the other's share must be lower: a move costs its keys about half a second. */
+    double margin = 0.25;
+    /** Part of the difference that is moved at once; all of it would swing back. */
+    double part = 0.5;
+    /** Loads are reported a second late and fade over three: a second move sooner would act on the
+     *  load from before the first. */
+    milliseconds pause{3000};
+};
+
+/**
+ * Divides @p spans among @p candidates so that their loads come out level. The load of the spans
+ * is taken from @p rates; with @p rates empty, it is taken to be even over the keys.
+ * @param rates Sorted by key. @return Empty if there are no candidates.
+ */
+std::vector<RangeMove> planGiveAway(const std::vector<KeySpan> &spans,
+                                    const std::vector<KeyRate> &rates,
+                                    const std::vector<RangeCandidate> &candidates);
+
+/**
+ * Decides whether a busy holder gives a part of its keys to the least busy candidate.
+ * The part is cut at an end of a range, so that the number of ranges grows by one at most, and a
+ * key that is busier than the whole difference stays where it is: its neighbours move instead.
+ */
+std::optional<RangeMove> planBalance(const RangeCandidate &self, const std::vector<KeySpan> &spans,
+                                     const std::vector<KeyRate> &rates,
+                                     const std::vector<RangeCandidate> &candidates,
+                                     const BalanceLimits &limits);
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/decision/range/range_table.cpp
@@ -0,0 +1,134 @@
+/** @file range_table.cpp Changes of a range table; each gives a new table. */
+
+#include "decision/range/range_type.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wisteriahoist {
+
+namespace {
+
+/** Makes an entry begin at @p key. */
+void splitAt(RangeTable &table, ShardKey key)
+{
+    auto next = std::upper_bound(
+            table.entries.begin(), table.entries.end(), key,
+            [](ShardKey value, const RangeEntry &entry) { return value < entry.first; });
+    if (next == table.entries.begin() || std::prev(next)->first == key) {
+        return;
+    }
+    RangeEntry part = *std::prev(next);
+    part.first = key;
+    table.entries.insert(next, std::move(part));
+}
+
+/** Joins neighbours that differ in nothing but their keys. */
+void mergeEqual(RangeTable &table)
+{
+    std::vector<RangeEntry> merged;
+    for (RangeEntry &entry : table.entries) {
+        const bool same = !merged.empty() && merged.back().holder == entry.holder
+                          && merged.back().fence == entry.fence;
+        if (!same) {
+            merged.push_back(std::move(entry));
+        }
+    }
+    table.entries = std::move(merged);
+}
+
+} // namespace
+
+const RangeEntry *RangeTable::find(ShardKey key) const
+{
+    const auto next = std::upper_bound(
+            entries.begin(), entries.end(), key,
+            [](ShardKey value, const RangeEntry &entry) { return value < entry.first; });
+    return next == entries.begin() ? nullptr : &*std::prev(next);
+}
+
+RangeTable giveRange(RangeTable table, const KeySpan &span, const RangeHolder &holder,
+                     const std::string &handover)
+{
+    if (table.entries.empty()) {
+        table.entries.push_back({});
+    }
+    splitAt(table, span.first);
+    if (span.last != LastShardKey) {
+        splitAt(table, ShardKey(span.last.value() + 1));
+    }
+    table.highestFence = table.highestFence.next();
+    for (RangeEntry &entry : table.entries) {
+        if (span.contains(entry.first)) {
+            entry.holder = holder;
+            entry.fence = table.highestFence;
+            entry.handover = handover;
+        }
+    }
+    mergeEqual(table);
+    return table;
+}
+
+std::vector<std::pair<KeySpan, RangeHolder>> cutByShares(const KeySpan &span,
+                                                         const std::vector<HolderShare> &shares)
+{
+    double total = 0;
+    for (const HolderShare &share : shares) {
+        total += share.share;
+    }
+    std::vector<std::pair<KeySpan, RangeHolder>> parts;
+    double taken = 0;
+    uint32_t begin = span.first.value();
+    const uint32_t end = span.last.value() + 1;
+    for (size_t index = 0; index < shares.size() && begin < end; ++index) {
+        taken += shares[index].share;
+        const bool isLast = index + 1 == shares.size();
+        const auto width = static_cast<uint32_t>(std::llround(span.size() * taken / total));
+        const uint32_t partEnd = isLast ? end : std::min(end, span.first.value() + width);
+        if (partEnd > begin) {
+            parts.push_back(
+                    {{ShardKey(begin), ShardKey(partEnd - 1)}, shares[index].holder});
+        }
+        begin = partEnd;
+    }
+    return parts;
+}
+
+RangeTable makeRangeTable(const std::vector<HolderShare> &shares)
+{
+    RangeTable table;
+    for (const auto &[span, holder] : cutByShares(KeySpan{}, shares)) {
+        table = giveRange(std::move(table), span, holder, {});
+    }
+    return table;
+}
+
+RangeTable adoptRanges(RangeTable table, const RangeHolder &self)
+{
+    for (RangeEntry &entry : table.entries) {
+        if (entry.holder.node != self.node || entry.holder == self) {
+            continue;
+        }
+        if (entry.holder.backend != self.backend) {
+            table.highestFence = table.highestFence.next();
+            entry.fence = table.highestFence;
+            entry.handover.clear();
+        }
+        entry.holder = self;
+    }
+    mergeEqual(table);
+    return table;
+}
+
+uint32_t countKeys(const RangeTable &table, NodeId node)
+{
+    uint32_t count = 0;
+    for (size_t index = 0; index < table.entries.size(); ++index) {
+        if (table.entries[index].holder.node == node) {
+            count += table.spanOf(index).size();
+        }
+    }
+    return count;
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/decision/request/attempt_policy.h
@@ -0,0 +1,60 @@
+/** @file attempt_policy.h What the first node does after an attempt at one instance has ended. */
+
+#pragma once
+
+#include "decision/request/outcome_table.h"
+
+#include <cstdint>
+
+namespace wisteriahoist {
+
+/** How one attempt ended. */
+struct AttemptEnd {
+    Outcome outcome = Outcome::Unknown;
+    uint16_t status = 0;
+    bool reachedBackend = false; ///< It was sent to the backend server.
+    bool routingMayChange = false; ///< Refused for want of an owner, not of room.
+};
+
+/** What is known of the request as a whole. */
+struct AttemptHistory {
+    bool idempotent = false;
+    bool sharded = false;       ///< Only the holder of its key can serve it.
+    uint32_t maxAttempts = 1;   ///< Instances that may be reached in all.
+    uint32_t reached = 0;       ///< Instances reached so far, this one included.
+    uint32_t asked = 0;         ///< Nodes asked so far, this one included.
+    uint32_t candidates = 0;    ///< Nodes that could be asked in all.
+    bool mayHaveRun = false;    ///< An attempt ended with an unknown outcome.
+    Duration timeLeft{0};       ///< Until the caller or the route gives up.
+    Duration awaitedOwner{0};   ///< Time already spent on waiting for an owner.
+};
+
+/** What comes next. */
+enum class AttemptStep {
+    Finish,       ///< The caller gets this attempt's end.
+    AskAnother,   ///< Nothing has reached an instance: asking another node is free.
+    RepeatAnother, ///< It reached an instance: sending it once more draws on the budget.
+    AwaitOwner,   ///< Wait shortly for newer routing, then ask the owner.
+};
+
+/** Bounds of the attempts. */
+struct AttemptLimits {
+    /**
+     * Nodes asked for room. A refusal comes back in about 2 ms and carries a fresh load, so the
+     * next choice is a good one; if three are full, all are.
+     */
+    uint32_t asks = 3;
+    /**
+     * A range that moves is back in about half a second, an owner's crash is noticed in a tenth. A
+     * caller that is refused instead comes back once only.
+     */
+    milliseconds ownerWait{700};
+    /** With less time than this left, another instance could not answer in time. */
+    milliseconds leastTimeLeft{60};
+};
+
+/** @return What comes next; the caller checks the budget before RepeatAnother. */
+AttemptStep decideNextAttempt(const AttemptEnd &end, const AttemptHistory &history,
+                              const AttemptLimits &limits);
+
+} // namespace wisteriahoist
--- a/src/decision/request/keyless_balancer.cpp
+++ b/src/decision/request/keyless_balancer.cpp
@@ -6,6 +6,22 @@
 
 namespace wisteriahoist {
 
+namespace {
+
+/** @return The mean over those that have a service time; 1 if none has. */
+double meanServiceTime(const std::vector<InstanceLoad> &instances)
+{
+    double sum = 0;
+    size_t known = 0;
+    for (const InstanceLoad &instance : instances) {
+        sum += static_cast<double>(instance.serviceTime.count());
+        known += instance.serviceTime.count() > 0 ? 1 : 0;
+    }
+    return known == 0 ? 1 : sum / static_cast<double>(known);
+}
+
+} // namespace
+
 double estimateLoad(const InstanceLoad &instance, const BalancerLimits &limits, TimePoint now)
 {
     const auto own = static_cast<double>(instance.outstanding);
@@ -34,9 +50,12 @@
         const auto step = static_cast<size_t>(second * static_cast<double>(count - 1));
         right = (left + 1 + step) % count;
     }
+    const double meanService = meanServiceTime(instances);
     const auto costOf = [&](const InstanceLoad &instance) {
         const double distance = instance.failureDomain == ownDomain ? 0 : limits.localMargin;
-        return estimateLoad(instance, limits, now) + distance;
+        const auto service = static_cast<double>(instance.serviceTime.count());
+        const double slowness = service > 0 ? service / meanService : 1;
+        return estimateLoad(instance, limits, now) * slowness + distance;
     };
     const InstanceLoad &a = instances[left];
     const InstanceLoad &b = instances[right];
--- a/src/decision/request/keyless_balancer.h
+++ b/src/decision/request/keyless_balancer.h
@@ -20,6 +20,7 @@
     double reportedRunning = 0; ///< By its report; may lag or mislead.
     TimePoint reportedAt = NeverTime;
     uint32_t sentSinceReport = 0; ///< This node's own requests since that report.
+    milliseconds serviceTime{0};  ///< Mean time that a request runs there; 0: not known.
 };
 
 /** How much reports count. */
@@ -33,6 +34,8 @@
 
 /**
  * Chooses the less loaded of two instances; the own failure domain's wins while it is not hotter.
+ * Where service times are known, a slow instance counts as fuller in proportion to its own over
+ * the mean of all: the same number of requests there takes so much longer.
  * Two random choices, and not the least of all: many nodes with the same stale reports would all
  * choose the same instance.
  * @param first, second Random numbers in [0, 1).
--- /dev/null
+++ b/src/duty/backend_gate.cpp
@@ -0,0 +1,268 @@
+/** @file backend_gate.cpp The last point before the backend server beside this node. */
+
+#include "duty/backend_gate.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace wisteriahoist {
+
+namespace {
+
+/** A new connection to the same VM is there in about a millisecond, or not at all. */
+constexpr milliseconds ConnectTimeout{300};
+/** Nobody is handed a request with less time than this: its answer could not come back in time. */
+constexpr milliseconds LeastTimeLeft{10};
+
+PoolLimits makePoolLimits()
+{
+    PoolLimits limits;
+    limits.connect = ConnectTimeout;
+    limits.unframed = true;
+    limits.idleTime = std::chrono::seconds(8);
+    return limits;
+}
+
+RequestEnd endOf(const Failure &failure, const ExchangeControl &control)
+{
+    if (control.isCancelled()) {
+        return RequestEnd::CallerGone;
+    }
+    switch (failure.code) {
+    case FailureCode::Unavailable:
+        return RequestEnd::Unreachable;
+    case FailureCode::DeadlineExceeded:
+        return RequestEnd::DeadlineOver;
+    case FailureCode::Malformed:
+        return RequestEnd::BadAnswer;
+    default:
+        return RequestEnd::ConnectionLost;
+    }
+}
+
+/** @return Whether callers read @p status as a promise that the request has not run. */
+bool promisesNotRun(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+milliseconds leftUntil(TimePoint end, TimePoint now)
+{
+    return std::max(std::chrono::duration_cast<milliseconds>(end - now), milliseconds(1));
+}
+
+} // namespace
+
+BackendGate::BackendGate(asio::io_context &context, const Clock &clock,
+                         const RequestProtocol &protocol, const std::string &ip, uint16_t port,
+                         BackendMonitor &monitor, KeyHolding &holding)
+    : context_(context), clock_(clock), protocol_(protocol), monitor_(monitor), holding_(holding),
+      client_(context.get_executor(), ip, port, makePoolLimits())
+{ }
+
+void BackendGate::onBackendChange()
+{
+    admission_.onSlots(monitor_.slots());
+    wakeNext();
+}
+
+v1::BackendLoad BackendGate::load(TimePoint now)
+{
+    v1::BackendLoad load;
+    load.set_running(admission_.running());
+    load.set_waiting(static_cast<uint32_t>(admission_.waiting()));
+    load.set_slots(admission_.slots());
+    const auto service = std::chrono::duration_cast<milliseconds>(admission_.serviceTime());
+    load.set_service_ms(static_cast<uint32_t>(service.count()));
+    load.set_busy_slots(holding_.demand(now));
+    return load;
+}
+
+RequestEnd BackendGate::check(const v1::HopRequest &request, const Call &call, TimePoint now) const
+{
+    if (call.cancelled) {
+        return RequestEnd::CallerGone;
+    }
+    if (monitor_.state() != BackendState::Ready || monitor_.service() != request.service()) {
+        return RequestEnd::NoBackend;
+    }
+    if (now + LeastTimeLeft >= call.deadline) {
+        return RequestEnd::DeadlineOver;
+    }
+    if (request.keyed() && !holding_.admits(ShardKey(request.shard_key()), now)) {
+        return RequestEnd::NotOwner;
+    }
+    return RequestEnd::None;
+}
+
+asio::awaitable<v1::HopReply> BackendGate::run(v1::HopRequest request)
+{
+    v1::HopReply reply;
+    const CallName name{request.origin_node(), request.request_id()};
+    auto call = std::make_shared<Call>(context_);
+    call->deadline = clock_.now() + milliseconds(request.deadline_left_ms());
+    calls_[name] = call;
+    co_await serve(request, *call, reply);
+    calls_.erase(name);
+    *reply.mutable_load() = load(clock_.now());
+    co_return reply;
+}
+
+asio::awaitable<void> BackendGate::serve(const v1::HopRequest &request, Call &call,
+                                         v1::HopReply &reply)
+{
+    RequestEnd refusal = check(request, call, clock_.now());
+    if (refusal != RequestEnd::None) {
+        fillVerdict(reply, RequestStage::Received, refusal);
+        co_return;
+    }
+    refusal = co_await awaitSlot(request, call, reply);
+    if (refusal != RequestEnd::None) {
+        const int64_t retryAfter = reply.retry_after_ms();
+        fillVerdict(reply, RequestStage::Queued, refusal);
+        reply.set_retry_after_ms(std::max(retryAfter, reply.retry_after_ms()));
+        co_return;
+    }
+    // What was checked before the wait may have changed: a queued request outlives the move of its
+    // key, and would otherwise run beside the new holder's.
+    refusal = check(request, call, clock_.now());
+    if (refusal != RequestEnd::None) {
+        admission_.onEnd(request.nested(), std::nullopt);
+        fillVerdict(reply, RequestStage::Queued, refusal);
+        wakeNext();
+        co_return;
+    }
+    co_await handOver(request, call, reply);
+}
+
+asio::awaitable<RequestEnd> BackendGate::awaitSlot(const v1::HopRequest &request, Call &call,
+                                                   v1::HopReply &reply)
+{
+    const TimePoint now = clock_.now();
+    WorkItem item;
+    item.id = ++lastId_;
+    item.nested = request.nested();
+    item.priority = request.priority();
+    item.deadline = call.deadline;
+    item.objective = now + milliseconds(request.objective_left_ms());
+    const AdmissionDecision decision = admission_.offer(item, now);
+    if (decision.step == AdmissionDecision::Step::Run) {
+        co_return RequestEnd::None;
+    }
+    if (decision.step == AdmissionDecision::Step::Refuse) {
+        reply.set_retry_after_ms(decision.retryAfter.count());
+        if (request.keyed()) {
+            holding_.onWork(ShardKey(request.shard_key()), admission_.serviceTime(), now);
+        }
+        co_return RequestEnd::Overloaded;
+    }
+    const std::shared_ptr<Call> self = calls_.at({request.origin_node(), request.request_id()});
+    waiting_[item.id] = self;
+    call.timer.expires_after(decision.patienceUntil - now);
+    beast::error_code ignored;
+    co_await call.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    waiting_.erase(item.id);
+    if (call.granted) {
+        co_return RequestEnd::None;
+    }
+    admission_.remove(item.id);
+    co_return call.cancelled ? RequestEnd::CallerGone : RequestEnd::PatienceOver;
+}
+
+asio::awaitable<void> BackendGate::handOver(const v1::HopRequest &request, Call &call,
+                                            v1::HopReply &reply)
+{
+    const TimePoint startedAt = clock_.now();
+    HttpRequest forwarded = makeForwardedRequest(request);
+    BackendTerms terms;
+    terms.timeLeft = leftUntil(call.deadline, startedAt);
+    terms.backend = monitor_.backend();
+    terms.callerService = request.caller_service();
+    protocol_.setTerms(forwarded, terms);
+    const std::string attemptId = request.attempt_id();
+    call.control->expect([this, attemptId](const HttpResponse &response) {
+        return protocol_.judge(response, attemptId) != AnswerKind::Foreign;
+    });
+    const std::shared_ptr<ExchangeControl> control = call.control;
+    Result<HttpResponse> answer
+            = co_await client_.exchange(std::move(forwarded), terms.timeLeft, control);
+    const TimePoint now = clock_.now();
+    if (request.keyed()) {
+        holding_.onWork(ShardKey(request.shard_key()), now - startedAt, now);
+    }
+    if (answer) {
+        noteMonitorChange(monitor_.onAnswer(now));
+        admission_.onEnd(request.nested(), now - startedAt);
+        fillFromAnswer(request, std::move(answer.assume_value()), reply);
+    } else {
+        admission_.onEnd(request.nested(), std::nullopt);
+        fillFromFailure(answer.assume_error(), call, reply);
+    }
+    wakeNext();
+}
+
+void BackendGate::fillFromAnswer(const v1::HopRequest &request, HttpResponse answer,
+                                 v1::HopReply &reply)
+{
+    const AnswerKind kind = protocol_.judge(answer, request.attempt_id());
+    if (kind == AnswerKind::OtherLife) {
+        fillVerdict(reply, RequestStage::Answered, RequestEnd::BackendRefused);
+        noteMonitorChange(monitor_.onOtherLife(protocol_.namedBackend(answer), clock_.now()));
+    } else if (kind == AnswerKind::NotExecuted) {
+        fillVerdict(reply, RequestStage::Answered, RequestEnd::BackendRefused);
+    } else if (kind != AnswerKind::Complete || promisesNotRun(answer.result_int())) {
+        // A bare 503 of a backend server does not prove that the request has not run; passed on,
+        // the caller would take it for such a proof and repeat a booking.
+        fillVerdict(reply, RequestStage::HandedOver, RequestEnd::BadAnswer);
+    } else {
+        fillAnswer(reply, std::move(answer), request.method() == "HEAD");
+    }
+    reply.set_reached_backend(true);
+}
+
+void BackendGate::fillFromFailure(const Failure &failure, const Call &call, v1::HopReply &reply)
+{
+    const bool neverSent = failure.code == FailureCode::Unavailable;
+    const RequestStage stage = neverSent ? RequestStage::Queued : call.control->stage();
+    fillVerdict(reply, stage, endOf(failure, *call.control));
+    reply.set_reached_backend(!neverSent);
+    if (call.control->isRefused()) {
+        noteMonitorChange(monitor_.onRefusedConnection());
+    }
+    if (suspicion_ && !call.control->isCancelled()) {
+        suspicion_();
+    }
+}
+
+void BackendGate::wakeNext()
+{
+    for (auto id = admission_.takeNext(clock_.now()); id; id = admission_.takeNext(clock_.now())) {
+        const auto found = waiting_.find(*id);
+        if (found == waiting_.end() || found->second->cancelled) {
+            admission_.onEnd(false, std::nullopt);
+            continue;
+        }
+        found->second->granted = true;
+        found->second->timer.cancel();
+    }
+}
+
+void BackendGate::noteMonitorChange(bool changed)
+{
+    if (changed && monitorChanged_) {
+        monitorChanged_();
+    }
+}
+
+void BackendGate::cancel(uint64_t originNode, uint64_t requestId)
+{
+    const auto found = calls_.find({originNode, requestId});
+    if (found == calls_.end()) {
+        return;
+    }
+    found->second->cancelled = true;
+    found->second->timer.cancel();
+    found->second->control->cancel();
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/duty/fleet_view.h
@@ -0,0 +1,67 @@
+/** @file fleet_view.h What one node knows of configuration, members and ranges from the store. */
+
+#pragma once
+
+#include "decision/member/member_type.h"
+#include "decision/range/range_type.h"
+#include "decision/routing/route_table.h"
+#include "port/record_store.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace wisteriahoist {
+
+/** A range table as it is stored. */
+struct StoredTable {
+    RangeTable table;
+    StoreRevision revision;
+};
+
+/**
+ * The node's copy of the store's records. It is never older than it was: a record is replaced
+ * only by one with a higher revision. Used by one thread.
+ */
+class FleetView
+{
+public:
+    /** @return Whether it is newer than what was known. */
+    bool onConfig(RouteConfig config);
+    void onMember(const MemberRecord &member, StoreRevision revision);
+    void onMemberRemoved(const std::string &name);
+    void onTable(const std::string &service, RangeTable table, StoreRevision revision);
+
+    /** @param action Runs after each change; kept for the life of this object. */
+    void onChange(std::function<void()> action) { actions_.push_back(std::move(action)); }
+
+    const RouteTable &routes() const { return *config_.table(); }
+    std::shared_ptr<const RouteTable> routesPtr() const { return config_.table(); }
+
+    const std::map<NodeId, MemberRecord> &members() const { return members_; }
+    const MemberRecord *findMember(NodeId node) const;
+
+    /** @return Members whose backend server serves @p service and takes requests. */
+    std::vector<const MemberRecord *> readyMembers(const std::string &service) const;
+
+    /** @return nullptr if the service has no table yet. */
+    const StoredTable *findTable(const std::string &service) const;
+
+    /** @return Counts up with each change; tells a waiter whether something is new. */
+    uint64_t changes() const { return changes_; }
+
+private:
+    void notify();
+
+    RouteConfigHolder config_;
+    std::map<NodeId, MemberRecord> members_;
+    std::map<NodeId, StoreRevision> memberRevisions_;
+    std::map<std::string, StoredTable> tables_;
+    std::vector<std::function<void()>> actions_;
+    uint64_t changes_ = 0;
+};
+
+/** @return The name of a member's records in the store. */
+std::string memberRecordName(NodeId node);
+
+} // namespace wisteriahoist
--- a/src/duty/gate_message.cpp
+++ b/src/duty/gate_message.cpp
@@ -7,7 +7,7 @@
 
 namespace wisteriahoist {
 
-HttpRequest makeBackendRequest(const v1::HopRequest &request, const BackendGrant &grant)
+HttpRequest makeForwardedRequest(const v1::HopRequest &request)
 {
     HttpRequest forwarded;
     forwarded.method_string(request.method());
@@ -15,13 +15,19 @@
     for (const v1::HeaderField &field : request.headers()) {
         forwarded.insert(field.name(), field.value());
     }
+    forwarded.body() = request.body();
+    return forwarded;
+}
+
+HttpRequest makeBackendRequest(const v1::HopRequest &request, const BackendGrant &grant)
+{
+    HttpRequest forwarded = makeForwardedRequest(request);
     if (request.keyed()) {
         forwarded.set("Wisteriahoist-Key", request.key());
         forwarded.set("Wisteriahoist-Epoch", std::to_string(grant.epoch.value()));
         forwarded.set("Wisteriahoist-Grant-Expires-Ms", std::to_string(grant.expires.count()));
     }
     forwarded.set("Wisteriahoist-Deadline-Ms", std::to_string(grant.deadline.count()));
-    forwarded.body() = request.body();
     return forwarded;
 }
 
--- a/src/duty/gate_message.h
+++ b/src/duty/gate_message.h
@@ -16,6 +16,9 @@
     milliseconds deadline{0}; ///< What is left for the run.
 };
 
+/** @return The request as its caller sent it, without what belonged to the caller's connection. */
+HttpRequest makeForwardedRequest(const v1::HopRequest &request);
+
 /** @return The request as the backend server gets it. */
 HttpRequest makeBackendRequest(const v1::HopRequest &request, const BackendGrant &grant);
 
--- /dev/null
+++ b/src/duty/member_publisher.h
@@ -0,0 +1,46 @@
+/** @file member_publisher.h Writes this node's own member record whenever it has changed. */
+
+#pragma once
+
+#include "decision/member/member_type.h"
+#include "port/clock.h"
+#include "port/record_store.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+
+namespace wisteriahoist {
+
+/** Keeps the stored record equal to what the node is. Used by one thread. */
+class MemberPublisher
+{
+public:
+    /** @param describe Gives the record as it should be now. */
+    MemberPublisher(boost::asio::io_context &context, RecordStore &store,
+                    std::function<MemberRecord()> describe,
+                    std::function<void(const MemberRecord &, StoreRevision)> written);
+
+    void start();
+
+    /** The record may have changed. */
+    void wake() { timer_.cancel(); }
+
+    /** @return Whether the record as it is now has been stored. */
+    bool isPublished() const { return published_ && stored_ == describe_(); }
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<bool> publish(const MemberRecord &member);
+
+    boost::asio::io_context &context_;
+    RecordStore &store_;
+    std::function<MemberRecord()> describe_;
+    std::function<void(const MemberRecord &, StoreRevision)> written_;
+    boost::asio::steady_timer timer_;
+    MemberRecord stored_;
+    StoreRevision revision_; ///< 0: not known.
+    bool published_ = false;
+};
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/duty/range_duty.cpp
@@ -0,0 +1,564 @@
+/** @file range_duty.cpp Keeps the keys of the backend server beside this node. */
+
+#include "duty/range_duty.h"
+
+#include "adapter/log/event_log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+
+namespace wisteriahoist {
+
+namespace {
+
+/** Grants are renewed each second, so a tenth of it is soon enough to look at what is due. */
+constexpr milliseconds Tick{100};
+/** Without keys to keep there is little to look at. */
+constexpr milliseconds IdleTick{1000};
+/** A grant is answered in about a millisecond; one that takes longer has been lost. */
+constexpr milliseconds GrantTimeout{400};
+/** A release is answered when the running work has ended; sent again after so long, it may have
+ *  been lost. */
+constexpr milliseconds ReleaseTimeout{1500};
+/** After its start a node waits for so long before it divides a service that has no table: the
+ *  first heartbeats come within 1.5 s, and who is not there yet has to be given keys later. */
+constexpr milliseconds Settle{2500};
+constexpr milliseconds ProbeEvery{1000};
+/** A node that has not been reached for so long may be lost; its lease decides. */
+constexpr milliseconds SuspectAfter{1000};
+
+Incarnation drawLife()
+{
+    std::random_device device;
+    const uint64_t high = device();
+    return Incarnation((high << 31U | device()) | 1U);
+}
+
+std::string holderText(const RangeHolder &holder)
+{
+    return std::to_string(holder.node.value()) + "/" + holder.backend;
+}
+
+} // namespace
+
+RangeDuty::RangeDuty(asio::io_context &context, const Clock &clock, RecordStore &store,
+                     BackendControl &backend, FleetView &view, BackendMonitor &monitor,
+                     PeerLoads &loads, const MemberRecord &self, GrantTimes grants)
+    : context_(context), clock_(clock), store_(store), backend_(backend), view_(view),
+      monitor_(monitor), loads_(loads), self_(self), session_(drawLife()), keeper_(grants),
+      wakeTimer_(context)
+{ }
+
+void RangeDuty::start()
+{
+    startedAt_ = clock_.now();
+    const auto loop = [this]() { return tickLoop(); };
+    asio::co_spawn(context_, loop, asio::detached);
+}
+
+void RangeDuty::wake()
+{
+    wakeTimer_.cancel();
+}
+
+bool RangeDuty::isSharded() const
+{
+    const ServiceConfig *service = view_.routes().findService(self_.service);
+    return service != nullptr && service->sharded;
+}
+
+std::optional<RangeHolder> RangeDuty::holder() const
+{
+    if (monitor_.backend().empty() || monitor_.isGone()) {
+        return std::nullopt;
+    }
+    return RangeHolder{self_.node, session_, monitor_.backend()};
+}
+
+bool RangeDuty::admits(ShardKey key, TimePoint now) const
+{
+    return keeper_.admits(key, lease_.validUntil(), now);
+}
+
+void RangeDuty::onWork(ShardKey key, Duration busy, TimePoint now)
+{
+    load_.record(key, busy, now);
+}
+
+bool RangeDuty::isUnreachable(NodeId node, TimePoint now) const
+{
+    const TimePoint since = loads_.unreachableSince(node);
+    return since != NeverTime && now - since >= SuspectAfter;
+}
+
+std::vector<RangeCandidate> RangeDuty::candidates(TimePoint now, bool withSelf) const
+{
+    std::vector<RangeCandidate> found;
+    const StoredTable *stored = view_.findTable(self_.service);
+    for (const MemberRecord *member : view_.readyMembers(self_.service)) {
+        const bool self = member->node == self_.node;
+        if ((self && !withSelf) || (!self && isUnreachable(member->node, now))) {
+            continue;
+        }
+        RangeCandidate candidate;
+        candidate.holder = {member->node, member->life, member->backend};
+        candidate.slots = std::max<uint32_t>(1, member->slots);
+        candidate.busySlots = loads_.busySlots(member->node, now);
+        candidate.keys = stored == nullptr ? 0 : countKeys(stored->table, member->node);
+        found.push_back(std::move(candidate));
+    }
+    return found;
+}
+
+const MemberRecord *RangeDuty::firstOfService(TimePoint now) const
+{
+    for (const MemberRecord *member : view_.readyMembers(self_.service)) {
+        if (member->node == self_.node || !isUnreachable(member->node, now)) {
+            return member;
+        }
+    }
+    return nullptr;
+}
+
+asio::awaitable<void> RangeDuty::tickLoop()
+{
+    while (true) {
+        const TimePoint now = clock_.now();
+        const bool sharded = isSharded();
+        if (sharded) {
+            if (const StoredTable *stored = view_.findTable(self_.service)) {
+                keeper_.onTable(stored->table, holder(), now);
+            }
+            if (keeper_.heldSpans().size() == keeper_.size()) {
+                targets_.clear();
+            }
+            startLeaving(now);
+            startBalancing(now);
+            sendOrders(now);
+        }
+        wakeTimer_.expires_after(sharded ? Tick : IdleTick);
+        boost::system::error_code ignored;
+        co_await wakeTimer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void RangeDuty::sendOrders(TimePoint now)
+{
+    const auto spawn = [this](asio::awaitable<void> work) {
+        asio::co_spawn(context_, std::move(work), asio::detached);
+    };
+    const bool inUse = holder().has_value() || keeper_.size() > 0;
+    if (!renewing_ && inUse && lease_.beginRenewal(now)) {
+        renewing_ = true;
+        spawn(renewLease());
+    }
+    if (!writing_) {
+        writing_ = true;
+        spawn(planOnce());
+    }
+    if (!watching_ && now - probedAt_ >= ProbeEvery) {
+        probedAt_ = now;
+        watching_ = true;
+        spawn(watchOthers());
+    }
+    for (GrantOrder &order : keeper_.takeDueGrants(lease_.validUntil(), now)) {
+        spawn(sendGrant(std::move(order)));
+    }
+    for (const ReleaseOrder &order : keeper_.takeDueReleases(now)) {
+        spawn(sendRelease(order));
+    }
+}
+
+asio::awaitable<void> RangeDuty::sendGrant(GrantOrder order)
+{
+    const TimePoint sentAt = clock_.now();
+    const OrderAnswer answer = co_await backend_.grant(order, GrantTimeout);
+    keeper_.onGrantEnd(order, answer.result, sentAt);
+    if (answer.result != OrderResult::Unanswered) {
+        (void)monitor_.onAnswer(clock_.now());
+    }
+    if (answer.result == OrderResult::HigherFence) {
+        logEvent(LogEvent::GrantRefused, {{"first", order.span.first.value()},
+                                          {"last", order.span.last.value()},
+                                          {"fence", order.fence.value()}});
+    }
+    if (answer.refusedConnection && monitor_.onRefusedConnection()) {
+        logEvent(LogEvent::BackendSilent,
+                 {{"backend", monitor_.backend()}, {"cause", "connection refused"}});
+    }
+    wake();
+}
+
+asio::awaitable<void> RangeDuty::sendRelease(ReleaseOrder order)
+{
+    const OrderAnswer answer = co_await backend_.release(order, ReleaseTimeout);
+    keeper_.onReleaseEnd(order, answer.result, answer.handover, clock_.now());
+    wake();
+}
+
+void RangeDuty::lostLease()
+{
+    logEvent(LogEvent::LeaseLost, {{"session", session_.value()}});
+    lease_.onRevoked();
+    session_ = drawLife();
+}
+
+asio::awaitable<void> RangeDuty::renewLease()
+{
+    const TimePoint sentAt = clock_.now();
+    LeaseRecord lease;
+    lease.node = self_.node;
+    lease.life = session_;
+    lease.renewal = ++renewals_;
+    const bool wasValid = lease_.isValid(sentAt);
+    Result<StoreRevision> written = co_await writeLease(lease);
+    if (written) {
+        leaseRevision_ = written.assume_value();
+        lease_.onRenewed(sentAt);
+        if (!wasValid) {
+            logEvent(LogEvent::LeaseGained, {{"session", session_.value()}});
+        }
+    } else {
+        lease_.onFailed();
+        const bool conflict = written.assume_error().code == FailureCode::VersionConflict;
+        if (conflict || leaseRevision_.value() == 0) {
+            Result<StoredRecord> stored
+                    = co_await store_.read(RecordKind::Leases, memberRecordName(self_.node));
+            if (stored) {
+                leaseRevision_ = stored.assume_value().revision;
+                Result<LeaseRecord> known = decodeLease(stored.assume_value().content);
+                // An own renewal whose answer was lost looks like a conflict too.
+                if (known && known.assume_value().revokedBy != InvalidNode) {
+                    lostLease();
+                }
+                lease_.retryNow();
+            }
+        }
+    }
+    renewing_ = false;
+    wake();
+}
+
+asio::awaitable<Result<StoreRevision>> RangeDuty::writeLease(LeaseRecord lease)
+{
+    std::string name = memberRecordName(lease.node);
+    std::string content = encodeLease(lease);
+    if (leaseRevision_.value() == 0) {
+        return store_.create(RecordKind::Leases, std::move(name), std::move(content));
+    }
+    return store_.replace(RecordKind::Leases, std::move(name), leaseRevision_, std::move(content));
+}
+
+void RangeDuty::startLeaving(TimePoint now)
+{
+    const bool leaving = monitor_.state() == BackendState::Draining
+                         || (monitor_.state() == BackendState::Down && !monitor_.isGone());
+    const std::vector<KeySpan> held = keeper_.heldSpans();
+    if (!leaving || held.empty()) {
+        return;
+    }
+    const std::vector<RangeMove> moves
+            = planGiveAway(held, load_.rates(KeySpan{}, now), candidates(now, false));
+    for (const RangeMove &move : moves) {
+        targets_.push_back(move);
+        keeper_.beginRelease(move.span);
+        logEvent(LogEvent::RangeLeaving, {{"first", move.span.first.value()},
+                                          {"last", move.span.last.value()},
+                                          {"to", holderText(move.holder)},
+                                          {"cause", "backend server leaves"}});
+    }
+}
+
+void RangeDuty::startBalancing(TimePoint now)
+{
+    const std::vector<KeySpan> held = keeper_.heldSpans();
+    BalanceLimits limits;
+    if (monitor_.state() != BackendState::Ready || held.empty() || held.size() != keeper_.size()
+        || now - std::max(movedAt_, startedAt_) < limits.pause) {
+        return;
+    }
+    RangeCandidate self;
+    self.holder = *holder();
+    self.slots = std::max<uint32_t>(1, monitor_.slots());
+    self.busySlots = load_.total(now);
+    std::vector<RangeCandidate> others = candidates(now, false);
+    std::vector<RangeCandidate> newcomers;
+    bool busiest = true;
+    for (const RangeCandidate &other : others) {
+        if (other.keys == 0) {
+            newcomers.push_back(other);
+        }
+        busiest = busiest && other.busySlots / other.slots <= self.busySlots / self.slots;
+    }
+    if (!newcomers.empty() && busiest) {
+        // One that has no keys serves nobody: it gets its part even if nobody is short of room.
+        limits.busyShare = 0;
+        limits.margin = 0;
+        others = newcomers;
+    }
+    const auto move = planBalance(self, held, load_.rates(KeySpan{}, now), others, limits);
+    if (!move) {
+        return;
+    }
+    movedAt_ = now;
+    targets_.push_back(*move);
+    keeper_.beginRelease(move->span);
+    logEvent(LogEvent::RangeLeaving, {{"first", move->span.first.value()},
+                                      {"last", move->span.last.value()},
+                                      {"to", holderText(move->holder)},
+                                      {"busy_slots", self.busySlots},
+                                      {"cause", "load"}});
+}
+
+RangeHolder RangeDuty::targetOf(const KeySpan &span, TimePoint now) const
+{
+    const std::vector<RangeCandidate> others = candidates(now, true);
+    const auto isCandidate = [&others](const RangeHolder &holder) {
+        return std::any_of(others.begin(), others.end(), [&holder](const RangeCandidate &other) {
+            return other.holder == holder;
+        });
+    };
+    for (const RangeMove &move : targets_) {
+        if (move.span.covers(span) && isCandidate(move.holder)) {
+            return move.holder;
+        }
+    }
+    const auto idlest = std::min_element(
+            others.begin(), others.end(), [](const RangeCandidate &left, const RangeCandidate &right) {
+                return left.busySlots / left.slots < right.busySlots / right.slots;
+            });
+    return idlest == others.end() ? RangeHolder{} : idlest->holder;
+}
+
+RangeTable RangeDuty::handReleasedOver(RangeTable table, TimePoint now)
+{
+    for (const ReleasedRange &released : keeper_.releasedRanges(now)) {
+        const RangeHolder target = targetOf(released.span, now);
+        if (!target.isNobody()) {
+            table = giveRange(std::move(table), released.span, target, released.handover);
+        }
+    }
+    return table;
+}
+
+RangeTable RangeDuty::giveOwnAway(RangeTable table, TimePoint now)
+{
+    std::vector<KeySpan> spans;
+    for (size_t index = 0; index < table.entries.size(); ++index) {
+        if (table.entries[index].holder.node == self_.node) {
+            spans.push_back(table.spanOf(index));
+        }
+    }
+    const std::vector<RangeMove> moves
+            = planGiveAway(spans, load_.rates(KeySpan{}, now), candidates(now, false));
+    for (const RangeMove &move : moves) {
+        table = giveRange(std::move(table), move.span, move.holder, {});
+    }
+    return table;
+}
+
+bool RangeDuty::isFreeForAll(const RangeHolder &holder) const
+{
+    if (holder.isNobody()) {
+        return true;
+    }
+    const auto revoked = revoked_.find(holder.node);
+    return revoked != revoked_.end() && revoked->second.count(holder.life) > 0;
+}
+
+RangeTable RangeDuty::fillGaps(RangeTable table, TimePoint now) const
+{
+    std::vector<KeySpan> spans;
+    for (size_t index = 0; index < table.entries.size(); ++index) {
+        if (isFreeForAll(table.entries[index].holder)) {
+            spans.push_back(table.spanOf(index));
+        }
+    }
+    for (const RangeMove &move : planGiveAway(spans, {}, candidates(now, true))) {
+        table = giveRange(std::move(table), move.span, move.holder, {});
+    }
+    return table;
+}
+
+std::optional<RangeTable> RangeDuty::planTable(const StoredTable &stored, TimePoint now)
+{
+    RangeTable next = stored.table;
+    if (const std::optional<RangeHolder> self = holder()) {
+        next = adoptRanges(std::move(next), *self);
+        for (const KeySpan &refused : keeper_.refusedSpans()) {
+            next = giveRange(std::move(next), refused, *self, {});
+        }
+        next = handReleasedOver(std::move(next), now);
+    } else if (monitor_.isGone()) {
+        next = giveOwnAway(std::move(next), now);
+    }
+    const MemberRecord *first = firstOfService(now);
+    if (first != nullptr && first->node == self_.node) {
+        next = fillGaps(std::move(next), now);
+    }
+    if (next == stored.table) {
+        return std::nullopt;
+    }
+    return next;
+}
+
+asio::awaitable<void> RangeDuty::planOnce()
+{
+    if (refresh_) {
+        co_await refreshTable();
+    }
+    const TimePoint now = clock_.now();
+    const StoredTable *stored = view_.findTable(self_.service);
+    if (refresh_) {
+        writing_ = false;
+        co_return;
+    }
+    if (stored == nullptr) {
+        co_await createTable();
+    } else if (std::optional<RangeTable> next = planTable(*stored, now)) {
+        co_await writeTable(std::move(*next), stored->revision);
+    }
+    writing_ = false;
+}
+
+asio::awaitable<void> RangeDuty::createTable()
+{
+    const TimePoint now = clock_.now();
+    const MemberRecord *first = firstOfService(now);
+    if (first == nullptr || first->node != self_.node || now - startedAt_ < Settle) {
+        co_return;
+    }
+    std::vector<HolderShare> shares;
+    for (const RangeCandidate &candidate : candidates(now, true)) {
+        shares.push_back({candidate.holder, candidate.slots});
+    }
+    RangeTable table = makeRangeTable(shares);
+    co_await writeTable(std::move(table), std::nullopt);
+}
+
+asio::awaitable<void> RangeDuty::writeTable(RangeTable table, std::optional<StoreRevision> over)
+{
+    std::string content = encodeRangeTable(table);
+    std::string name = self_.service;
+    Result<StoreRevision> written = Failure{};
+    if (over) {
+        written = co_await store_.replace(RecordKind::Ranges, std::move(name), *over,
+                                          std::move(content));
+    } else {
+        written = co_await store_.create(RecordKind::Ranges, std::move(name), std::move(content));
+    }
+    if (!written) {
+        // It may have been written all the same, or somebody else was first: read before planning.
+        refresh_ = true;
+        logEvent(LogEvent::RangesNotWritten,
+                 {{"cause", std::string(failureName(written.assume_error().code))}});
+        co_return;
+    }
+    logEvent(LogEvent::RangesWritten, {{"service", self_.service},
+                                       {"revision", written.assume_value().value()},
+                                       {"ranges", table.entries.size()},
+                                       {"fence", table.highestFence.value()}});
+    view_.onTable(self_.service, std::move(table), written.assume_value());
+    wake();
+}
+
+asio::awaitable<void> RangeDuty::refreshTable()
+{
+    std::string name = self_.service;
+    Result<StoredRecord> stored = co_await store_.read(RecordKind::Ranges, std::move(name));
+    if (!stored) {
+        refresh_ = stored.assume_error().code != FailureCode::NotFound;
+        co_return;
+    }
+    refresh_ = false;
+    Result<RangeTable> table = decodeRangeTable(stored.assume_value().content);
+    if (table) {
+        view_.onTable(self_.service, std::move(table.assume_value()),
+                      stored.assume_value().revision);
+    }
+}
+
+asio::awaitable<void> RangeDuty::watchOthers()
+{
+    const TimePoint now = clock_.now();
+    const MemberRecord *first = firstOfService(now);
+    const StoredTable *stored = view_.findTable(self_.service);
+    std::set<NodeId> holders;
+    if (first != nullptr && first->node == self_.node && stored != nullptr) {
+        for (const RangeEntry &entry : stored->table.entries) {
+            if (!entry.holder.isNobody() && entry.holder.node != self_.node) {
+                holders.insert(entry.holder.node);
+            }
+        }
+    }
+    std::erase_if(observers_, [&holders](const auto &entry) {
+        return holders.count(entry.first) == 0;
+    });
+    for (const NodeId node : holders) {
+        co_await checkHolder(node);
+    }
+    watching_ = false;
+}
+
+asio::awaitable<void> RangeDuty::checkHolder(NodeId node)
+{
+    const MemberRecord *member = view_.findMember(node);
+    if (member != nullptr && probe_) {
+        const MemberRecord copy = *member;
+        const bool answered = co_await probe_(copy);
+        if (answered || !isUnreachable(node, clock_.now())) {
+            observers_.erase(node);
+            co_return;
+        }
+    }
+    Result<StoredRecord> lease = co_await store_.read(RecordKind::Leases, memberRecordName(node));
+    const bool absent = !lease && lease.assume_error().code == FailureCode::NotFound;
+    if (!lease && !absent) {
+        co_return;
+    }
+    const StoreRevision revision = absent ? StoreRevision(0) : lease.assume_value().revision;
+    LeaseObserver &observer
+            = observers_.try_emplace(node, LeaseObserver(StoreLeaseTimes{})).first->second;
+    observer.onRead(revision.value(), clock_.now());
+    if (observer.isOver(clock_.now())) {
+        co_await revoke(node, revision);
+    }
+}
+
+asio::awaitable<void> RangeDuty::revoke(NodeId node, StoreRevision revision)
+{
+    std::set<Incarnation> lives;
+    const StoredTable *stored = view_.findTable(self_.service);
+    for (const RangeEntry &entry : stored->table.entries) {
+        if (entry.holder.node == node) {
+            lives.insert(entry.holder.life);
+        }
+    }
+    LeaseRecord lease;
+    lease.node = node;
+    lease.revokedBy = self_.node;
+    if (lives.size() == 1) {
+        lease.life = *lives.begin();
+    }
+    std::string name = memberRecordName(node);
+    std::string content = encodeLease(lease);
+    Result<StoreRevision> written = Failure{};
+    if (revision.value() == 0) {
+        written = co_await store_.create(RecordKind::Leases, std::move(name), std::move(content));
+    } else {
+        written = co_await store_.replace(RecordKind::Leases, std::move(name), revision,
+                                          std::move(content));
+    }
+    observers_.erase(node);
+    if (!written) {
+        co_return;
+    }
+    logEvent(LogEvent::LeaseRevoked, {{"node", node.value()}, {"revision", revision.value()}});
+    revoked_[node].insert(lives.begin(), lives.end());
+    wake();
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/duty/range_duty.h
@@ -0,0 +1,114 @@
+/** @file range_duty.h Keeps the keys of the backend server beside this node: lease, grants, moves. */
+
+#pragma once
+
+#include "adapter/codec/record_codec.h"
+#include "decision/member/backend_monitor.h"
+#include "decision/range/range_planner.h"
+#include "decision/range/store_lease.h"
+#include "duty/backend_gate.h"
+#include "duty/fleet_view.h"
+#include "duty/peer_loads.h"
+#include "port/backend_control.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <set>
+
+namespace wisteriahoist {
+
+/** Asks another node whether it is there. @return Whether it answered. */
+using PeerProbe = std::function<asio::awaitable<bool>(const MemberRecord &)>;
+
+/**
+ * Carries out what the range decisions say for the sharded service beside this node.
+ *
+ * Every change of the table is one conditional write, and takes a range only from a holder that
+ * provably holds it no more: it released it, its life is over, or its lease was revoked after it
+ * had run out. So a write that is done late, after its answer was lost, is as safe as in time.
+ */
+class RangeDuty final : public KeyHolding
+{
+public:
+    RangeDuty(asio::io_context &context, const Clock &clock, RecordStore &store,
+              BackendControl &backend, FleetView &view, BackendMonitor &monitor, PeerLoads &loads,
+              const MemberRecord &self, GrantTimes grants);
+
+    void start();
+
+    /** Something has changed: looks at everything soon. */
+    void wake();
+
+    void probeWith(PeerProbe probe) { probe_ = std::move(probe); }
+
+    bool admits(ShardKey key, TimePoint now) const override;
+    void onWork(ShardKey key, Duration busy, TimePoint now) override;
+    double demand(TimePoint now) override { return load_.total(now); }
+
+    /** @return The life under which this node holds keys; a new one after its lease was revoked. */
+    Incarnation session() const { return session_; }
+
+    /** @return Whether nothing is held that others could take over in order. */
+    bool isEmpty() const { return keeper_.size() == 0; }
+
+private:
+    bool isSharded() const;
+    std::optional<RangeHolder> holder() const;
+    std::vector<RangeCandidate> candidates(TimePoint now, bool withSelf) const;
+    const MemberRecord *firstOfService(TimePoint now) const;
+    bool isUnreachable(NodeId node, TimePoint now) const;
+
+    asio::awaitable<void> tickLoop();
+    asio::awaitable<void> renewLease();
+    asio::awaitable<Result<StoreRevision>> writeLease(LeaseRecord lease);
+    asio::awaitable<void> sendGrant(GrantOrder order);
+    asio::awaitable<void> sendRelease(ReleaseOrder order);
+    asio::awaitable<void> planOnce();
+    asio::awaitable<void> writeTable(RangeTable table, std::optional<StoreRevision> over);
+    asio::awaitable<void> refreshTable();
+    asio::awaitable<void> watchOthers();
+    asio::awaitable<void> revoke(NodeId node, StoreRevision revision);
+    void sendOrders(TimePoint now);
+    std::optional<RangeTable> planTable(const StoredTable &stored, TimePoint now);
+    RangeTable giveOwnAway(RangeTable table, TimePoint now);
+    RangeTable handReleasedOver(RangeTable table, TimePoint now);
+    RangeTable fillGaps(RangeTable table, TimePoint now) const;
+    bool isFreeForAll(const RangeHolder &holder) const;
+    asio::awaitable<void> createTable();
+    asio::awaitable<void> checkHolder(NodeId node);
+    void startLeaving(TimePoint now);
+    void startBalancing(TimePoint now);
+    RangeHolder targetOf(const KeySpan &span, TimePoint now) const;
+    void lostLease();
+
+    asio::io_context &context_;
+    const Clock &clock_;
+    RecordStore &store_;
+    BackendControl &backend_;
+    FleetView &view_;
+    BackendMonitor &monitor_;
+    PeerLoads &loads_;
+    MemberRecord self_;
+    Incarnation session_; ///< Of the lease; a new one after the lease was revoked.
+    RangeKeeper keeper_;
+    StoreLease lease_{StoreLeaseTimes{}};
+    StoreRevision leaseRevision_;
+    uint64_t renewals_ = 0;
+    KeyLoad load_;
+    PeerProbe probe_;
+    asio::steady_timer wakeTimer_;
+    std::vector<RangeMove> targets_; ///< Who is to get what is being released.
+    std::map<NodeId, LeaseObserver> observers_; ///< Of nodes that do not answer.
+    /// Lives whose lease this node has taken away; a later life of the node is not among them.
+    std::map<NodeId, std::set<Incarnation>> revoked_;
+    TimePoint startedAt_ = NeverTime;
+    TimePoint movedAt_ = NeverTime;
+    TimePoint probedAt_ = NeverTime;
+    bool writing_ = false; ///< Invariant: at most one write of the table is on its way.
+    bool renewing_ = false;
+    bool watching_ = false;
+    bool refresh_ = false; ///< The table has to be read before the next write.
+};
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/duty/request_router.cpp
@@ -0,0 +1,406 @@
+/** @file request_router.cpp Callers' requests: finds the route and the instance, tries, answers. */
+
+#include "duty/request_router.h"
+
+#include "adapter/clock/pause_func.h"
+#include "adapter/http/header_rules.h"
+#include "adapter/log/event_log.h"
+#include "duty/ingress_message.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace wisteriahoist {
+
+namespace {
+
+constexpr std::string_view HopPath = "/hop";
+constexpr std::string_view ProbePath = "/probe";
+
+/** Nodes are 1 ms apart; one that takes so long to accept a connection is cut off or without power. */
+constexpr milliseconds PeerConnectTimeout{300};
+constexpr milliseconds ProbeTimeout{600};
+/** Lets the gate's own verdict at the deadline (it may be "not run") arrive before the hop's. */
+constexpr milliseconds HopGrace{20};
+constexpr milliseconds CancelTimeout{500};
+/** Between two questions to the owner of a key that is on its way. */
+constexpr milliseconds OwnerPause{50};
+/** The first configuration is read within a second of a node's start, or the store is away. */
+constexpr milliseconds RetryConfig{1000};
+/** Before other nodes have reported how long they will be full. */
+constexpr milliseconds RetryDefault{200};
+
+milliseconds leftUntil(TimePoint end, TimePoint now)
+{
+    return std::chrono::duration_cast<milliseconds>(end - now);
+}
+
+/** @return What the transport's failure says about a request that got no reply. */
+RequestEnd endOf(FailureCode code)
+{
+    switch (code) {
+    case FailureCode::DeadlineExceeded:
+        return RequestEnd::DeadlineOver;
+    case FailureCode::Malformed:
+        return RequestEnd::BadAnswer;
+    default:
+        return RequestEnd::ConnectionLost;
+    }
+}
+
+AttemptEnd describe(const v1::HopReply &reply)
+{
+    AttemptEnd end;
+    end.outcome = outcomeOf(reply);
+    end.status = static_cast<uint16_t>(reply.status());
+    end.reachedBackend = reply.reached_backend();
+    end.routingMayChange = reply.reason() == "not-owner" || reply.reason() == "no-lease"
+                           || reply.reason() == "no-backend" || reply.reason() == "unreachable";
+    return end;
+}
+
+} // namespace
+
+RequestRouter::RequestRouter(asio::io_context &context, const Clock &clock,
+                             const RequestProtocol &protocol, FleetView &view, PeerLoads &loads,
+                             BackendGate &gate, RouterSettings settings)
+    : context_(context), clock_(clock), protocol_(protocol), view_(view), loads_(loads),
+      gate_(gate), settings_(std::move(settings)), peers_(context), random_(std::random_device{}())
+{
+    peers_.limitConnect(PeerConnectTimeout);
+}
+
+HttpResponse RequestRouter::refuse(http::status status, std::string_view type,
+                                   const std::string &detail, milliseconds retryAfter) const
+{
+    HttpResponse response = makeProblemResponse({status, type, detail, milliseconds(0)});
+    if (retryAfter.count() > 0) {
+        protocol_.setRetryAfter(response, retryAfter);
+    }
+    return response;
+}
+
+asio::awaitable<HttpResponse> RequestRouter::onRequest(HttpRequest request,
+                                                       std::shared_ptr<CallerWatch> caller)
+{
+    ++counters_.requests;
+    const std::shared_ptr<const RouteTable> routes = view_.routesPtr();
+    if (routes->version() == 0) {
+        co_return refuse(http::status::service_unavailable, "no-configuration",
+                         "No configuration is known yet.", RetryConfig);
+    }
+    const auto host = request[http::field::host];
+    const auto target = request.target();
+    const Route *route = routes->find({host.data(), host.size()}, {target.data(), target.size()});
+    if (route == nullptr) {
+        co_return refuse(http::status::not_found, "no-route", "No route matches.",
+                         milliseconds(0));
+    }
+    const Result<RequestTerms> terms = protocol_.readTerms(request);
+    if (!terms) {
+        co_return refuse(http::status::bad_request, "malformed-request",
+                         terms.assume_error().context, milliseconds(0));
+    }
+    const std::shared_ptr<Work> work
+            = makeWork(request, terms.assume_value(), *route, std::move(caller));
+    work->routes = routes;
+    if (work->history.sharded && !terms.assume_value().shardKey) {
+        co_return refuse(http::status::bad_request, "malformed-request", "The key is missing.",
+                         milliseconds(0));
+    }
+    ++open_;
+    v1::HopReply reply = co_await runAttempts(work);
+    --open_;
+    work->caller->onGone(nullptr);
+    co_return makeAnswer(*work, std::move(reply));
+}
+
+std::shared_ptr<RequestRouter::Work> RequestRouter::makeWork(const HttpRequest &request,
+                                                             const RequestTerms &terms,
+                                                             const Route &route,
+                                                             std::shared_ptr<CallerWatch> caller)
+{
+    const TimePoint now = clock_.now();
+    auto work = std::make_shared<Work>();
+    work->route = &route;
+    work->caller = std::move(caller);
+    work->startedAt = now;
+    work->deadline = now + std::min(route.timeout, terms.timeLeft.value_or(route.timeout));
+    const bool hasObjective = route.latencyObjective.count() > 0;
+    work->objective = hasObjective ? now + route.latencyObjective : work->deadline;
+    v1::HopRequest &hop = work->hop;
+    hop.set_service(targets_.pick(route));
+    hop.set_attempt_id(terms.attemptId);
+    hop.set_method(std::string(request.method_string()));
+    hop.set_target(std::string(request.target()));
+    hop.set_must_not_repeat(route.kind == RequestKind::NonIdempotent);
+    hop.set_origin_node(settings_.node.value());
+    hop.set_nested(work->caller->ip() == settings_.ip);
+    hop.set_priority(route.priority);
+    hop.set_caller_service(settings_.service);
+    for (const PassedField &field : passedFields(request)) {
+        v1::HeaderField *header = hop.add_headers();
+        header->set_name(field.name);
+        header->set_value(field.value);
+    }
+    hop.set_body(request.body());
+    const ServiceConfig *service = view_.routes().findService(hop.service());
+    work->history.sharded = service != nullptr && service->sharded;
+    work->history.idempotent = route.kind == RequestKind::Idempotent;
+    work->history.maxAttempts = std::max<uint32_t>(1, route.maxAttempts);
+    if (work->history.sharded && terms.shardKey) {
+        hop.set_keyed(true);
+        hop.set_shard_key(terms.shardKey->value());
+    }
+    budgets_.try_emplace(hop.service(), settings_.repeats).first->second.onRequest(now);
+    return work;
+}
+
+asio::awaitable<v1::HopReply> RequestRouter::runAttempts(std::shared_ptr<Work> work)
+{
+    work->caller->onGone([this, work]() {
+        ++counters_.callersGone;
+        const auto cancel = [this, target = work->target, id = work->hop.request_id()]() {
+            return sendCancel(target, id);
+        };
+        asio::co_spawn(context_, cancel, asio::detached);
+    });
+    while (true) {
+        v1::HopReply reply = co_await attempt(work);
+        const TimePoint now = clock_.now();
+        const AttemptEnd end = describe(reply);
+        work->history.timeLeft = work->deadline - now;
+        work->history.reached += end.reachedBackend ? 1 : 0;
+        work->history.mayHaveRun |= end.outcome == Outcome::Unknown;
+        if (reply.retry_after_ms() > 0) {
+            const milliseconds given(reply.retry_after_ms());
+            work->retryAfter = work->retryAfter.count() == 0 ? given
+                                                             : std::min(work->retryAfter, given);
+        }
+        AttemptStep step = decideNextAttempt(end, work->history, AttemptLimits{});
+        if (work->caller->isGone()) {
+            step = AttemptStep::Finish;
+        }
+        if (step == AttemptStep::RepeatAnother && !takeRepeat(*work, now)) {
+            step = AttemptStep::Finish;
+        }
+        if (step == AttemptStep::Finish) {
+            // A later attempt's refusal says nothing about an earlier one that may have run.
+            if (work->history.mayHaveRun && end.outcome == Outcome::NotRun) {
+                reply = makeVerdictReply(RequestStage::HandedOver, RequestEnd::ConnectionLost);
+            }
+            co_return reply;
+        }
+        if (step == AttemptStep::AwaitOwner) {
+            co_await awaitRouting(work);
+        }
+    }
+}
+
+bool RequestRouter::takeRepeat(const Work &work, TimePoint now)
+{
+    const bool taken = budgets_.at(work.hop.service()).tryTake(view_.members().size(), now);
+    counters_.repeats += taken ? 1 : 0;
+    return taken;
+}
+
+asio::awaitable<void> RequestRouter::awaitRouting(std::shared_ptr<Work> work)
+{
+    constexpr milliseconds Step{10};
+    const TimePoint begun = clock_.now();
+    work->asked.clear();
+    while (clock_.now() - begun < OwnerPause && view_.changes() == work->routingSeen) {
+        co_await pauseFor(Step);
+    }
+    work->history.awaitedOwner += clock_.now() - begun;
+}
+
+NodeId RequestRouter::chooseAny(Work &work)
+{
+    const TimePoint now = clock_.now();
+    std::vector<NodeId> candidates;
+    uint32_t ready = 0;
+    for (const MemberRecord *member : view_.readyMembers(work.hop.service())) {
+        ++ready;
+        if (work.asked.count(member->node) == 0) {
+            candidates.push_back(member->node);
+        }
+    }
+    work.history.candidates = ready;
+    std::vector<InstanceLoad> instances;
+    for (const NodeId node : loads_.outliers().usable(candidates, now)) {
+        const MemberRecord &member = *view_.findMember(node);
+        instances.push_back(loads_.instanceLoad(node, member.failureDomain, member.slots));
+    }
+    return chooseInstance(instances, settings_.failureDomain, BalancerLimits{}, random(), random(),
+                          now)
+            .value_or(InvalidNode);
+}
+
+NodeId RequestRouter::chooseTarget(Work &work)
+{
+    work.routingSeen = view_.changes();
+    if (!work.history.sharded) {
+        return chooseAny(work);
+    }
+    const StoredTable *stored = view_.findTable(work.hop.service());
+    const RangeEntry *entry
+            = stored == nullptr ? nullptr : stored->table.find(ShardKey(work.hop.shard_key()));
+    return entry == nullptr ? InvalidNode : entry->holder.node;
+}
+
+asio::awaitable<v1::HopReply> RequestRouter::attempt(std::shared_ptr<Work> work)
+{
+    const TimePoint now = clock_.now();
+    work->target = chooseTarget(*work);
+    ++work->history.asked;
+    const MemberRecord *member = view_.findMember(work->target);
+    if (member == nullptr) {
+        co_return makeVerdictReply(RequestStage::Received, RequestEnd::NoBackend);
+    }
+    work->asked.insert(work->target);
+    v1::HopRequest hop = work->hop;
+    hop.set_request_id(++lastRequest_);
+    work->hop.set_request_id(lastRequest_);
+    hop.set_deadline_left_ms(leftUntil(work->deadline, now).count());
+    hop.set_objective_left_ms(leftUntil(work->objective, now).count());
+    const NodeId target = work->target;
+    if (target == settings_.node) {
+        loads_.onSent(target);
+        v1::HopReply reply = co_await gate_.run(std::move(hop));
+        loads_.onReply(target, reply, true, clock_.now());
+        co_return reply;
+    }
+    ++counters_.forwarded;
+    const MemberRecord peer = *member;
+    co_return co_await forward(peer, std::move(hop));
+}
+
+asio::awaitable<v1::HopReply> RequestRouter::forward(MemberRecord member, v1::HopRequest hop)
+{
+    const milliseconds timeout = milliseconds(hop.deadline_left_ms()) + HopGrace;
+    PeerEndpoint peer{member.ip, member.peerPort};
+    loads_.onSent(member.node);
+    std::string body = hop.SerializeAsString();
+    Result<std::string> bytes = co_await peers_.call(std::move(peer), std::string(HopPath),
+                                                     std::move(body), timeout);
+    v1::HopReply reply;
+    bool reached = bytes.has_value();
+    if (!bytes) {
+        const FailureCode code = bytes.assume_error().code;
+        const bool neverSent = code == FailureCode::Unavailable;
+        reply = neverSent ? makeVerdictReply(RequestStage::Received, RequestEnd::Unreachable)
+                          : makeVerdictReply(RequestStage::HandedOver, endOf(code));
+        reply.set_reached_backend(!neverSent);
+    } else if (!reply.ParseFromString(bytes.assume_value())
+               || reply.outcome() == v1::HOP_OUTCOME_UNSPECIFIED) {
+        reply = makeVerdictReply(RequestStage::HandedOver, RequestEnd::BadAnswer);
+        reply.set_reached_backend(true);
+    }
+    loads_.onReply(member.node, reply, reached, clock_.now());
+    co_return reply;
+}
+
+asio::awaitable<bool> RequestRouter::probe(MemberRecord member)
+{
+    PeerEndpoint peer{member.ip, member.peerPort};
+    loads_.onSent(member.node);
+    const Result<std::string> answer
+            = co_await peers_.call(std::move(peer), std::string(ProbePath), {}, ProbeTimeout);
+    v1::HopReply reply;
+    const bool answered = answer && reply.ParseFromString(answer.assume_value());
+    loads_.onReply(member.node, reply, answered, clock_.now());
+    co_return answered;
+}
+
+asio::awaitable<std::string> RequestRouter::onPeerCall(std::string path, std::string body)
+{
+    v1::HopReply reply;
+    if (path == ProbePath) {
+        *reply.mutable_load() = gate_.load(clock_.now());
+        co_return reply.SerializeAsString();
+    }
+    v1::HopRequest hop;
+    if (path != HopPath || !hop.ParseFromString(body)) {
+        reply = makeVerdictReply(RequestStage::Received, RequestEnd::BadAnswer);
+        co_return reply.SerializeAsString();
+    }
+    if (hop.cancel()) {
+        gate_.cancel(hop.origin_node(), hop.request_id());
+        co_return reply.SerializeAsString();
+    }
+    reply = co_await gate_.run(std::move(hop));
+    co_return reply.SerializeAsString();
+}
+
+asio::awaitable<void> RequestRouter::sendCancel(NodeId target, uint64_t requestId)
+{
+    if (target == settings_.node) {
+        gate_.cancel(settings_.node.value(), requestId);
+        co_return;
+    }
+    const MemberRecord *member = view_.findMember(target);
+    if (member == nullptr) {
+        co_return;
+    }
+    v1::HopRequest hop;
+    hop.set_cancel(true);
+    hop.set_origin_node(settings_.node.value());
+    hop.set_request_id(requestId);
+    PeerEndpoint peer{member->ip, member->peerPort};
+    std::string body = hop.SerializeAsString();
+    (void)co_await peers_.call(std::move(peer), std::string(HopPath), std::move(body),
+                               CancelTimeout);
+}
+
+HttpResponse RequestRouter::makeAnswer(const Work &work, v1::HopReply reply)
+{
+    const Outcome outcome = outcomeOf(reply);
+    HttpResponse response;
+    if (outcome == Outcome::Done) {
+        ++counters_.served;
+        response.result(reply.status());
+        for (const v1::HeaderField &field : reply.headers()) {
+            response.insert(field.name(), field.value());
+        }
+        response.body() = std::move(*reply.mutable_body());
+    } else if (outcome == Outcome::NotRun) {
+        ++counters_.notRun;
+        // Callers that were refused together would come back together.
+        constexpr double Spread = 0.5;
+        const milliseconds base = work.retryAfter.count() > 0 ? work.retryAfter : RetryDefault;
+        const double factor = 1 + Spread * random();
+        const auto wait = std::chrono::duration_cast<milliseconds>(base * factor);
+        response = refuse(http::status::service_unavailable, reply.reason(),
+                          "The request has not run.", wait);
+    } else {
+        ++counters_.unknown;
+        const bool late = reply.reason() == "deadline-over";
+        response = refuse(late ? http::status::gateway_timeout : http::status::bad_gateway,
+                          reply.reason(), "The request may have run.", milliseconds(0));
+    }
+    logEnd(work, reply, response.result_int());
+    return response;
+}
+
+void RequestRouter::logEnd(const Work &work, const v1::HopReply &reply, unsigned status) const
+{
+    const auto took = std::chrono::duration_cast<milliseconds>(clock_.now() - work.startedAt);
+    logEvent(LogEvent::RequestEnded,
+             {{"request", work.hop.attempt_id()},
+              {"route", work.route->name},
+              {"config", work.routes->version()},
+              {"service", work.hop.service()},
+              {"key", work.hop.keyed() ? static_cast<int64_t>(work.hop.shard_key()) : -1},
+              {"nested", work.hop.nested()},
+              {"node", work.target.value()},
+              {"asked", work.history.asked},
+              {"reached", work.history.reached},
+              {"status", status},
+              {"reason", reply.reason()},
+              {"running", reply.load().running()},
+              {"waiting", reply.load().waiting()},
+              {"ms", took.count()}});
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/duty/request_router.h
@@ -0,0 +1,110 @@
+/** @file request_router.h Callers' requests: finds the route and the instance, tries, answers. */
+
+#pragma once
+
+#include "adapter/http/http_server.h"
+#include "adapter/http/request_protocol.h"
+#include "adapter/http2/peer_transport.h"
+#include "decision/request/attempt_policy.h"
+#include "decision/request/repeat_budget.h"
+#include "duty/backend_gate.h"
+#include "duty/fleet_view.h"
+#include "duty/peer_loads.h"
+
+#include <random>
+#include <set>
+
+namespace wisteriahoist {
+
+/** What the router has to know of its own node. */
+struct RouterSettings {
+    NodeId node;
+    std::string ip; ///< Requests from here come from the backend server: nested calls.
+    std::string failureDomain;
+    std::string service;
+    FleetBudget repeats;
+};
+
+/** What the router counts. */
+struct RouterCounters {
+    uint64_t requests = 0;
+    uint64_t served = 0;   ///< With an instance's own answer.
+    uint64_t notRun = 0;
+    uint64_t unknown = 0;
+    uint64_t forwarded = 0; ///< Attempts at other nodes.
+    uint64_t repeats = 0;   ///< Attempts that drew on the budget.
+    uint64_t callersGone = 0;
+};
+
+/**
+ * The first node of a request: the one that its caller is connected to. Only this node tries
+ * again, so a request makes as many attempts as its route allows whatever the number of hops.
+ */
+class RequestRouter
+{
+public:
+    RequestRouter(asio::io_context &context, const Clock &clock, const RequestProtocol &protocol,
+                  FleetView &view, PeerLoads &loads, BackendGate &gate, RouterSettings settings);
+
+    asio::awaitable<HttpResponse> onRequest(HttpRequest request,
+                                            std::shared_ptr<CallerWatch> caller);
+
+    /** Answers another node's call. */
+    asio::awaitable<std::string> onPeerCall(std::string path, std::string body);
+
+    /** @return Whether @p member answers at all. */
+    asio::awaitable<bool> probe(MemberRecord member);
+
+    size_t openRequests() const { return open_; }
+    const RouterCounters &counters() const { return counters_; }
+
+private:
+    /** One caller's request and its attempts. */
+    struct Work {
+        std::shared_ptr<const RouteTable> routes; ///< Keeps route alive.
+        const Route *route = nullptr;
+        v1::HopRequest hop;
+        std::shared_ptr<CallerWatch> caller;
+        AttemptHistory history;
+        TimePoint startedAt;
+        TimePoint deadline;
+        TimePoint objective;
+        NodeId target; ///< Of the present attempt.
+        std::set<NodeId> asked;
+        uint64_t routingSeen = 0; ///< Changes of the view when the target was chosen.
+        milliseconds retryAfter{0}; ///< The shortest that any node gave.
+    };
+
+    HttpResponse refuse(http::status status, std::string_view type, const std::string &detail,
+                        milliseconds retryAfter) const;
+    std::shared_ptr<Work> makeWork(const HttpRequest &request, const RequestTerms &terms,
+                                   const Route &route, std::shared_ptr<CallerWatch> caller);
+    asio::awaitable<v1::HopReply> runAttempts(std::shared_ptr<Work> work);
+    asio::awaitable<v1::HopReply> attempt(std::shared_ptr<Work> work);
+    asio::awaitable<v1::HopReply> forward(MemberRecord member, v1::HopRequest hop);
+    asio::awaitable<void> awaitRouting(std::shared_ptr<Work> work);
+    asio::awaitable<void> sendCancel(NodeId target, uint64_t requestId);
+    NodeId chooseTarget(Work &work);
+    NodeId chooseAny(Work &work);
+    bool takeRepeat(const Work &work, TimePoint now);
+    HttpResponse makeAnswer(const Work &work, v1::HopReply reply);
+    void logEnd(const Work &work, const v1::HopReply &reply, unsigned status) const;
+    double random() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
+    asio::io_context &context_;
+    const Clock &clock_;
+    const RequestProtocol &protocol_;
+    FleetView &view_;
+    PeerLoads &loads_;
+    BackendGate &gate_;
+    RouterSettings settings_;
+    PeerCaller peers_;
+    TargetPicker targets_;
+    std::map<std::string, RepeatBudget> budgets_; ///< By service.
+    std::mt19937_64 random_;
+    RouterCounters counters_;
+    uint64_t lastRequest_ = 0;
+    size_t open_ = 0;
+};
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/duty/store_sync.cpp
@@ -0,0 +1,170 @@
+/** @file store_sync.cpp Keeps the fleet view up to date. */
+
+#include "duty/store_sync.h"
+
+#include "adapter/clock/pause_func.h"
+#include "adapter/codec/record_codec.h"
+#include "adapter/log/event_log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace wisteriahoist {
+
+namespace asio = boost::asio;
+
+namespace {
+
+std::string_view kindText(RecordKind kind)
+{
+    switch (kind) {
+    case RecordKind::Configuration:
+        return "configuration";
+    case RecordKind::Members:
+        return "members";
+    case RecordKind::Ranges:
+        return "ranges";
+    case RecordKind::Leases:
+        return "leases";
+    }
+    return "";
+}
+
+void logMalformed(RecordKind kind, const std::string &name, const Failure &failure)
+{
+    logEvent(LogEvent::ObjectMalformed, {{"kind", std::string(kindText(kind))},
+                                         {"name", name},
+                                         {"cause", failure.context}});
+}
+
+} // namespace
+
+StoreSync::StoreSync(asio::io_context &context, RecordStore &store, FleetView &view,
+                     std::string configName, ConfigDecoder decodeConfig, SyncTimes times)
+    : context_(context), store_(store), view_(view), configName_(std::move(configName)),
+      decodeConfig_(std::move(decodeConfig)), times_(times)
+{ }
+
+void StoreSync::start()
+{
+    for (const RecordKind kind :
+         {RecordKind::Configuration, RecordKind::Members, RecordKind::Ranges}) {
+        const auto loop = [this, kind]() { return run(kind); };
+        asio::co_spawn(context_, loop, asio::detached);
+    }
+}
+
+asio::awaitable<void> StoreSync::run(RecordKind kind)
+{
+    std::optional<StoreRevision> at;
+    milliseconds pause = times_.firstPause;
+    while (true) {
+        Result<StoreRevision> next = Failure{};
+        if (at) {
+            next = co_await watch(kind, *at);
+        } else {
+            next = co_await list(kind);
+        }
+        if (next) {
+            note(kind, nullptr);
+            at = next.assume_value();
+            pause = times_.firstPause;
+            continue;
+        }
+        const Failure &failure = next.assume_error();
+        if (failure.code == FailureCode::HistoryGone) {
+            // The store has dropped what happened since: only a new list tells.
+            at.reset();
+            continue;
+        }
+        note(kind, &failure);
+        co_await pauseFor(pause);
+        pause = std::min(pause * 2, times_.longestPause);
+    }
+}
+
+asio::awaitable<Result<StoreRevision>> StoreSync::list(RecordKind kind)
+{
+    Result<RecordListing> listing = co_await store_.list(kind);
+    if (!listing) {
+        co_return std::move(listing).as_failure();
+    }
+    for (const StoredRecord &record : listing.assume_value().records) {
+        take(kind, record);
+    }
+    co_return listing.assume_value().at;
+}
+
+asio::awaitable<Result<StoreRevision>> StoreSync::watch(RecordKind kind, StoreRevision since)
+{
+    Result<RecordChanges> changes = co_await store_.watch(kind, since, times_.wait);
+    if (!changes) {
+        co_return std::move(changes).as_failure();
+    }
+    for (const RecordChange &change : changes.assume_value().changes) {
+        if (change.removed) {
+            takeRemoved(kind, change.record.name);
+        } else {
+            take(kind, change.record);
+        }
+    }
+    co_return changes.assume_value().at;
+}
+
+void StoreSync::take(RecordKind kind, const StoredRecord &record)
+{
+    if (kind == RecordKind::Configuration) {
+        if (record.name != configName_) {
+            return;
+        }
+        Result<RouteConfig> config = decodeConfig_(record.content);
+        if (!config) {
+            logMalformed(kind, record.name, config.assume_error());
+            return;
+        }
+        const uint64_t version = config.assume_value().version;
+        const bool newer = view_.onConfig(std::move(config.assume_value()));
+        logEvent(newer ? LogEvent::ConfigInForce : LogEvent::ConfigRefused,
+                 {{"version", version}, {"revision", record.revision.value()}});
+        return;
+    }
+    if (kind == RecordKind::Members) {
+        Result<MemberRecord> member = decodeMember(record.content);
+        if (!member) {
+            logMalformed(kind, record.name, member.assume_error());
+            return;
+        }
+        view_.onMember(member.assume_value(), record.revision);
+        return;
+    }
+    Result<RangeTable> table = decodeRangeTable(record.content);
+    if (!table) {
+        logMalformed(kind, record.name, table.assume_error());
+        return;
+    }
+    view_.onTable(record.name, std::move(table.assume_value()), record.revision);
+}
+
+void StoreSync::takeRemoved(RecordKind kind, const std::string &name)
+{
+    if (kind == RecordKind::Members) {
+        view_.onMemberRemoved(name);
+    }
+}
+
+void StoreSync::note(RecordKind kind, const Failure *failure)
+{
+    const bool lost = failure != nullptr;
+    if (lost == lost_) {
+        return;
+    }
+    lost_ = lost;
+    if (lost) {
+        logEvent(LogEvent::PlatformUnavailable, {{"kind", std::string(kindText(kind))},
+                                                 {"cause", failure->context}});
+    } else {
+        logEvent(LogEvent::PlatformBack, {{"kind", std::string(kindText(kind))}});
+    }
+}
+
+} // namespace wisteriahoist
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,5 +1,6 @@
 /** @file main.cpp The command line of wisteriahoist. */
 
+#include "platform/sidecar_command.h"
 #include "program/node_program.h"
 #include "program/operator_program.h"
 
@@ -35,6 +36,7 @@
 constexpr const char *Usage = R"(a router for servers that own keys exclusively
 
   wisteriahoist node    --config FILE
+  wisteriahoist sidecar [--config FILE]   on the users' platform; default: the file that it names
   wisteriahoist check   -f FOLDER
   wisteriahoist diff    -f FOLDER --admin-port N
   wisteriahoist apply   -f FOLDER --admin-port N [--dry-run] [--wait] [--expected-version N]
@@ -149,6 +151,9 @@
     if (words.size() != expected) {
         return reportUsage(command.empty() ? "a command is needed" : command + ": wrong arguments");
     }
+    if (command == "sidecar") {
+        return platform::runSidecarCommand(absl::GetFlag(FLAGS_config));
+    }
     if (command == "node") {
         return runNode(absl::GetFlag(FLAGS_config));
     }
--- /dev/null
+++ b/src/program/sidecar_program.cpp
@@ -0,0 +1,305 @@
+/** @file sidecar_program.cpp One node beside a backend server on the users' platform. */
+
+#include "program/sidecar_program.h"
+
+#include "adapter/clock/pause_func.h"
+#include "adapter/log/event_log.h"
+#include "core/hash_func.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace wisteriahoist {
+
+namespace {
+
+/** The platform asks for readiness once a second and needs two misses to send no more callers. */
+constexpr milliseconds ReadinessGap{2500};
+/** Left of the time to end when everything is cut that still runs: ending itself takes some. */
+constexpr milliseconds EndMargin{300};
+constexpr milliseconds StopPoll{20};
+constexpr milliseconds SettingsPoll{2000};
+
+GrantTimes makeGrantTimes(const SidecarSettings &settings)
+{
+    GrantTimes times;
+    if (settings.longestHold.count() > 0) {
+        times.hold = std::min(times.hold, settings.longestHold);
+    }
+    return times;
+}
+
+NodeId makeNodeId(const SidecarSettings &settings)
+{
+    // A VM that replaces another one may get its name; at another address it is another node.
+    return NodeId(hashKey(settings.name + "@" + settings.peers.ip, 0).value() | 1U);
+}
+
+MemberRecord makeSelf(const SidecarSettings &settings, NodeId node)
+{
+    MemberRecord self;
+    self.node = node;
+    self.name = settings.name;
+    self.ip = settings.peers.ip;
+    self.peerPort = settings.peers.port;
+    self.failureDomain = settings.failureDomain;
+    self.service = settings.service;
+    return self;
+}
+
+RouterSettings makeRouterSettings(const SidecarSettings &settings, NodeId node)
+{
+    return {node, settings.backend.ip, settings.failureDomain, settings.service, settings.repeats};
+}
+
+HttpLimits makeCallerLimits(const CallerLimits &limits)
+{
+    HttpLimits http;
+    http.headerBytes = limits.headerBytes;
+    http.bodyBytes = limits.bodyBytes;
+    http.idle = limits.idleTimeout;
+    return http;
+}
+
+HttpResponse makeText(http::status status, const std::string &text)
+{
+    HttpResponse response(status, 11);
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    response.body() = text;
+    response.prepare_payload();
+    return response;
+}
+
+} // namespace
+
+SidecarProgram::SidecarProgram(asio::io_context &context, const SidecarSettings &settings,
+                               const SidecarPorts &ports)
+    : context_(context), settings_(settings), ports_(ports), node_(makeNodeId(settings)),
+      ranges_(context, clock_, ports.store, ports.backend, view_, monitor_, loads_,
+              makeSelf(settings, node_), makeGrantTimes(settings)),
+      gate_(context, clock_, ports.protocol, settings.backend.ip, settings.backend.port, monitor_,
+            ranges_),
+      router_(context, clock_, ports.protocol, view_, loads_, gate_,
+              makeRouterSettings(settings, node_)),
+      sync_(context, ports.store, view_, ports.configName, ports.decodeConfig),
+      publisher_(
+              context, ports.store, [this]() { return describe(); },
+              [this](const MemberRecord &member, StoreRevision revision) {
+                  view_.onMember(member, revision);
+              }),
+      watch_(context, clock_, ports.backend, monitor_, settings.heartbeat,
+             [this]() { onBackendChange(); })
+{
+    view_.onChange([this]() {
+        callers_->setLimits(makeCallerLimits(view_.routes().config()
+                                                     ? view_.routes().config()->limits
+                                                     : CallerLimits{}));
+        ranges_.wake();
+    });
+    gate_.onMonitorChange([this]() { onBackendChange(); });
+    gate_.onSuspicion([this]() { watch_.suspect(); });
+    ranges_.probeWith([this](const MemberRecord &member) { return router_.probe(member); });
+    registerMetrics();
+}
+
+void SidecarProgram::start()
+{
+    const auto listen = [this](const Endpoint &address, auto handler) {
+        auto server = std::make_shared<HttpServer>(context_, address.ip, address.port,
+                                                   HttpLimits{}, std::move(handler));
+        server->start();
+        return server;
+    };
+    callers_ = listen(settings_.callers,
+                      WatchedHttpHandler([this](HttpRequest request,
+                                                std::shared_ptr<CallerWatch> caller) {
+                          return router_.onRequest(std::move(request), std::move(caller));
+                      }));
+    reports_ = listen(settings_.reports, HttpHandler([this](HttpRequest request) {
+                          return onReport(std::move(request));
+                      }));
+    readiness_ = listen(settings_.readiness, HttpHandler([this](HttpRequest request) {
+                            return onReadiness(std::move(request));
+                        }));
+    metricsPage_ = listen(settings_.metrics, HttpHandler([this](HttpRequest request) {
+                              return onMetrics(std::move(request));
+                          }));
+    peers_ = std::make_shared<PeerListener>(context_, settings_.peers.ip, settings_.peers.port,
+                                            [this](std::string path, std::string body) {
+                                                return router_.onPeerCall(std::move(path),
+                                                                          std::move(body));
+                                            });
+    peers_->start();
+    sync_.start();
+    publisher_.start();
+    ranges_.start();
+    watch_.start();
+}
+
+MemberRecord SidecarProgram::describe() const
+{
+    MemberRecord self = makeSelf(settings_, node_);
+    self.life = ranges_.session();
+    self.backend = monitor_.backend();
+    self.state = monitor_.state();
+    self.slots = monitor_.slots();
+    self.stopping = stopping_;
+    if (!monitor_.service().empty()) {
+        self.service = monitor_.service();
+    }
+    return self;
+}
+
+void SidecarProgram::onBackendChange()
+{
+    logEvent(LogEvent::BackendChanged, {{"backend", monitor_.backend()},
+                                        {"state", static_cast<int64_t>(monitor_.state())},
+                                        {"gone", monitor_.isGone()},
+                                        {"slots", monitor_.slots()}});
+    gate_.onBackendChange();
+    publisher_.wake();
+    ranges_.wake();
+}
+
+asio::awaitable<HttpResponse> SidecarProgram::onReport(HttpRequest request)
+{
+    const Result<BackendCall> call = ports_.decodeReport(request);
+    if (!call) {
+        const bool missing = call.assume_error().code == FailureCode::NotFound;
+        co_return makeProblemResponse({missing ? http::status::not_found : http::status::bad_request,
+                                       failureName(call.assume_error().code),
+                                       call.assume_error().context, milliseconds(0)});
+    }
+    const BackendReport &report = call.assume_value().report;
+    const bool changed = call.assume_value().deregisters
+                                 ? monitor_.onDeregister(report.backend)
+                                 : monitor_.onReport(report, clock_.now());
+    if (changed) {
+        onBackendChange();
+    }
+    co_return ports_.makeReportAck();
+}
+
+asio::awaitable<HttpResponse> SidecarProgram::onReadiness(HttpRequest)
+{
+    const bool ready = !stopping_ && view_.routes().version() > 0;
+    co_return makeText(ready ? http::status::ok : http::status::service_unavailable,
+                       ready ? "ready\n" : "not ready\n");
+}
+
+asio::awaitable<HttpResponse> SidecarProgram::onMetrics(HttpRequest)
+{
+    co_return makeText(http::status::ok, metrics_.render(clock_.now()));
+}
+
+void SidecarProgram::registerMetrics()
+{
+    const auto counter = [this](const std::string &name, const std::string &help, auto read) {
+        metrics_.addComputed({name, help, MetricKind::Counter}, {},
+                             [read](TimePoint) { return static_cast<double>(read()); });
+    };
+    const auto gauge = [this](const std::string &name, const std::string &help, auto read) {
+        metrics_.addComputed({name, help, MetricKind::Gauge}, {},
+                             [read](TimePoint) { return static_cast<double>(read()); });
+    };
+    const RouterCounters &counters = router_.counters();
+    counter("wisteriahoist_requests_total", "Requests of callers.",
+            [&counters]() { return counters.requests; });
+    counter("wisteriahoist_served_total", "Requests answered by a backend server.",
+            [&counters]() { return counters.served; });
+    counter("wisteriahoist_not_run_total", "Requests refused before they ran.",
+            [&counters]() { return counters.notRun; });
+    counter("wisteriahoist_unknown_total", "Requests whose outcome is not known.",
+            [&counters]() { return counters.unknown; });
+    counter("wisteriahoist_forwarded_total", "Attempts at other nodes.",
+            [&counters]() { return counters.forwarded; });
+    counter("wisteriahoist_repeats_total", "Attempts that drew on the retry budget.",
+            [&counters]() { return counters.repeats; });
+    counter("wisteriahoist_callers_gone_total", "Callers that left before their answer.",
+            [&counters]() { return counters.callersGone; });
+    counter("wisteriahoist_store_calls_total", "Calls to the platform's store.",
+            ports_.storeCalls);
+    gauge("wisteriahoist_config_version", "Configuration in force.",
+          [this]() { return view_.routes().version(); });
+    gauge("wisteriahoist_members", "Nodes known.", [this]() { return view_.members().size(); });
+    gauge("wisteriahoist_running", "Requests at the backend server.",
+          [this]() { return gate_.admission().running(); });
+    gauge("wisteriahoist_waiting", "Requests that wait for a slot.",
+          [this]() { return gate_.admission().waiting(); });
+    gauge("wisteriahoist_demand_slots", "Slots that keyed requests asked for.",
+          [this]() { return ranges_.demand(clock_.now()); });
+}
+
+void SidecarProgram::onSettings(const SidecarSettings &settings)
+{
+    logEvent(LogEvent::SettingsReloaded, {{"changed", !(settings == settings_)}});
+    settings_.shutdown = settings.shutdown;
+}
+
+void SidecarProgram::beginStop()
+{
+    if (stopping_) {
+        return;
+    }
+    logEvent(LogEvent::NodeStopping);
+    stopping_ = true;
+    stopBegun_ = clock_.now();
+    callers_->closeAfterAnswers();
+    publisher_.wake();
+}
+
+bool SidecarProgram::hasStopped(TimePoint now) const
+{
+    if (!stopping_ || now - stopBegun_ < ReadinessGap) {
+        return false;
+    }
+    const bool idle = router_.openRequests() == 0 && gate_.openRequests() == 0
+                      && callers_->openRequests() == 0;
+    return idle || now - stopBegun_ >= settings_.shutdown - EndMargin;
+}
+
+namespace {
+
+asio::awaitable<void> stopOnSignal(asio::io_context &context, SidecarProgram &program)
+{
+    asio::signal_set set(context, SIGTERM, SIGINT);
+    co_await set.async_wait(asio::use_awaitable);
+    program.beginStop();
+    while (!program.hasStopped(program.clock().now())) {
+        co_await pauseFor(StopPoll);
+    }
+    context.stop();
+}
+
+asio::awaitable<void> reloadOnSignal(asio::io_context &context, SidecarProgram &program,
+                                     std::function<std::optional<SidecarSettings>()> reload)
+{
+    asio::signal_set set(context, SIGHUP);
+    while (true) {
+        boost::system::error_code ignored;
+        co_await set.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (const std::optional<SidecarSettings> settings = reload()) {
+            program.onSettings(*settings);
+        }
+    }
+}
+
+} // namespace
+
+int runSidecar(asio::io_context &context, SidecarProgram &program,
+               std::function<std::optional<SidecarSettings>()> reload)
+{
+    program.start();
+    const auto stop = [&]() { return stopOnSignal(context, program); };
+    const auto hup = [&]() { return reloadOnSignal(context, program, reload); };
+    asio::co_spawn(context, stop, asio::detached);
+    asio::co_spawn(context, hup, asio::detached);
+    context.run();
+    logEvent(LogEvent::NodeStopped);
+    return 0;
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/program/sidecar_program.h
@@ -0,0 +1,97 @@
+/** @file sidecar_program.h One node beside a backend server on the users' platform. */
+
+#pragma once
+
+#include "adapter/clock/boot_clock_adapter.h"
+#include "adapter/http/http_server.h"
+#include "adapter/metrics/metric_registry.h"
+#include "duty/backend_gate.h"
+#include "duty/backend_watch.h"
+#include "duty/member_publisher.h"
+#include "duty/range_duty.h"
+#include "duty/request_router.h"
+#include "duty/store_sync.h"
+#include "program/sidecar_settings.h"
+
+namespace wisteriahoist {
+
+/** A report of a backend server, as its call was decoded. */
+struct BackendCall {
+    BackendReport report;
+    bool deregisters = false; ///< Only the id of the report is set.
+};
+
+/** What the program needs from the platform's adapter. */
+struct SidecarPorts {
+    RecordStore &store;
+    BackendControl &backend;
+    const RequestProtocol &protocol;
+    std::string configName; ///< Record that holds the configuration.
+    ConfigDecoder decodeConfig;
+    std::function<Result<BackendCall>(const HttpRequest &)> decodeReport;
+    std::function<HttpResponse()> makeReportAck;
+    std::function<uint64_t()> storeCalls; ///< Made since the start.
+};
+
+/**
+ * All duties of one node on one thread. A node has a fifth of a core, and each wake-up of another
+ * thread is paid for: six threads joined by rings cost 1.9 times the processor time of one for the
+ * same requests, and nothing here waits for a disk.
+ */
+class SidecarProgram
+{
+public:
+    SidecarProgram(asio::io_context &context, const SidecarSettings &settings,
+                   const SidecarPorts &ports);
+
+    /** @throws boost::system::system_error if an address cannot be bound. */
+    void start();
+
+    /** Takes over settings that may change while the process runs. */
+    void onSettings(const SidecarSettings &settings);
+
+    /** Takes no new work, finishes what runs. */
+    void beginStop();
+
+    /** @return Whether the process may end at @p now. */
+    bool hasStopped(TimePoint now) const;
+
+    const Clock &clock() const { return clock_; }
+
+private:
+    MemberRecord describe() const;
+    void onBackendChange();
+    asio::awaitable<HttpResponse> onReport(HttpRequest request);
+    asio::awaitable<HttpResponse> onReadiness(HttpRequest request);
+    asio::awaitable<HttpResponse> onMetrics(HttpRequest request);
+    void registerMetrics();
+
+    asio::io_context &context_;
+    BootClockAdapter clock_;
+    SidecarSettings settings_;
+    SidecarPorts ports_;
+    NodeId node_;
+    FleetView view_;
+    BackendMonitor monitor_{MonitorLimits{}};
+    PeerLoads loads_;
+    RangeDuty ranges_;
+    BackendGate gate_;
+    RequestRouter router_;
+    StoreSync sync_;
+    MemberPublisher publisher_;
+    BackendWatch watch_;
+    MetricRegistry metrics_;
+    std::shared_ptr<HttpServer> callers_;
+    std::shared_ptr<HttpServer> reports_;
+    std::shared_ptr<HttpServer> readiness_;
+    std::shared_ptr<HttpServer> metricsPage_;
+    std::shared_ptr<PeerListener> peers_;
+    bool stopping_ = false;
+    TimePoint stopBegun_ = NeverTime;
+};
+
+/** Runs a node until it is told to end. @param reload Reads the settings again, if they changed. */
+int runSidecar(asio::io_context &context, SidecarProgram &program,
+               std::function<std::optional<SidecarSettings>()> reload);
+
+} // namespace wisteriahoist
