--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+/** While the store is away only this loop asks: each call is paid for, also a refused one. */
+constexpr RecordKind ProbingKind = RecordKind::Configuration;
+
 std::string_view kindText(RecordKind kind)
 {
     switch (kind) {
@@ -71,15 +74,19 @@
             pause = times_.firstPause;
             continue;
         }
+        // A watch that was cut may have missed changes whose history is gone. The store says so
+        // only when the next change comes, which may be many seconds later; a list tells at once.
+        at.reset();
         const Failure &failure = next.assume_error();
         if (failure.code == FailureCode::HistoryGone) {
-            // The store has dropped what happened since: only a new list tells.
-            at.reset();
             continue;
         }
         note(kind, &failure);
         co_await pauseFor(pause);
         pause = std::min(pause * 2, times_.longestPause);
+        while (lost_ && kind != ProbingKind) {
+            co_await pauseFor(times_.firstPause);
+        }
     }
 }
 
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -19,10 +19,7 @@
     milliseconds longestPause{400}; ///< Changes have to be in force within 2 s of the store's return.
 };
 
-/**
- * One loop for each kind: list, then watch from the listed revision. A watch that is cut goes on
- * from where it was; only history that the store has dropped makes it list again.
- */
+/** One loop for each kind: list, then watch from the listed revision; after a failure list again. */
 class StoreSync
 {
 public:
