Change: [Platform] A stopping node hands its keys over and closes idle connections; queue order by objective

Cause of LOST: a node with keys was never idle after SIGTERM, ran into its end and cut what ran; requests came on kept connections 4.5 s after SIGTERM.

--- a/src/adapter/http/http_server.cpp
+++ b/src/adapter/http/http_server.cpp
@@ -68,6 +68,15 @@
     acceptor_.close(ignored);
 }
 
+void HttpServer::closeIdle()
+{
+    closed_ = true;
+    stop();
+    for (beast::tcp_stream *stream : std::set<beast::tcp_stream *>(idle_)) {
+        stream->cancel();
+    }
+}
+
 asio::awaitable<void> HttpServer::acceptLoop()
 {
     while (!stopping_) {
@@ -102,8 +111,10 @@
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
     bool keepAlive = true;
-    while (keepAlive) {
+    while (keepAlive && !(closed_ && buffer.size() == 0)) {
+        idle_.insert(&stream);
         keepAlive = co_await serveOne(stream, buffer);
+        idle_.erase(&stream);
     }
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     --openConnections_;
@@ -124,6 +135,7 @@
     if (error) {
         co_return co_await refuse(stream, makeParserProblem(error));
     }
+    idle_.erase(&stream);
     openRequests_.fetch_add(1, std::memory_order_relaxed);
     const bool keepAlive = co_await answer(stream, buffer, parser);
     openRequests_.fetch_sub(1, std::memory_order_relaxed);
@@ -172,8 +184,6 @@
                                                         HttpRequest request)
 {
     auto watch = std::make_shared<CallerWatch>();
-    beast::error_code unknown;
-    watch->setIp(stream.socket().remote_endpoint(unknown).address().to_string());
     auto active = std::make_shared<bool>(true);
     asio::cancellation_signal ended;
     const auto onReadable = [watch, active, &stream](beast::error_code error) {
--- a/src/adapter/http/http_server.h
+++ b/src/adapter/http/http_server.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core.hpp>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace wisteriahoist {
@@ -37,6 +38,9 @@
     /** From now on each answer is the last one on its connection; new ones are still accepted. */
     void closeAfterAnswers() { closing_ = true; }
 
+    /** Stops accepting, and closes connections on which no request has been begun. */
+    void closeIdle();
+
     /** Takes over new bounds, for requests that are read from now on. */
     void setLimits(const HttpLimits &limits) { limits_ = limits; }
 
@@ -65,6 +69,8 @@
     size_t openConnections_ = 0; ///< Invariant: at most limits_.connections.
     bool stopping_ = false;
     bool closing_ = false;
+    bool closed_ = false;
+    std::set<beast::tcp_stream *> idle_; ///< Connections that wait for a request's head.
 };
 
 } // namespace wisteriahoist
--- a/src/adapter/http/http_type.h
+++ b/src/adapter/http/http_type.h
@@ -44,10 +44,6 @@
 public:
     bool isGone() const { return gone_; }
 
-    /** @return The caller's IP number. */
-    const std::string &ip() const { return ip_; }
-    void setIp(std::string ip) { ip_ = std::move(ip); }
-
     /** Sets what to do when the caller goes; called at most once, on the server's thread. */
     void onGone(std::function<void()> action) { action_ = std::move(action); }
 
@@ -61,7 +57,6 @@
 
 private:
     std::function<void()> action_;
-    std::string ip_;
     bool gone_ = false;
 };
 
--- a/src/decision/request/admission_control.cpp
+++ b/src/decision/request/admission_control.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr milliseconds LeastRetryAfter{100}; ///< About the time in which one slot comes free.
+constexpr milliseconds LeastPatience{30};    ///< A wait that is predicted as none may take as long.
 
 Duration scale(Duration duration, double factor)
 {
@@ -17,22 +18,27 @@
 
 } // namespace
 
-Duration AdmissionControl::meanOf(bool nested) const
+Duration AdmissionControl::serviceTime() const
 {
-    const Duration mean = means_[nested ? 1 : 0];
-    return mean > Duration(0) ? mean : Duration(limits_.firstService);
+    return mean_ > Duration(0) ? mean_ : Duration(limits_.firstService);
+}
+
+Duration AdmissionControl::meanOf(uint64_t kind) const
+{
+    const auto found = means_.find(kind);
+    return found == means_.end() ? serviceTime() : found->second;
 }
 
 Duration AdmissionControl::waitBehind(const Rank &rank) const
 {
     const uint32_t slots = std::max<uint32_t>(1, slots_);
     Duration ahead{0};
-    for (auto waiting = order_.begin(); waiting != order_.end() && *waiting < rank; ++waiting) {
-        ahead += meanOf(!waiting->plain);
+    for (auto entry = order_.begin(); entry != order_.end() && *entry < rank; ++entry) {
+        ahead += meanOf(waiting_.at(entry->id).kind);
     }
     // The first slot comes free after one service time over the number of slots.
     if (running_ >= slots) {
-        ahead += meanOf(false) * (1 + running_ - slots);
+        ahead += serviceTime() * (1 + running_ - slots);
     }
     return ahead / slots;
 }
@@ -47,31 +53,28 @@
 
 Duration AdmissionControl::allowedWait(const WorkItem &item, bool late, TimePoint now) const
 {
-    const Duration service = meanOf(item.nested);
-    if (item.nested) {
-        return scale(item.deadline - now - service, limits_.nestedWaitShare);
+    const Duration service = meanOf(item.kind);
+    const Duration whole = item.deadline - now - service;
+    if (service < scale(serviceTime(), limits_.cheapShare)) {
+        return scale(whole, limits_.cheapWaitShare);
     }
-    if (late) {
-        return scale(item.deadline - now - service, limits_.lateWaitShare);
-    }
-    return scale(item.objective - now - service, limits_.waitShare);
+    return late ? scale(whole, limits_.lateWaitShare)
+                : scale(item.objective - now - service, limits_.waitShare);
 }
 
 AdmissionDecision AdmissionControl::offer(const WorkItem &item, TimePoint now)
 {
     AdmissionDecision decision;
-    const Duration service = meanOf(item.nested);
-    Rank rank;
-    rank.plain = !item.nested;
-    rank.priority = item.priority;
-    rank.late = item.objective < now + service;
-    rank.arrival = ++arrivals_;
-    rank.id = item.id;
     if (slots_ > 0 && running_ < slots_ && order_.empty()) {
         ++running_;
         decision.step = AdmissionDecision::Step::Run;
         return decision;
     }
+    Rank rank;
+    rank.priority = item.priority;
+    rank.late = item.objective < now + meanOf(item.kind);
+    rank.objective = item.objective;
+    rank.id = item.id;
     decision.predictedWait = waitBehind(rank);
     const Duration allowed = allowedWait(item, rank.late, now);
     const bool full = slots_ == 0 || waiting_.size() >= limits_.waiting;
@@ -81,15 +84,14 @@
         return decision;
     }
     order_.insert(rank);
-    waiting_[item.id] = rank;
+    waiting_[item.id] = {rank, item.kind};
     decision.step = AdmissionDecision::Step::Wait;
-    decision.patienceUntil
-            = std::min(item.deadline, now + scale(std::max(allowed, Duration(limits_.firstService / 4)),
-                                                  limits_.patience));
+    const Duration patience = std::max<Duration>(scale(allowed, limits_.patience), LeastPatience);
+    decision.patienceUntil = std::min(item.deadline, now + patience);
     return decision;
 }
 
-std::optional<uint64_t> AdmissionControl::takeNext(TimePoint)
+std::optional<uint64_t> AdmissionControl::takeNext()
 {
     if (running_ >= slots_ || order_.empty()) {
         return std::nullopt;
@@ -104,20 +106,24 @@
 {
     const auto found = waiting_.find(id);
     if (found != waiting_.end()) {
-        order_.erase(found->second);
+        order_.erase(found->second.rank);
         waiting_.erase(found);
     }
 }
 
-void AdmissionControl::onEnd(bool nested, std::optional<Duration> service)
+void AdmissionControl::onEnd(uint64_t kind, std::optional<Duration> service)
 {
     --running_;
     if (!service) {
         return;
     }
-    Duration &mean = means_[nested ? 1 : 0];
-    mean = mean == Duration(0) ? *service
-                               : mean + scale(*service - mean, limits_.smoothing);
+    const auto learn = [this, service](Duration &mean) {
+        mean = mean == Duration(0) ? *service : mean + scale(*service - mean, limits_.smoothing);
+    };
+    learn(mean_);
+    if (means_.size() < limits_.kinds || means_.count(kind) > 0) {
+        learn(means_[kind]);
+    }
 }
 
 } // namespace wisteriahoist
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -2,6 +2,8 @@
 
 #include "duty/backend_gate.h"
 
+#include "core/hash_func.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -46,6 +48,11 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+uint64_t kindOf(const v1::HopRequest &request)
+{
+    return hashKey(request.route(), 0).value();
+}
+
 milliseconds leftUntil(TimePoint end, TimePoint now)
 {
     return std::max(std::chrono::duration_cast<milliseconds>(end - now), milliseconds(1));
@@ -83,7 +90,7 @@
     if (call.cancelled) {
         return RequestEnd::CallerGone;
     }
-    if (monitor_.state() != BackendState::Ready || monitor_.service() != request.service()) {
+    if ((closed_ && !request.keyed()) || monitor_.state() != BackendState::Ready || monitor_.service() != request.service()) {
         return RequestEnd::NoBackend;
     }
     if (now + LeastTimeLeft >= call.deadline) {
@@ -127,7 +134,7 @@
     // key, and would otherwise run beside the new holder's.
     refusal = check(request, call, clock_.now());
     if (refusal != RequestEnd::None) {
-        admission_.onEnd(request.nested(), std::nullopt);
+        admission_.onEnd(kindOf(request), std::nullopt);
         fillVerdict(reply, RequestStage::Queued, refusal);
         wakeNext();
         co_return;
@@ -141,7 +148,7 @@
     const TimePoint now = clock_.now();
     WorkItem item;
     item.id = ++lastId_;
-    item.nested = request.nested();
+    item.kind = kindOf(request);
     item.priority = request.priority();
     item.deadline = call.deadline;
     item.objective = now + milliseconds(request.objective_left_ms());
@@ -192,10 +199,10 @@
     }
     if (answer) {
         noteMonitorChange(monitor_.onAnswer(now));
-        admission_.onEnd(request.nested(), now - startedAt);
+        admission_.onEnd(kindOf(request), now - startedAt);
         fillFromAnswer(request, std::move(answer.assume_value()), reply);
     } else {
-        admission_.onEnd(request.nested(), std::nullopt);
+        admission_.onEnd(kindOf(request), std::nullopt);
         fillFromFailure(answer.assume_error(), call, reply);
     }
     wakeNext();
@@ -236,10 +243,10 @@
 
 void BackendGate::wakeNext()
 {
-    for (auto id = admission_.takeNext(clock_.now()); id; id = admission_.takeNext(clock_.now())) {
+    for (auto id = admission_.takeNext(); id; id = admission_.takeNext()) {
         const auto found = waiting_.find(*id);
         if (found == waiting_.end() || found->second->cancelled) {
-            admission_.onEnd(false, std::nullopt);
+            admission_.onEnd(0, std::nullopt);
             continue;
         }
         found->second->granted = true;
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -51,6 +51,12 @@
     /** Takes over the monitor's state after a report. */
     void onBackendChange();
 
+    /**
+     * The node ends soon: from now on no requests without a key are admitted, since others can
+     * serve them; those with a key are, as long as the key is held here.
+     */
+    void closeKeyless() { closed_ = true; }
+
     /** @param action Runs when requests show that the backend server's state has changed. */
     void onMonitorChange(std::function<void()> action) { monitorChanged_ = std::move(action); }
 
@@ -93,6 +99,7 @@
     std::map<CallName, std::shared_ptr<Call>> calls_;
     std::map<uint64_t, std::shared_ptr<Call>> waiting_; ///< By admission id.
     uint64_t lastId_ = 0;
+    bool closed_ = false;
     std::function<void()> monitorChanged_;
     std::function<void()> suspicion_;
 };
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -64,6 +64,12 @@
     wakeTimer_.cancel();
 }
 
+void RangeDuty::beginStop()
+{
+    stopping_ = true;
+    wake();
+}
+
 bool RangeDuty::isSharded() const
 {
     const ServiceConfig *service = view_.routes().findService(self_.service);
@@ -254,7 +260,7 @@
 
 void RangeDuty::startLeaving(TimePoint now)
 {
-    const bool leaving = monitor_.state() == BackendState::Draining
+    const bool leaving = stopping_ || monitor_.state() == BackendState::Draining
                          || (monitor_.state() == BackendState::Down && !monitor_.isGone());
     const std::vector<KeySpan> held = keeper_.heldSpans();
     if (!leaving || held.empty()) {
@@ -268,7 +274,7 @@
         logEvent(LogEvent::RangeLeaving, {{"first", move.span.first.value()},
                                           {"last", move.span.last.value()},
                                           {"to", holderText(move.holder)},
-                                          {"cause", "backend server leaves"}});
+                                          {"cause", stopping_ ? "node stops" : "backend server leaves"}});
     }
 }
 
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -40,6 +40,9 @@
     /** Something has changed: looks at everything soon. */
     void wake();
 
+    /** The node ends soon: its keys go to others while its backend server still releases them. */
+    void beginStop();
+
     void probeWith(PeerProbe probe) { probe_ = std::move(probe); }
 
     bool admits(ShardKey key, TimePoint now) const override;
@@ -105,6 +108,7 @@
     TimePoint startedAt_ = NeverTime;
     TimePoint movedAt_ = NeverTime;
     TimePoint probedAt_ = NeverTime;
+    bool stopping_ = false;
     bool writing_ = false; ///< Invariant: at most one write of the table is on its way.
     bool renewing_ = false;
     bool watching_ = false;
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -135,7 +135,7 @@
     hop.set_target(std::string(request.target()));
     hop.set_must_not_repeat(route.kind == RequestKind::NonIdempotent);
     hop.set_origin_node(settings_.node.value());
-    hop.set_nested(work->caller->ip() == settings_.ip);
+    hop.set_route(route.name);
     hop.set_priority(route.priority);
     hop.set_caller_service(settings_.service);
     for (const PassedField &field : passedFields(request)) {
@@ -392,7 +392,6 @@
               {"config", work.routes->version()},
               {"service", work.hop.service()},
               {"key", work.hop.keyed() ? static_cast<int64_t>(work.hop.shard_key()) : -1},
-              {"nested", work.hop.nested()},
               {"node", work.target.value()},
               {"asked", work.history.asked},
               {"reached", work.history.reached},
--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -19,7 +19,6 @@
 /** What the router has to know of its own node. */
 struct RouterSettings {
     NodeId node;
-    std::string ip; ///< Requests from here come from the backend server: nested calls.
     std::string failureDomain;
     std::string service;
     FleetBudget repeats;
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -52,7 +52,7 @@
 
 RouterSettings makeRouterSettings(const SidecarSettings &settings, NodeId node)
 {
-    return {node, settings.backend.ip, settings.failureDomain, settings.service, settings.repeats};
+    return {node, settings.failureDomain, settings.service, settings.repeats};
 }
 
 HttpLimits makeCallerLimits(const CallerLimits &limits)
@@ -249,6 +249,17 @@
     stopBegun_ = clock_.now();
     callers_->closeAfterAnswers();
     publisher_.wake();
+    ranges_.beginStop();
+    if (view_.readyMembers(monitor_.service()).size() > 1) {
+        gate_.closeKeyless();
+    }
+}
+
+void SidecarProgram::continueStop(TimePoint now)
+{
+    if (now - stopBegun_ >= ReadinessGap) {
+        callers_->closeIdle();
+    }
 }
 
 bool SidecarProgram::hasStopped(TimePoint now) const
@@ -269,6 +280,7 @@
     co_await set.async_wait(asio::use_awaitable);
     program.beginStop();
     while (!program.hasStopped(program.clock().now())) {
+        program.continueStop(program.clock().now());
         co_await pauseFor(StopPoll);
     }
     context.stop();
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -53,6 +53,9 @@
     /** Takes no new work, finishes what runs. */
     void beginStop();
 
+    /** Takes the steps of the stop that are due. */
+    void continueStop(TimePoint now);
+
     /** @return Whether the process may end at @p now. */
     bool hasStopped(TimePoint now) const;
 
