--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -10,6 +10,12 @@
 constexpr milliseconds ReleaseRetry{100}; ///< Between two tries of a release without an answer.
 }
 
+TimePoint RangeKeeper::lapseOf(const GrantTimes &times, milliseconds hold, TimePoint now)
+{
+    const auto drift = std::chrono::duration_cast<Duration>(hold * times.driftShare);
+    return now + hold + drift + times.arrival;
+}
+
 void RangeKeeper::onTable(const RangeTable &table, const std::optional<RangeHolder> &self,
                           TimePoint now)
 {
@@ -30,6 +36,7 @@
     fresh.fence = entry.fence;
     fresh.handover = entry.handover;
     fresh.dueAt = now;
+    fresh.unansweredUntil = earlierUntil_;
     uint32_t begin = span.first.value();
     // What was granted, or is being released, under this fence goes on; the rest is new.
     for (const Held &known : held_) {
@@ -68,13 +75,15 @@
     if (hold < times_.least) {
         return orders;
     }
-    const auto drift = std::chrono::duration_cast<Duration>(hold * times_.driftShare);
     for (Held &held : held_) {
         if (held.granting || held.refused || held.leaving || now < held.dueAt) {
             continue;
         }
         held.granting = true;
-        held.lapsesAt = std::max(held.lapsesAt, now + hold + drift + times_.arrival);
+        // One that was cut short by a split counts as unanswered.
+        held.unansweredUntil = std::max(held.unansweredUntil, held.pendingUntil);
+        held.pendingUntil = lapseOf(times_, hold, now);
+        held.lapsesAt = std::max(held.lapsesAt, held.pendingUntil);
         orders.push_back({held.span, held.fence, hold, held.handover});
     }
     return orders;
@@ -94,6 +103,10 @@
 void RangeKeeper::applyGrantEnd(Held &held, const GrantOrder &order, OrderResult result,
                                 TimePoint sentAt) const
 {
+    const TimePoint lapse = lapseOf(times_, order.hold, sentAt);
+    if (held.pendingUntil == lapse) {
+        held.pendingUntil = NeverTime;
+    }
     switch (result) {
     case OrderResult::Accepted:
         held.confirmedUntil = std::max(held.confirmedUntil, sentAt + order.hold);
@@ -105,6 +118,7 @@
         held.confirmedUntil = NeverTime;
         break;
     case OrderResult::Unanswered:
+        held.unansweredUntil = std::max(held.unansweredUntil, lapse);
         held.dueAt = sentAt; // At once: the same call again renews the grant.
         break;
     }
@@ -173,7 +187,10 @@
 {
     std::vector<ReleasedRange> released;
     for (const Held &held : held_) {
-        if (held.leaving && (held.released || held.lapsesAt <= now)) {
+        const TimePoint lateUntil = std::max(held.unansweredUntil, held.pendingUntil);
+        const bool confirmed = held.released && lateUntil <= now;
+        const bool outwaited = std::max(held.lapsesAt, lateUntil) <= now;
+        if (held.leaving && (confirmed || outwaited)) {
             released.push_back({held.span, held.fence, held.releaseToken});
         }
     }
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -58,13 +58,23 @@
  * The only one that grants to its backend server, since nobody else can reach it. It admits a
  * request only for a key whose grant was confirmed and has not lapsed on this node's own clock.
  *
- * Invariant: a range is reported as released only after the backend server has confirmed it, or
- * after the latest grant ever sent for any of its keys, answered or not, has run out.
+ * Invariant: a range is reported as released only after the backend server has confirmed it and
+ * every grant without an answer has run out, or after the latest grant ever sent for any of its
+ * keys has. A grant without an answer may still be applied, also after the release; given on
+ * sooner, its keys would be held twice.
  */
 class RangeKeeper
 {
 public:
-    explicit RangeKeeper(GrantTimes times) : times_(times) { }
+    /**
+     * @param earlierUntil When grants that an earlier life of this process sent have run out.
+     */
+    RangeKeeper(GrantTimes times, TimePoint earlierUntil)
+        : times_(times), earlierUntil_(earlierUntil)
+    { }
+
+    /** @return When a grant that is sent at @p now for @p hold has run out on the slowest clock. */
+    static TimePoint lapseOf(const GrantTimes &times, milliseconds hold, TimePoint now);
 
     /** Takes over the stored table, and who this node and its backend server are at present. */
     void onTable(const RangeTable &table, const std::optional<RangeHolder> &self, TimePoint now);
@@ -112,6 +122,8 @@
         std::string handover;
         TimePoint confirmedUntil = NeverTime; ///< On this node's clock, from the sending.
         TimePoint lapsesAt = NeverTime;       ///< Of the latest grant sent, clock drift included.
+        TimePoint pendingUntil = NeverTime;   ///< Lapse of the grant that waits for its answer.
+        TimePoint unansweredUntil = NeverTime; ///< Latest lapse of a grant without an answer.
         TimePoint dueAt = NeverTime;          ///< Of the next grant.
         bool granting = false;                ///< A grant is on its way.
         bool refused = false;                 ///< Its fence is used up.
@@ -130,6 +142,7 @@
     const Held *find(ShardKey key) const;
 
     GrantTimes times_;
+    TimePoint earlierUntil_;
     std::vector<Held> held_; ///< Sorted by span; disjoint.
 };
 
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -48,7 +48,7 @@
                      BackendControl &backend, FleetView &view, BackendMonitor &monitor,
                      PeerLoads &loads, const MemberRecord &self, GrantTimes grants)
     : context_(context), clock_(clock), store_(store), backend_(backend), view_(view),
-      monitor_(monitor), loads_(loads), self_(self), session_(drawLife()), keeper_(grants),
+      monitor_(monitor), loads_(loads), self_(self), session_(drawLife()), keeper_(grants, RangeKeeper::lapseOf(grants, grants.hold, clock.now())),
       wakeTimer_(context)
 { }
 
--- /dev/null
+++ b/test/support/scripted_store.h
@@ -0,0 +1,143 @@
+/** @file scripted_store.h A store in memory whose calls fail as a test tells it. */
+
+#pragma once
+
+#include "adapter/clock/pause_func.h"
+#include "port/record_store.h"
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <vector>
+
+namespace wisteriahoist::testing {
+
+/** Records, revisions and watches in memory. Used by one thread. */
+class ScriptedStore final : public RecordStore
+{
+public:
+    explicit ScriptedStore(boost::asio::io_context &) { }
+
+    /** Writes whatever the revision is. */
+    StoreRevision put(RecordKind kind, const std::string &name, const std::string &content)
+    {
+        StoredRecord &record = records_[{kind, name}];
+        record = {name, StoreRevision(++revision_), content};
+        changes_.emplace_back(kind, record);
+        return record.revision;
+    }
+
+    /** Watches that wait hear nothing, and new ones neither, as if held back. */
+    void muteWatches(bool mute) { muted_ = mute; }
+
+    /** Waiting watches end with a lost connection. */
+    void cutWatches() { ++cuts_; }
+
+    /** The next @p count writes are done but not answered. */
+    void loseAnswers(int count) { lostAnswers_ = count; }
+
+    /** While set, every call fails as if the store were down. */
+    void setDown(bool down) { down_ = down; }
+
+    const StoredRecord *find(RecordKind kind, const std::string &name) const
+    {
+        const auto found = records_.find({kind, name});
+        return found == records_.end() ? nullptr : &found->second;
+    }
+
+    Pending<RecordListing> list(RecordKind kind) override
+    {
+        if (down_) {
+            co_return unavailable();
+        }
+        RecordListing listing;
+        for (const auto &[key, record] : records_) {
+            if (key.first == kind) {
+                listing.records.push_back(record);
+            }
+        }
+        listing.at = StoreRevision(revision_);
+        co_return listing;
+    }
+
+    Pending<StoredRecord> read(RecordKind kind, std::string name) override
+    {
+        if (down_) {
+            co_return unavailable();
+        }
+        const StoredRecord *record = find(kind, name);
+        if (record == nullptr) {
+            co_return Failure{FailureCode::NotFound, name};
+        }
+        co_return *record;
+    }
+
+    Pending<StoreRevision> create(RecordKind kind, std::string name, std::string content) override
+    {
+        if (down_) {
+            co_return unavailable();
+        }
+        if (find(kind, name) != nullptr) {
+            co_return Failure{FailureCode::VersionConflict, name};
+        }
+        co_return answer(put(kind, name, content));
+    }
+
+    Pending<StoreRevision> replace(RecordKind kind, std::string name, StoreRevision expected,
+                                   std::string content) override
+    {
+        if (down_) {
+            co_return unavailable();
+        }
+        const StoredRecord *record = find(kind, name);
+        if (record == nullptr) {
+            co_return Failure{FailureCode::NotFound, name};
+        }
+        if (record->revision != expected) {
+            co_return Failure{FailureCode::VersionConflict, name};
+        }
+        co_return answer(put(kind, name, content));
+    }
+
+    Pending<RecordChanges> watch(RecordKind kind, StoreRevision since, milliseconds) override
+    {
+        const uint64_t cuts = cuts_;
+        while (true) {
+            if (cuts_ != cuts) {
+                co_return Failure{FailureCode::Ambiguous, "connection lost"};
+            }
+            RecordChanges found;
+            found.at = StoreRevision(revision_);
+            for (const auto &[changed, record] : changes_) {
+                if (changed == kind && record.revision > since) {
+                    found.changes.push_back({record, false});
+                }
+            }
+            if (!found.changes.empty() && !muted_ && !down_) {
+                co_return found;
+            }
+            co_await pauseFor(milliseconds(1));
+        }
+    }
+
+private:
+    static Failure unavailable() { return {FailureCode::Unavailable, "down"}; }
+
+    Result<StoreRevision> answer(StoreRevision revision)
+    {
+        if (lostAnswers_ > 0) {
+            --lostAnswers_;
+            return Failure{FailureCode::Ambiguous, "answer lost"};
+        }
+        return revision;
+    }
+
+    std::map<std::pair<RecordKind, std::string>, StoredRecord> records_;
+    std::vector<std::pair<RecordKind, StoredRecord>> changes_;
+    uint64_t revision_ = 0;
+    uint64_t cuts_ = 0;
+    int lostAnswers_ = 0;
+    bool muted_ = false;
+    bool down_ = false;
+};
+
+} // namespace wisteriahoist::testing
--- /dev/null
+++ b/test/unit/member/backend_monitor_test.cpp
@@ -0,0 +1,81 @@
+/** @file backend_monitor_test.cpp Which life of the backend server counts, under late reports. */
+
+#include "decision/member/backend_monitor.h"
+#include "support/story.h"
+
+using namespace wisteriahoist;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+
+BackendReport makeReport(const std::string &backend, uint64_t sequence,
+                         BackendState state = BackendState::Ready)
+{
+    BackendReport report;
+    report.backend = backend;
+    report.service = "s";
+    report.state = state;
+    report.slots = 12;
+    report.sequence = sequence;
+    return report;
+}
+
+} // namespace
+
+Test(backend_monitor, reports)
+{
+    BackendMonitor monitor{MonitorLimits{}};
+    cr_assert(monitor.onReport(makeReport("i-1", 1), Start));
+    cr_assert(monitor.state() == BackendState::Ready);
+    SECTION("an equal one changes nothing")
+    {
+        cr_assert(!monitor.onReport(makeReport("i-1", 2), Start));
+    }
+    SECTION("draining is for good, also if an older report comes late")
+    {
+        cr_assert(monitor.onReport(makeReport("i-1", 4, BackendState::Draining), Start));
+        cr_assert(!monitor.onReport(makeReport("i-1", 3), Start));
+        cr_assert(!monitor.onReport(makeReport("i-1", 5), Start));
+        cr_assert(monitor.state() == BackendState::Draining);
+    }
+    SECTION("who deregisters without draining leaves as well")
+    {
+        BackendMonitor abrupt{MonitorLimits{}};
+        (void)abrupt.onReport(makeReport("i-1", 1), Start);
+        cr_assert(abrupt.onDeregister("i-1"));
+        cr_assert(abrupt.state() == BackendState::Draining);
+    }
+}
+
+// The backend server crashes and starts again; a report of its old life was held up by a partition
+// and arrives last. Taken for news, requests would name a life that is gone and all be refused.
+Test(backend_monitor, a_late_report_of_an_ended_life_is_ignored)
+{
+    BackendMonitor monitor{MonitorLimits{}};
+    (void)monitor.onReport(makeReport("i-1", 9), Start);
+    (void)monitor.onReport(makeReport("i-2", 1), Start);
+    cr_assert(!monitor.onReport(makeReport("i-1", 10), Start));
+    cr_assert(monitor.backend() == "i-2");
+}
+
+Test(backend_monitor, ends)
+{
+    BackendMonitor monitor{MonitorLimits{}};
+    (void)monitor.onReport(makeReport("i-1", 1), Start);
+    SECTION("one refused connection may be a chance, two in a row are an end")
+    {
+        cr_assert(!monitor.onRefusedConnection());
+        cr_assert(monitor.onRefusedConnection());
+        cr_assert(monitor.isGone() && monitor.state() == BackendState::Down);
+    }
+    SECTION("silence is no proof that it holds nothing")
+    {
+        BackendMonitor silent{MonitorLimits{}};
+        (void)silent.onReport(makeReport("i-1", 1), Start);
+        cr_assert(silent.onSilence());
+        cr_assert(silent.state() == BackendState::Down && !silent.isGone());
+        cr_assert(silent.onAnswer(Start));
+        cr_assert(silent.state() == BackendState::Ready);
+    }
+}
--- /dev/null
+++ b/test/unit/range/range_keeper_test.cpp
@@ -0,0 +1,179 @@
+/** @file range_keeper_test.cpp Grants, renewals and releases of one node, under lost and late answers. */
+
+#include "decision/range/range_keeper.h"
+#include "support/story.h"
+
+using namespace wisteriahoist;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+constexpr TimePoint Forever = Start + std::chrono::hours(1);
+const RangeHolder Self{NodeId(1), Incarnation(1), "b-1"};
+const RangeHolder Other{NodeId(2), Incarnation(1), "b-2"};
+
+RangeTable makeTable()
+{
+    return makeRangeTable({{Self, 1}, {Other, 1}});
+}
+
+RangeKeeper makeKeeper()
+{
+    RangeKeeper keeper(GrantTimes{}, NeverTime);
+    keeper.onTable(makeTable(), Self, Start);
+    return keeper;
+}
+
+/** Sends what is due and answers it with @p result. */
+void grantAll(RangeKeeper &keeper, OrderResult result, TimePoint now)
+{
+    for (const GrantOrder &order : keeper.takeDueGrants(Forever, now)) {
+        keeper.onGrantEnd(order, result, now);
+    }
+}
+
+void releaseAll(RangeKeeper &keeper, OrderResult result, TimePoint now)
+{
+    for (const ReleaseOrder &order : keeper.takeDueReleases(now)) {
+        keeper.onReleaseEnd(order, result, "token", now);
+    }
+}
+
+} // namespace
+
+Test(range_keeper, admits_only_what_was_confirmed)
+{
+    RangeKeeper keeper = makeKeeper();
+    SECTION("nothing before the first grant is answered")
+    {
+        cr_assert(!keeper.admits(ShardKey(5), Forever, Start));
+    }
+    SECTION("own keys afterwards, and nobody else's")
+    {
+        grantAll(keeper, OrderResult::Accepted, Start);
+        cr_assert(keeper.admits(ShardKey(5), Forever, Start));
+        cr_assert(!keeper.admits(ShardKey(60000), Forever, Start));
+    }
+    SECTION("until the grant or the lease is over, whichever is first")
+    {
+        const TimePoint lapsed = Start + GrantTimes{}.hold;
+        cr_assert(!keeper.admits(ShardKey(5), Forever, lapsed));
+        cr_assert(!keeper.admits(ShardKey(5), Start, Start));
+    }
+    SECTION("and no grant outlasts the lease")
+    {
+        const TimePoint leaseEnd = Start + milliseconds(2500);
+        const auto orders = keeper.takeDueGrants(leaseEnd, Start + milliseconds(1000));
+        cr_assert(orders.size() == 1 && orders[0].hold == milliseconds(1500));
+    }
+}
+
+// A caller's request runs at the new holder while the old one takes a grant up again: the old
+// holder's node sent a grant, got no answer, released the range and gave it away; the grant was
+// applied two seconds after all that. Its time counts from its arrival, so the range may go on
+// only after the latest grant without an answer has run out.
+Test(range_keeper, an_unanswered_grant_is_outwaited_after_the_release)
+{
+    RangeKeeper keeper = makeKeeper();
+    grantAll(keeper, OrderResult::Accepted, Start);
+    const TimePoint renewed = Start + milliseconds(1000);
+    grantAll(keeper, OrderResult::Unanswered, renewed);
+    keeper.beginRelease(KeySpan{});
+    const TimePoint released = renewed + milliseconds(300);
+    releaseAll(keeper, OrderResult::Accepted, released);
+    SECTION("the confirmed release alone is no proof")
+    {
+        cr_assert(keeper.releasedRanges(released).empty());
+        cr_assert(keeper.releasedRanges(renewed + milliseconds(3900)).empty());
+    }
+    SECTION("the lapse of the grant, clock drift included, is")
+    {
+        const TimePoint lapsed = renewed + milliseconds(4180);
+        const auto ranges = keeper.releasedRanges(lapsed);
+        cr_assert(ranges.size() == 1 && ranges[0].handover == "token");
+    }
+    SECTION("a grant whose answer is still on its way counts as unanswered")
+    {
+        RangeKeeper waiting = makeKeeper();
+        (void)waiting.takeDueGrants(Forever, Start);
+        waiting.beginRelease(KeySpan{});
+        releaseAll(waiting, OrderResult::Accepted, Start);
+        cr_assert(waiting.releasedRanges(Start + milliseconds(100)).empty());
+    }
+}
+
+// A node that has just started adopts what its earlier life granted, and gives it away at once. The
+// earlier life's last grant may still be on its way, unknown to this one.
+Test(range_keeper, grants_of_an_earlier_life_are_outwaited)
+{
+    const TimePoint earlier = Start + milliseconds(4180);
+    RangeKeeper keeper(GrantTimes{}, earlier);
+    keeper.onTable(makeTable(), Self, Start);
+    grantAll(keeper, OrderResult::Accepted, Start);
+    keeper.beginRelease(KeySpan{});
+    releaseAll(keeper, OrderResult::Accepted, Start);
+    cr_assert(keeper.releasedRanges(Start + milliseconds(500)).empty());
+    cr_assert(keeper.releasedRanges(earlier).size() == 1);
+}
+
+Test(range_keeper, release_of_a_part)
+{
+    RangeKeeper keeper = makeKeeper();
+    grantAll(keeper, OrderResult::Accepted, Start);
+    keeper.beginRelease({ShardKey(100), ShardKey(200)});
+    SECTION("the part is admitted no more, the rest is")
+    {
+        cr_assert(!keeper.admits(ShardKey(150), Forever, Start));
+        cr_assert(keeper.isLeaving(ShardKey(150)));
+        cr_assert(keeper.admits(ShardKey(99), Forever, Start));
+        cr_assert(keeper.admits(ShardKey(201), Forever, Start));
+    }
+    SECTION("another change of the table does not bring it back")
+    {
+        keeper.onTable(makeTable(), Self, Start);
+        cr_assert(!keeper.admits(ShardKey(150), Forever, Start));
+        cr_assert(keeper.admits(ShardKey(99), Forever, Start));
+    }
+    SECTION("a confirmed release may be given on, with its token")
+    {
+        releaseAll(keeper, OrderResult::Accepted, Start);
+        const auto released = keeper.releasedRanges(Start);
+        cr_assert(released.size() == 1 && released[0].span.size() == 101);
+        cr_assert(released[0].handover == "token");
+    }
+    SECTION("once the table names another holder, nothing is left to do")
+    {
+        const KeySpan part{ShardKey(100), ShardKey(200)};
+        keeper.onTable(giveRange(makeTable(), part, Other, "token"), Self, Start);
+        cr_assert(keeper.takeDueReleases(Start).empty());
+        cr_assert(keeper.admits(ShardKey(99), Forever, Start));
+    }
+}
+
+// The release gets no answer: it is sent again, and the range stays where it is until the last
+// grant has run out on the slowest clock. Given on earlier, two backend servers hold its keys.
+Test(range_keeper, a_lost_release_is_outwaited)
+{
+    RangeKeeper keeper = makeKeeper();
+    grantAll(keeper, OrderResult::Accepted, Start);
+    keeper.beginRelease(KeySpan{});
+    releaseAll(keeper, OrderResult::Unanswered, Start);
+    cr_assert(keeper.releasedRanges(Start + milliseconds(4000)).empty());
+    cr_assert(keeper.takeDueReleases(Start + milliseconds(100)).size() == 1);
+    const auto outwaited = keeper.releasedRanges(Start + milliseconds(4180));
+    cr_assert(outwaited.size() == 1 && outwaited[0].handover.empty());
+}
+
+Test(range_keeper, a_refused_fence_is_not_sent_again)
+{
+    RangeKeeper keeper = makeKeeper();
+    grantAll(keeper, OrderResult::HigherFence, Start);
+    cr_assert(keeper.takeDueGrants(Forever, Start + milliseconds(5000)).empty());
+    cr_assert(keeper.refusedSpans().size() == 1);
+    SECTION("a higher one is")
+    {
+        const KeySpan own = keeper.refusedSpans().front();
+        keeper.onTable(giveRange(makeTable(), own, Self, {}), Self, Start);
+        cr_assert(keeper.takeDueGrants(Forever, Start).size() == 1);
+    }
+}
