--- a/src/adapter/codec/record_codec.cpp
+++ b/src/adapter/codec/record_codec.cpp
@@ -151,6 +151,9 @@
     message.set_life(lease.life.value());
     message.set_renewal(lease.renewal);
     message.set_revoked_by(lease.revokedBy.value());
+    for (const NodeId witness : lease.witnesses) {
+        message.add_witnesses(witness.value());
+    }
     return toJson(message);
 }
 
@@ -166,6 +169,9 @@
     lease.life = Incarnation(message.life());
     lease.renewal = message.renewal();
     lease.revokedBy = NodeId(message.revoked_by());
+    for (const uint64_t witness : message.witnesses()) {
+        lease.witnesses.emplace_back(witness);
+    }
     return lease;
 }
 
--- a/src/adapter/codec/record_codec.h
+++ b/src/adapter/codec/record_codec.h
@@ -17,6 +17,7 @@
     Incarnation life;
     uint64_t renewal = 0;
     NodeId revokedBy; ///< InvalidNode: it has not been taken away.
+    std::vector<NodeId> witnesses; ///< Nodes that a taker has to fence the holder at.
     bool operator==(const LeaseRecord &) const = default;
 };
 
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -59,6 +59,8 @@
     RangesWritten,     ///< This node has changed the table of its service.
     RangesNotWritten,  ///< The change failed, or its outcome is not known.
     MemberPublished,   ///< This node has written what it is and what is beside it.
+    NodeFenced,        ///< A taker has asked this witness to answer a node no more.
+    StoreRelayed,      ///< The store is reached through another node.
     SettingsReloaded,
     SettingsRefused,   ///< The settings file has changed for the worse; the old settings stay.
     Last = SettingsRefused,
--- /dev/null
+++ b/src/decision/range/grant_authority.cpp
@@ -0,0 +1,104 @@
+/** @file grant_authority.cpp Until when a node may grant keys. */
+
+#include "decision/range/grant_authority.h"
+
+#include <algorithm>
+
+namespace wisteriahoist {
+
+void GrantAuthority::onRenewalSent(const std::set<NodeId> &witnesses)
+{
+    // Until the store has answered nobody knows which of the two lists a taker would read; only a
+    // witness on both of them would be fenced in either case.
+    std::erase_if(counted_, [&witnesses](NodeId node) { return witnesses.count(node) == 0; });
+}
+
+void GrantAuthority::onRenewed(const std::set<NodeId> &witnesses, TimePoint sentAt)
+{
+    lease_.onRenewed(sentAt);
+    named_ = witnesses;
+    counted_ = witnesses;
+    renewedAt_ = std::max(renewedAt_, sentAt);
+}
+
+void GrantAuthority::onAcknowledged(NodeId witness, TimePoint sentAt, TimePoint now)
+{
+    if (counted_.count(witness) == 0) {
+        return;
+    }
+    if (contactUntil_ <= now) {
+        contactSince_ = now;
+    }
+    contactUntil_ = std::max(contactUntil_, sentAt + contact_.term);
+}
+
+void GrantAuthority::onRevoked()
+{
+    lease_.onRevoked();
+    counted_.clear();
+    named_.clear();
+    contactUntil_ = NeverTime;
+    renewedAt_ = NeverTime;
+}
+
+bool GrantAuthority::needsRenewal(TimePoint now) const
+{
+    return !named_.empty() && contactUntil_ > now && renewedAt_ < contactSince_;
+}
+
+TimePoint GrantAuthority::validUntil() const
+{
+    if (named_.empty()) {
+        return lease_.validUntil();
+    }
+    if (renewedAt_ < contactSince_) {
+        return NeverTime;
+    }
+    return std::min(lease_.validUntil(), contactUntil_);
+}
+
+bool WitnessDesk::onHeartbeat(NodeId node, Incarnation life, TimePoint now)
+{
+    Entry &entry = entries_[node];
+    if (entry.fenced.count(life) > 0) {
+        return false;
+    }
+    entry.heard = life;
+    entry.heardAt = now;
+    return true;
+}
+
+bool WitnessDesk::onFence(NodeId node, Incarnation life, TimePoint now)
+{
+    Entry &entry = entries_[node];
+    if (entry.heard == life && now - entry.heardAt < times_.recent) {
+        return false;
+    }
+    entry.fenced.insert(life);
+    return true;
+}
+
+Takeover::Takeover(ContactTimes times, Incarnation life, std::vector<NodeId> witnesses)
+    : times_(times), life_(life), witnesses_(std::move(witnesses))
+{ }
+
+void Takeover::onFenced(NodeId witness, Incarnation witnessLife, TimePoint now)
+{
+    Fence &fence = fences_[witness];
+    if (fence.since == NeverTime || fence.witnessLife != witnessLife) {
+        fence = {witnessLife, now};
+    }
+}
+
+bool Takeover::isDue(TimePoint now) const
+{
+    const auto drift = std::chrono::duration_cast<Duration>(times_.term * times_.driftShare);
+    const Duration wait = times_.term + drift + times_.slack;
+    return !witnesses_.empty()
+           && std::all_of(witnesses_.begin(), witnesses_.end(), [&](NodeId witness) {
+                  const auto fence = fences_.find(witness);
+                  return fence != fences_.end() && now - fence->second.since >= wait;
+              });
+}
+
+} // namespace wisteriahoist
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -12,12 +12,12 @@
 struct GrantTimes {
     /**
      * How long a grant lasts. After a backend server falls silent its keys wait for so long; after
-     * a crash of the node alone its backend server keeps its keys for so long, which outlasts a
-     * restart (1 to 3.5 s on the users' sites), so that the keys need no warm-up.
+     * a crash of the node alone its backend server keeps its keys for so long, which outlasts most
+     * restarts (0.5 to 2 s on the users' sites), so that the keys need no warm-up.
      */
-    milliseconds hold{4000};
+    milliseconds hold{2500};
     /** Three renewals may be lost before a grant lapses. */
-    milliseconds renewEvery{1000};
+    milliseconds renewEvery{600};
     /** No grant is sent for less: it would lapse about when it arrives. */
     milliseconds least{300};
     /** A backend server's clock may run 2% slow: its hold lasts so much longer than ours. */
--- a/src/decision/range/range_planner.cpp
+++ b/src/decision/range/range_planner.cpp
@@ -148,6 +148,19 @@
 
 } // namespace
 
+std::optional<RangeMove> planFirstShare(const std::vector<KeySpan> &spans,
+                                        const RangeCandidate &newcomer)
+{
+    const auto widest = std::max_element(
+            spans.begin(), spans.end(),
+            [](const KeySpan &left, const KeySpan &right) { return left.size() < right.size(); });
+    if (widest == spans.end() || widest->size() < 2) {
+        return std::nullopt;
+    }
+    const ShardKey middle(widest->first.value() + widest->size() / 2);
+    return RangeMove{{middle, widest->last}, newcomer.holder};
+}
+
 std::optional<RangeMove> planBalance(const RangeCandidate &self, const std::vector<KeySpan> &spans,
                                      const std::vector<KeyRate> &rates,
                                      const std::vector<RangeCandidate> &candidates,
@@ -178,7 +191,7 @@
         }
     }
     // A part that hardly weighs anything is not worth the move.
-    if (best.load < most / 4) {
+    if (best.load <= 0 || best.load < most / 4) {
         return std::nullopt;
     }
     return RangeMove{best.span, idlest->holder};
--- a/src/decision/range/range_planner.h
+++ b/src/decision/range/range_planner.h
@@ -26,9 +26,10 @@
 /** When a holder gives a part of its load away. */
 struct BalanceLimits {
     /** Below this share of its slots a holder keeps what it has: nobody waits there. */
-    double busyShare = 0.7;
-    /** By so much the other's share must be lower: a move costs its keys about half a second. */
-    double margin = 0.25;
+    double busyShare = 0.85;
+    /** By so much the other's share must be lower: a move costs its keys one to two seconds, until
+     *  the longest request that runs on them has ended. */
+    double margin = 0.3;
     /** Part of the difference that is moved at once; all of it would swing back. */
     double part = 0.5;
     /** Loads are reported a second late and fade over three: a second move sooner would act on the
@@ -45,6 +46,11 @@
                                     const std::vector<KeyRate> &rates,
                                     const std::vector<RangeCandidate> &candidates);
 
+/** @return The half of the widest of @p spans for a candidate without keys, where no load tells
+ *          what it should get. */
+std::optional<RangeMove> planFirstShare(const std::vector<KeySpan> &spans,
+                                        const RangeCandidate &newcomer);
+
 /**
  * Decides whether a busy holder gives a part of its keys to the least busy candidate.
  * The part is cut at an end of a range, so that the number of ranges grows by one at most, and a
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -96,10 +96,7 @@
     if (now + LeastTimeLeft >= call.deadline) {
         return RequestEnd::DeadlineOver;
     }
-    if (request.keyed() && !holding_.admits(ShardKey(request.shard_key()), now)) {
-        return RequestEnd::NotOwner;
-    }
-    return RequestEnd::None;
+    return request.keyed() ? holding_.check(ShardKey(request.shard_key()), now) : RequestEnd::None;
 }
 
 asio::awaitable<v1::HopReply> BackendGate::run(v1::HopRequest request)
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -21,8 +21,9 @@
 public:
     virtual ~KeyHolding() = default;
 
-    /** @return Whether a request for @p key may be handed over at @p now. */
-    virtual bool admits(ShardKey key, TimePoint now) const = 0;
+    /** @return None if a request for @p key may be handed over at @p now; else NotOwner for a key
+     *          that is on its way, NoLease if nobody may serve it for longer. */
+    virtual RequestEnd check(ShardKey key, TimePoint now) const = 0;
 
     /** A request for @p key kept a slot busy, or would have if there had been room. */
     virtual void onWork(ShardKey key, Duration busy, TimePoint now) = 0;
--- /dev/null
+++ b/src/duty/contact_duty.cpp
@@ -0,0 +1,195 @@
+/** @file contact_duty.cpp Heartbeats to witnesses, answers to others' heartbeats, fences. */
+
+#include "duty/contact_duty.h"
+
+#include "adapter/log/event_log.h"
+#include "core/hash_func.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <random>
+
+namespace wisteriahoist {
+
+namespace {
+
+constexpr std::string_view HeartbeatPath = "/heartbeat";
+constexpr std::string_view FencePath = "/fence";
+constexpr milliseconds CallTimeout{400};
+/** A witness that could not be reached for so long is replaced in the next renewal. */
+constexpr milliseconds ReplaceAfter{800};
+
+std::string encodeRequest(NodeId node, Incarnation life)
+{
+    v1::ContactRequest request;
+    request.set_node_id(node.value());
+    request.set_life(life.value());
+    return request.SerializeAsString();
+}
+
+Incarnation drawLife()
+{
+    std::random_device device;
+    return Incarnation((static_cast<uint64_t>(device()) << 31U) | device());
+}
+
+} // namespace
+
+ContactDuty::ContactDuty(asio::io_context &context, const Clock &clock, PeerLink &peers,
+                         FleetView &view, PeerLoads &loads, GrantAuthority &authority, NodeId self,
+                         std::string failureDomain)
+    : context_(context), clock_(clock), peers_(peers), view_(view), loads_(loads),
+      authority_(authority), self_(self), failureDomain_(std::move(failureDomain)),
+      deskLife_(drawLife())
+{
+    peers_.serve(std::string(HeartbeatPath),
+                 [this](std::string body) { return onHeartbeat(std::move(body)); });
+    peers_.serve(std::string(FencePath),
+                 [this](std::string body) { return onFence(std::move(body)); });
+}
+
+bool ContactDuty::isUsable(const MemberRecord &member, TimePoint now) const
+{
+    const TimePoint since = loads_.unreachableSince(member.node);
+    return member.node != self_ && !member.stopping
+           && (since == NeverTime || now - since < ReplaceAfter);
+}
+
+std::set<NodeId> ContactDuty::chooseWitnesses(TimePoint now)
+{
+    std::erase_if(witnesses_, [&](NodeId node) {
+        const MemberRecord *member = view_.findMember(node);
+        return member == nullptr || !isUsable(*member, now);
+    });
+    // By a hash of both, so that no node becomes everybody's witness.
+    std::vector<std::pair<uint64_t, const MemberRecord *>> ranked;
+    for (const auto &[node, member] : view_.members()) {
+        if (isUsable(member, now)) {
+            ranked.emplace_back(hashKey(std::to_string(node.value()), self_.value()).value(),
+                                &member);
+        }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    const auto add = [&](auto fits) {
+        for (const auto &[rank, member] : ranked) {
+            if (witnesses_.size() >= times_.witnesses) {
+                return;
+            }
+            if (fits(*member)) {
+                witnesses_.insert(member->node);
+            }
+        }
+    };
+    // One elsewhere first: the own failure domain may be cut off as a whole.
+    const auto isElsewhere = [this](const MemberRecord &member) {
+        return member.failureDomain != failureDomain_;
+    };
+    const bool hasElsewhere
+            = std::any_of(witnesses_.begin(), witnesses_.end(), [&](NodeId node) {
+                  return isElsewhere(*view_.findMember(node));
+              });
+    if (!hasElsewhere) {
+        bool found = false;
+        add([&](const MemberRecord &member) {
+            const bool take = !found && isElsewhere(member);
+            found |= take;
+            return take;
+        });
+    }
+    add([&](const MemberRecord &member) { return !isElsewhere(member); });
+    add([](const MemberRecord &) { return true; });
+    return witnesses_;
+}
+
+void ContactDuty::sendHeartbeats(Incarnation life, std::function<bool()> isCurrent,
+                                 std::function<void()> fenced, TimePoint now)
+{
+    if (now - sentAt_ < times_.heartbeatEvery) {
+        return;
+    }
+    sentAt_ = now;
+    for (const NodeId node : witnesses_) {
+        if (const MemberRecord *member = view_.findMember(node)) {
+            asio::co_spawn(context_, sendHeartbeat(*member, life, isCurrent, fenced), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> ContactDuty::sendHeartbeat(MemberRecord witness, Incarnation life,
+                                                 std::function<bool()> isCurrent,
+                                                 std::function<void()> fenced)
+{
+    const TimePoint sentAt = clock_.now();
+    std::string body = encodeRequest(self_, life);
+    Result<std::string> answer
+            = co_await peers_.call(witness, HeartbeatPath, std::move(body), CallTimeout);
+    const TimePoint now = clock_.now();
+    v1::ContactReply reply;
+    if (!answer || answer.assume_value().empty() || !reply.ParseFromString(answer.assume_value())) {
+        loads_.onUnanswered(witness.node, now);
+        co_return;
+    }
+    loads_.onHeard(witness.node, now);
+    if (!isCurrent()) {
+        co_return;
+    }
+    if (reply.accepted()) {
+        authority_.onAcknowledged(witness.node, sentAt, now);
+    } else {
+        fenced();
+    }
+}
+
+asio::awaitable<std::string> ContactDuty::onHeartbeat(std::string body)
+{
+    v1::ContactRequest request;
+    v1::ContactReply reply;
+    reply.set_witness_life(deskLife_.value());
+    if (request.ParseFromString(body)) {
+        reply.set_accepted(desk_.onHeartbeat(NodeId(request.node_id()),
+                                             Incarnation(request.life()), clock_.now()));
+    }
+    co_return reply.SerializeAsString();
+}
+
+asio::awaitable<std::string> ContactDuty::onFence(std::string body)
+{
+    v1::ContactRequest request;
+    v1::ContactReply reply;
+    reply.set_witness_life(deskLife_.value());
+    if (request.ParseFromString(body)) {
+        reply.set_accepted(desk_.onFence(NodeId(request.node_id()), Incarnation(request.life()),
+                                         clock_.now()));
+        logEvent(LogEvent::NodeFenced, {{"node", request.node_id()},
+                                        {"life", request.life()},
+                                        {"accepted", reply.accepted()}});
+    }
+    co_return reply.SerializeAsString();
+}
+
+asio::awaitable<FenceAnswer> ContactDuty::fence(NodeId witness, NodeId node, Incarnation life)
+{
+    FenceAnswer fence;
+    if (witness == self_) {
+        fence.result = desk_.onFence(node, life, clock_.now()) ? FenceResult::Fenced
+                                                                : FenceResult::StillInContact;
+        fence.witnessLife = deskLife_;
+        co_return fence;
+    }
+    const MemberRecord *member = view_.findMember(witness);
+    if (member == nullptr) {
+        co_return fence;
+    }
+    const MemberRecord copy = *member;
+    std::string body = encodeRequest(node, life);
+    Result<std::string> answer
+            = co_await peers_.call(copy, FencePath, std::move(body), CallTimeout);
+    v1::ContactReply reply;
+    if (answer && !answer.assume_value().empty() && reply.ParseFromString(answer.assume_value())) {
+        fence.result = reply.accepted() ? FenceResult::Fenced : FenceResult::StillInContact;
+        fence.witnessLife = Incarnation(reply.witness_life());
+    }
+    co_return fence;
+}
+
+} // namespace wisteriahoist
--- /dev/null
+++ b/src/duty/peer_link.h
@@ -0,0 +1,36 @@
+/** @file peer_link.h Calls to other nodes by their member record, and who answers theirs. */
+
+#pragma once
+
+#include "adapter/http2/peer_transport.h"
+#include "decision/member/member_type.h"
+
+#include <map>
+
+namespace wisteriahoist {
+
+/** The connections of one node to the others, in both directions. Used by one thread. */
+class PeerLink
+{
+public:
+    PeerLink(asio::io_context &context, const std::string &ip, uint16_t port);
+
+    /** @param path Begins with a slash. @pre Called before start(). */
+    void serve(const std::string &path, std::function<asio::awaitable<std::string>(std::string)> answer);
+
+    void start();
+
+    /** @return The reply's body; Unavailable if the peer never processed the call. */
+    asio::awaitable<Result<std::string>> call(const MemberRecord &member, std::string_view path,
+                                              std::string body, milliseconds timeout);
+
+private:
+    asio::awaitable<std::string> dispatch(std::string path, std::string body);
+
+    PeerCaller caller_;
+    std::shared_ptr<PeerListener> listener_;
+    std::map<std::string, std::function<asio::awaitable<std::string>(std::string)>, std::less<>>
+            answers_;
+};
+
+} // namespace wisteriahoist
--- a/src/duty/peer_loads.cpp
+++ b/src/duty/peer_loads.cpp
@@ -9,6 +9,9 @@
 /** A load that was reported longer ago says nothing about the present. */
 constexpr milliseconds LoadAge{3000};
 
+/** An attempt at a lost node takes up to 300 ms of a caller's time; one in so long is enough. */
+constexpr milliseconds RetryAfterFailure{400};
+
 OutlierLimits makeOutlierLimits()
 {
     OutlierLimits limits;
@@ -40,12 +43,10 @@
     State &state = states_[node];
     --state.outstanding;
     if (!reached) {
-        if (state.unreachableSince == NeverTime) {
-            state.unreachableSince = now;
-        }
+        onUnanswered(node, now);
         return;
     }
-    state.unreachableSince = NeverTime;
+    onHeard(node, now);
     if (reply.has_load()) {
         state.load = reply.load();
         state.reportedAt = now;
@@ -58,6 +59,35 @@
     }
 }
 
+void PeerLoads::onHeard(NodeId node, TimePoint now)
+{
+    State &state = states_[node];
+    state.unreachableSince = NeverTime;
+    state.heardAt = now;
+}
+
+void PeerLoads::onUnanswered(NodeId node, TimePoint now)
+{
+    State &state = states_[node];
+    state.failedAt = now;
+    if (state.unreachableSince == NeverTime) {
+        state.unreachableSince = now;
+    }
+}
+
+TimePoint PeerLoads::heardAt(NodeId node) const
+{
+    const auto found = states_.find(node);
+    return found == states_.end() ? NeverTime : found->second.heardAt;
+}
+
+bool PeerLoads::isShunned(NodeId node, TimePoint now) const
+{
+    const auto found = states_.find(node);
+    return found != states_.end() && found->second.unreachableSince != NeverTime
+           && now - found->second.failedAt < RetryAfterFailure;
+}
+
 InstanceLoad PeerLoads::instanceLoad(NodeId node, const std::string &failureDomain,
                                      uint32_t slots) const
 {
--- a/src/duty/peer_loads.h
+++ b/src/duty/peer_loads.h
@@ -23,6 +23,21 @@
     /** A call has ended. @param reached Whether the node itself answered. */
     void onReply(NodeId node, const v1::HopReply &reply, bool reached, TimePoint now);
 
+    /** The node has answered a call that carries no load. */
+    void onHeard(NodeId node, TimePoint now);
+
+    /** A call to the node got no answer. */
+    void onUnanswered(NodeId node, TimePoint now);
+
+    /** @return When a call last reached the node. */
+    TimePoint heardAt(NodeId node) const;
+
+    /**
+     * @return Whether a request should not even be tried there: the last call has just failed. One
+     *         call each RetryAfterFailure goes through and shows when the node is back.
+     */
+    bool isShunned(NodeId node, TimePoint now) const;
+
     /** @return The load of @p node, for the choice among instances. */
     InstanceLoad instanceLoad(NodeId node, const std::string &failureDomain, uint32_t slots) const;
 
@@ -41,6 +56,8 @@
         v1::BackendLoad load;
         TimePoint reportedAt = NeverTime;
         TimePoint unreachableSince = NeverTime;
+        TimePoint failedAt = NeverTime;
+        TimePoint heardAt = NeverTime;
     };
 
     std::map<NodeId, State> states_;
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -23,12 +23,12 @@
 /** A release is answered when the running work has ended; sent again after so long, it may have
  *  been lost. */
 constexpr milliseconds ReleaseTimeout{1500};
-/** After its start a node waits for so long before it divides a service that has no table: the
- *  first heartbeats come within 1.5 s, and who is not there yet has to be given keys later. */
-constexpr milliseconds Settle{2500};
-constexpr milliseconds ProbeEvery{1000};
-/** A node that has not been reached for so long may be lost; its lease decides. */
-constexpr milliseconds SuspectAfter{1000};
+/** From the first backend server that is ready until a service without a table is divided: the
+ *  others' first heartbeats come within 1.5 s, and who is not there yet has to be given keys later. */
+constexpr milliseconds Settle{2000};
+constexpr milliseconds ProbeEvery{500};
+/** A node that has not been reached for so long may be lost; its witnesses and its lease decide. */
+constexpr milliseconds SuspectAfter{500};
 
 Incarnation drawLife()
 {
@@ -46,9 +46,11 @@
 
 RangeDuty::RangeDuty(asio::io_context &context, const Clock &clock, RecordStore &store,
                      BackendControl &backend, FleetView &view, BackendMonitor &monitor,
-                     PeerLoads &loads, const MemberRecord &self, GrantTimes grants)
+                     PeerLoads &loads, PeerLink &peers, const MemberRecord &self,
+                     GrantTimes grants)
     : context_(context), clock_(clock), store_(store), backend_(backend), view_(view),
       monitor_(monitor), loads_(loads), self_(self), session_(drawLife()), keeper_(grants, RangeKeeper::lapseOf(grants, grants.hold, clock.now())),
+      contact_(context, clock, peers, view, loads, authority_, self.node, self.failureDomain),
       wakeTimer_(context)
 { }
 
@@ -84,9 +86,15 @@
     return RangeHolder{self_.node, session_, monitor_.backend()};
 }
 
-bool RangeDuty::admits(ShardKey key, TimePoint now) const
+RequestEnd RangeDuty::check(ShardKey key, TimePoint now) const
 {
-    return keeper_.admits(key, lease_.validUntil(), now);
+    const TimePoint until = authority_.validUntil();
+    if (keeper_.admits(key, until, now)) {
+        return RequestEnd::None;
+    }
+    // Without authority it takes seconds until anybody serves the key again.
+    const bool moving = keeper_.isLeaving(key) || until > now;
+    return moving ? RequestEnd::NotOwner : RequestEnd::NoLease;
 }
 
 void RangeDuty::onWork(ShardKey key, Duration busy, TimePoint now)
@@ -157,10 +165,18 @@
         asio::co_spawn(context_, std::move(work), asio::detached);
     };
     const bool inUse = holder().has_value() || keeper_.size() > 0;
-    if (!renewing_ && inUse && lease_.beginRenewal(now)) {
+    if (authority_.needsRenewal(now)) {
+        authority_.lease().retryNow();
+    }
+    if (!renewing_ && inUse && authority_.lease().beginRenewal(now)) {
         renewing_ = true;
         spawn(renewLease());
     }
+    if (inUse) {
+        const Incarnation life = session_;
+        contact_.sendHeartbeats(
+                life, [this, life]() { return session_ == life; }, [this]() { lostLease(); }, now);
+    }
     if (!writing_) {
         writing_ = true;
         spawn(planOnce());
@@ -170,7 +186,7 @@
         watching_ = true;
         spawn(watchOthers());
     }
-    for (GrantOrder &order : keeper_.takeDueGrants(lease_.validUntil(), now)) {
+    for (GrantOrder &order : keeper_.takeDueGrants(authority_.validUntil(), now)) {
         spawn(sendGrant(std::move(order)));
     }
     for (const ReleaseOrder &order : keeper_.takeDueReleases(now)) {
@@ -208,7 +224,7 @@
 void RangeDuty::lostLease()
 {
     logEvent(LogEvent::LeaseLost, {{"session", session_.value()}});
-    lease_.onRevoked();
+    authority_.onRevoked();
     session_ = drawLife();
 }
 
@@ -219,16 +235,25 @@
     lease.node = self_.node;
     lease.life = session_;
     lease.renewal = ++renewals_;
-    const bool wasValid = lease_.isValid(sentAt);
+    const std::set<NodeId> witnesses = contact_.chooseWitnesses(sentAt);
+    lease.witnesses.assign(witnesses.begin(), witnesses.end());
+    authority_.onRenewalSent(witnesses);
+    const bool wasValid = authority_.validUntil() > sentAt;
+    const Incarnation life = session_;
     Result<StoreRevision> written = co_await writeLease(lease);
     if (written) {
         leaseRevision_ = written.assume_value();
-        lease_.onRenewed(sentAt);
+        if (life == session_) {
+            authority_.onRenewed(witnesses, sentAt);
+        } else {
+            authority_.lease().retryNow();
+            authority_.lease().onFailed();
+        }
         if (!wasValid) {
             logEvent(LogEvent::LeaseGained, {{"session", session_.value()}});
         }
     } else {
-        lease_.onFailed();
+        authority_.lease().onFailed();
         const bool conflict = written.assume_error().code == FailureCode::VersionConflict;
         if (conflict || leaseRevision_.value() == 0) {
             Result<StoredRecord> stored
@@ -240,7 +265,7 @@
                 if (known && known.assume_value().revokedBy != InvalidNode) {
                     lostLease();
                 }
-                lease_.retryNow();
+                authority_.lease().retryNow();
             }
         }
     }
@@ -305,7 +330,10 @@
         limits.margin = 0;
         others = newcomers;
     }
-    const auto move = planBalance(self, held, load_.rates(KeySpan{}, now), others, limits);
+    auto move = planBalance(self, held, load_.rates(KeySpan{}, now), others, limits);
+    if (!move && !newcomers.empty() && busiest) {
+        move = planFirstShare(held, newcomers.front());
+    }
     if (!move) {
         return;
     }
@@ -434,7 +462,10 @@
 {
     const TimePoint now = clock_.now();
     const MemberRecord *first = firstOfService(now);
-    if (first == nullptr || first->node != self_.node || now - startedAt_ < Settle) {
+    if (first != nullptr && firstReadyAt_ == NeverTime) {
+        firstReadyAt_ = now;
+    }
+    if (first == nullptr || first->node != self_.node || now - firstReadyAt_ < Settle) {
         co_return;
     }
     std::vector<HolderShare> shares;
@@ -500,9 +531,9 @@
             }
         }
     }
-    std::erase_if(observers_, [&holders](const auto &entry) {
-        return holders.count(entry.first) == 0;
-    });
+    const auto isDone = [&holders](const auto &entry) { return holders.count(entry.first) == 0; };
+    std::erase_if(observers_, isDone);
+    std::erase_if(takeovers_, isDone);
     for (const NodeId node : holders) {
         co_await checkHolder(node);
     }
@@ -512,28 +543,63 @@
 asio::awaitable<void> RangeDuty::checkHolder(NodeId node)
 {
     const MemberRecord *member = view_.findMember(node);
-    if (member != nullptr && probe_) {
+    if (member != nullptr) {
+        if (clock_.now() - loads_.heardAt(node) < ProbeEvery) {
+            co_return;
+        }
         const MemberRecord copy = *member;
         const bool answered = co_await probe_(copy);
         if (answered || !isUnreachable(node, clock_.now())) {
             observers_.erase(node);
+            takeovers_.erase(node);
             co_return;
         }
     }
-    Result<StoredRecord> lease = co_await store_.read(RecordKind::Leases, memberRecordName(node));
-    const bool absent = !lease && lease.assume_error().code == FailureCode::NotFound;
-    if (!lease && !absent) {
+    Result<StoredRecord> stored
+            = co_await store_.read(RecordKind::Leases, memberRecordName(node));
+    const bool absent = !stored && stored.assume_error().code == FailureCode::NotFound;
+    if (!stored && !absent) {
         co_return;
     }
-    const StoreRevision revision = absent ? StoreRevision(0) : lease.assume_value().revision;
+    const StoreRevision revision = absent ? StoreRevision(0) : stored.assume_value().revision;
     LeaseObserver &observer
             = observers_.try_emplace(node, LeaseObserver(StoreLeaseTimes{})).first->second;
     observer.onRead(revision.value(), clock_.now());
-    if (observer.isOver(clock_.now())) {
+    bool over = observer.isOver(clock_.now());
+    if (!absent && !over) {
+        Result<LeaseRecord> lease = decodeLease(stored.assume_value().content);
+        over = lease && co_await fenceAtWitnesses(node, lease.assume_value());
+    }
+    if (over) {
         co_await revoke(node, revision);
     }
 }
 
+asio::awaitable<bool> RangeDuty::fenceAtWitnesses(NodeId node, const LeaseRecord &lease)
+{
+    const auto known = takeovers_.find(node);
+    const bool same = known != takeovers_.end() && known->second.life() == lease.life
+                      && known->second.witnesses() == lease.witnesses;
+    if (!same) {
+        takeovers_.insert_or_assign(node, Takeover(ContactTimes{}, lease.life, lease.witnesses));
+    }
+    // Every witness is asked each time: what counts at the end is that all fences stand, after the
+    // lease was read whose revision the revocation is bound to.
+    const Takeover begun = takeovers_.at(node);
+    const std::vector<NodeId> witnesses = begun.witnesses();
+    for (const NodeId witness : witnesses) {
+        const FenceAnswer answer = co_await contact_.fence(witness, node, lease.life);
+        const auto takeover = takeovers_.find(node);
+        if (answer.result != FenceResult::Fenced || takeover == takeovers_.end()) {
+            takeovers_.erase(node);
+            co_return false;
+        }
+        takeover->second.onFenced(witness, answer.witnessLife, clock_.now());
+    }
+    const auto takeover = takeovers_.find(node);
+    co_return takeover != takeovers_.end() && takeover->second.isDue(clock_.now());
+}
+
 asio::awaitable<void> RangeDuty::revoke(NodeId node, StoreRevision revision)
 {
     std::set<Incarnation> lives;
@@ -559,6 +625,7 @@
                                           std::move(content));
     }
     observers_.erase(node);
+    takeovers_.erase(node);
     if (!written) {
         co_return;
     }
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -5,7 +5,7 @@
 #include "adapter/codec/record_codec.h"
 #include "decision/member/backend_monitor.h"
 #include "decision/range/range_planner.h"
-#include "decision/range/store_lease.h"
+#include "duty/contact_duty.h"
 #include "duty/backend_gate.h"
 #include "duty/fleet_view.h"
 #include "duty/peer_loads.h"
@@ -33,7 +33,7 @@
 public:
     RangeDuty(asio::io_context &context, const Clock &clock, RecordStore &store,
               BackendControl &backend, FleetView &view, BackendMonitor &monitor, PeerLoads &loads,
-              const MemberRecord &self, GrantTimes grants);
+              PeerLink &peers, const MemberRecord &self, GrantTimes grants);
 
     void start();
 
@@ -45,7 +45,7 @@
 
     void probeWith(PeerProbe probe) { probe_ = std::move(probe); }
 
-    bool admits(ShardKey key, TimePoint now) const override;
+    RequestEnd check(ShardKey key, TimePoint now) const override;
     void onWork(ShardKey key, Duration busy, TimePoint now) override;
     double demand(TimePoint now) override { return load_.total(now); }
 
@@ -71,6 +71,7 @@
     asio::awaitable<void> writeTable(RangeTable table, std::optional<StoreRevision> over);
     asio::awaitable<void> refreshTable();
     asio::awaitable<void> watchOthers();
+    asio::awaitable<bool> fenceAtWitnesses(NodeId node, const LeaseRecord &lease);
     asio::awaitable<void> revoke(NodeId node, StoreRevision revision);
     void sendOrders(TimePoint now);
     std::optional<RangeTable> planTable(const StoredTable &stored, TimePoint now);
@@ -95,7 +96,8 @@
     MemberRecord self_;
     Incarnation session_; ///< Of the lease; a new one after the lease was revoked.
     RangeKeeper keeper_;
-    StoreLease lease_{StoreLeaseTimes{}};
+    GrantAuthority authority_{StoreLeaseTimes{}, ContactTimes{}};
+    ContactDuty contact_;
     StoreRevision leaseRevision_;
     uint64_t renewals_ = 0;
     KeyLoad load_;
@@ -103,9 +105,11 @@
     asio::steady_timer wakeTimer_;
     std::vector<RangeMove> targets_; ///< Who is to get what is being released.
     std::map<NodeId, LeaseObserver> observers_; ///< Of nodes that do not answer.
+    std::map<NodeId, Takeover> takeovers_;      ///< Of the same, where witnesses are known.
     /// Lives whose lease this node has taken away; a later life of the node is not among them.
     std::map<NodeId, std::set<Incarnation>> revoked_;
     TimePoint startedAt_ = NeverTime;
+    TimePoint firstReadyAt_ = NeverTime; ///< When a backend server of the service was first ready.
     TimePoint movedAt_ = NeverTime;
     TimePoint probedAt_ = NeverTime;
     bool stopping_ = false;
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -17,8 +17,6 @@
 constexpr std::string_view HopPath = "/hop";
 constexpr std::string_view ProbePath = "/probe";
 
-/** Nodes are 1 ms apart; one that takes so long to accept a connection is cut off or without power. */
-constexpr milliseconds PeerConnectTimeout{300};
 constexpr milliseconds ProbeTimeout{600};
 /** Lets the gate's own verdict at the deadline (it may be "not run") arrive before the hop's. */
 constexpr milliseconds HopGrace{20};
@@ -27,6 +25,8 @@
 constexpr milliseconds OwnerPause{50};
 /** The first configuration is read within a second of a node's start, or the store is away. */
 constexpr milliseconds RetryConfig{1000};
+/** A lost node's keys are served again after about three seconds. */
+constexpr milliseconds RetryLost{1000};
 /** Before other nodes have reported how long they will be full. */
 constexpr milliseconds RetryDefault{200};
 
@@ -54,8 +54,7 @@
     end.outcome = outcomeOf(reply);
     end.status = static_cast<uint16_t>(reply.status());
     end.reachedBackend = reply.reached_backend();
-    end.routingMayChange = reply.reason() == "not-owner" || reply.reason() == "no-lease"
-                           || reply.reason() == "no-backend" || reply.reason() == "unreachable";
+    end.routingMayChange = reply.reason() == "not-owner" || reply.reason() == "no-backend";
     return end;
 }
 
@@ -63,11 +62,12 @@
 
 RequestRouter::RequestRouter(asio::io_context &context, const Clock &clock,
                              const RequestProtocol &protocol, FleetView &view, PeerLoads &loads,
-                             BackendGate &gate, RouterSettings settings)
+                             BackendGate &gate, PeerLink &peers, RouterSettings settings)
     : context_(context), clock_(clock), protocol_(protocol), view_(view), loads_(loads),
-      gate_(gate), settings_(std::move(settings)), peers_(context), random_(std::random_device{}())
+      gate_(gate), settings_(std::move(settings)), peers_(peers), random_(std::random_device{}())
 {
-    peers_.limitConnect(PeerConnectTimeout);
+    peers_.serve(std::string(HopPath), [this](std::string body) { return onHop(std::move(body)); });
+    peers_.serve(std::string(ProbePath), [this](std::string) { return onProbe(); });
 }
 
 HttpResponse RequestRouter::refuse(http::status status, std::string_view type,
@@ -222,7 +222,7 @@
     uint32_t ready = 0;
     for (const MemberRecord *member : view_.readyMembers(work.hop.service())) {
         ++ready;
-        if (work.asked.count(member->node) == 0) {
+        if (work.asked.count(member->node) == 0 && !loads_.isShunned(member->node, now)) {
             candidates.push_back(member->node);
         }
     }
@@ -259,6 +259,13 @@
         co_return makeVerdictReply(RequestStage::Received, RequestEnd::NoBackend);
     }
     work->asked.insert(work->target);
+    if (loads_.isShunned(work->target, now)) {
+        // Its keys are served again when the node is back or its lease has been taken away, in
+        // seconds: whoever waits here for a connection that cannot come is refused later instead.
+        v1::HopReply reply = makeVerdictReply(RequestStage::Received, RequestEnd::NoLease);
+        reply.set_retry_after_ms(RetryLost.count());
+        co_return reply;
+    }
     v1::HopRequest hop = work->hop;
     hop.set_request_id(++lastRequest_);
     work->hop.set_request_id(lastRequest_);
@@ -279,11 +286,9 @@
 asio::awaitable<v1::HopReply> RequestRouter::forward(MemberRecord member, v1::HopRequest hop)
 {
     const milliseconds timeout = milliseconds(hop.deadline_left_ms()) + HopGrace;
-    PeerEndpoint peer{member.ip, member.peerPort};
     loads_.onSent(member.node);
     std::string body = hop.SerializeAsString();
-    Result<std::string> bytes = co_await peers_.call(std::move(peer), std::string(HopPath),
-                                                     std::move(body), timeout);
+    Result<std::string> bytes = co_await peers_.call(member, HopPath, std::move(body), timeout);
     v1::HopReply reply;
     bool reached = bytes.has_value();
     if (!bytes) {
@@ -303,33 +308,32 @@
 
 asio::awaitable<bool> RequestRouter::probe(MemberRecord member)
 {
-    PeerEndpoint peer{member.ip, member.peerPort};
     loads_.onSent(member.node);
-    const Result<std::string> answer
-            = co_await peers_.call(std::move(peer), std::string(ProbePath), {}, ProbeTimeout);
+    const Result<std::string> answer = co_await peers_.call(member, ProbePath, {}, ProbeTimeout);
     v1::HopReply reply;
     const bool answered = answer && reply.ParseFromString(answer.assume_value());
     loads_.onReply(member.node, reply, answered, clock_.now());
     co_return answered;
 }
 
-asio::awaitable<std::string> RequestRouter::onPeerCall(std::string path, std::string body)
+asio::awaitable<std::string> RequestRouter::onProbe()
+{
+    v1::HopReply reply;
+    *reply.mutable_load() = gate_.load(clock_.now());
+    co_return reply.SerializeAsString();
+}
+
+asio::awaitable<std::string> RequestRouter::onHop(std::string body)
 {
     v1::HopReply reply;
-    if (path == ProbePath) {
-        *reply.mutable_load() = gate_.load(clock_.now());
-        co_return reply.SerializeAsString();
-    }
     v1::HopRequest hop;
-    if (path != HopPath || !hop.ParseFromString(body)) {
+    if (!hop.ParseFromString(body)) {
         reply = makeVerdictReply(RequestStage::Received, RequestEnd::BadAnswer);
-        co_return reply.SerializeAsString();
-    }
-    if (hop.cancel()) {
+    } else if (hop.cancel()) {
         gate_.cancel(hop.origin_node(), hop.request_id());
-        co_return reply.SerializeAsString();
+    } else {
+        reply = co_await gate_.run(std::move(hop));
     }
-    reply = co_await gate_.run(std::move(hop));
     co_return reply.SerializeAsString();
 }
 
@@ -347,10 +351,9 @@
     hop.set_cancel(true);
     hop.set_origin_node(settings_.node.value());
     hop.set_request_id(requestId);
-    PeerEndpoint peer{member->ip, member->peerPort};
+    const MemberRecord copy = *member;
     std::string body = hop.SerializeAsString();
-    (void)co_await peers_.call(std::move(peer), std::string(HopPath), std::move(body),
-                               CancelTimeout);
+    (void)co_await peers_.call(copy, HopPath, std::move(body), CancelTimeout);
 }
 
 HttpResponse RequestRouter::makeAnswer(const Work &work, v1::HopReply reply)
--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -4,11 +4,11 @@
 
 #include "adapter/http/http_server.h"
 #include "adapter/http/request_protocol.h"
-#include "adapter/http2/peer_transport.h"
 #include "decision/request/attempt_policy.h"
 #include "decision/request/repeat_budget.h"
 #include "duty/backend_gate.h"
 #include "duty/fleet_view.h"
+#include "duty/peer_link.h"
 #include "duty/peer_loads.h"
 
 #include <random>
@@ -43,14 +43,12 @@
 {
 public:
     RequestRouter(asio::io_context &context, const Clock &clock, const RequestProtocol &protocol,
-                  FleetView &view, PeerLoads &loads, BackendGate &gate, RouterSettings settings);
+                  FleetView &view, PeerLoads &loads, BackendGate &gate, PeerLink &peers,
+                  RouterSettings settings);
 
     asio::awaitable<HttpResponse> onRequest(HttpRequest request,
                                             std::shared_ptr<CallerWatch> caller);
 
-    /** Answers another node's call. */
-    asio::awaitable<std::string> onPeerCall(std::string path, std::string body);
-
     /** @return Whether @p member answers at all. */
     asio::awaitable<bool> probe(MemberRecord member);
 
@@ -81,6 +79,8 @@
     asio::awaitable<v1::HopReply> runAttempts(std::shared_ptr<Work> work);
     asio::awaitable<v1::HopReply> attempt(std::shared_ptr<Work> work);
     asio::awaitable<v1::HopReply> forward(MemberRecord member, v1::HopRequest hop);
+    asio::awaitable<std::string> onHop(std::string body);
+    asio::awaitable<std::string> onProbe();
     asio::awaitable<void> awaitRouting(std::shared_ptr<Work> work);
     asio::awaitable<void> sendCancel(NodeId target, uint64_t requestId);
     NodeId chooseTarget(Work &work);
@@ -97,7 +97,7 @@
     PeerLoads &loads_;
     BackendGate &gate_;
     RouterSettings settings_;
-    PeerCaller peers_;
+    PeerLink &peers_;
     TargetPicker targets_;
     std::map<std::string, RepeatBudget> budgets_; ///< By service.
     std::mt19937_64 random_;
--- /dev/null
+++ b/src/duty/store_relay.cpp
@@ -0,0 +1,295 @@
+/** @file store_relay.cpp The store for a node that cannot reach it itself. */
+
+#include "duty/store_relay.h"
+
+#include "adapter/clock/pause_func.h"
+#include "adapter/log/event_log.h"
+#include "wisteriahoist/v1/control.pb.h"
+
+namespace wisteriahoist {
+
+namespace {
+
+constexpr std::string_view StorePath = "/store";
+constexpr size_t MostHelpers = 3; ///< Asked in turn before the store counts as away for everyone.
+
+enum class StoreCall : uint32_t { List = 1, Read, Create, Replace };
+
+/** @return Whether the failure is of the way to the store, not the store's own answer. */
+bool isLost(const Failure &failure)
+{
+    return failure.code == FailureCode::Unavailable || failure.code == FailureCode::Ambiguous
+           || failure.code == FailureCode::DeadlineExceeded
+           || failure.code == FailureCode::RateLimited;
+}
+
+v1::StoreRequest makeRequest(StoreCall call, RecordKind kind, const std::string &name = {},
+                             StoreRevision revision = {}, const std::string &content = {})
+{
+    v1::StoreRequest request;
+    request.set_call(static_cast<uint32_t>(call));
+    request.set_kind(static_cast<uint32_t>(kind));
+    request.set_name(name);
+    request.set_revision(revision.value());
+    request.set_content(content);
+    return request;
+}
+
+void setFailure(v1::StoreReply &reply, const Failure &failure)
+{
+    reply.set_failure(static_cast<uint32_t>(failure.code) + 1);
+    reply.set_cause(failure.context);
+}
+
+void addRecord(v1::StoreReply &reply, const StoredRecord &record)
+{
+    v1::StoreRecord *added = reply.add_records();
+    added->set_name(record.name);
+    added->set_revision(record.revision.value());
+    added->set_content(record.content);
+}
+
+StoredRecord toRecord(const v1::StoreRecord &record)
+{
+    return {record.name(), StoreRevision(record.revision()), record.content()};
+}
+
+/** @return The failure that the reply carries; nullopt if the call succeeded. */
+std::optional<Failure> failureOf(const v1::StoreReply &reply)
+{
+    if (reply.failure() == 0) {
+        return std::nullopt;
+    }
+    const uint32_t code = reply.failure() - 1;
+    if (code > static_cast<uint32_t>(FailureCode::HistoryGone)) {
+        return Failure{FailureCode::Malformed, "unknown failure code"};
+    }
+    return Failure{static_cast<FailureCode>(code), reply.cause()};
+}
+
+} // namespace
+
+RelayedStore::RelayedStore(RecordStore &direct, const Clock &clock, PeerLink &peers,
+                           FleetView &view, NodeId self)
+    : direct_(direct), clock_(clock), peers_(peers), view_(view), self_(self)
+{
+    peers_.serve(std::string(StorePath), [this](std::string body) { return serve(std::move(body)); });
+}
+
+bool RelayedStore::noteDirect(const Failure *failure)
+{
+    if (failure == nullptr || !isLost(*failure)) {
+        directAt_ = NeverTime;
+        return false;
+    }
+    directAt_ = clock_.now() + times_.directPause;
+    return true;
+}
+
+RecordStore::Pending<v1::StoreReply> RelayedStore::ask(MemberRecord member, std::string body)
+{
+    Result<std::string> bytes
+            = co_await peers_.call(member, StorePath, std::move(body), times_.callTimeout);
+    if (!bytes) {
+        co_return std::move(bytes).as_failure();
+    }
+    v1::StoreReply reply;
+    if (bytes.assume_value().empty() || !reply.ParseFromString(bytes.assume_value())) {
+        co_return Failure{FailureCode::Malformed, "unreadable reply of a relay"};
+    }
+    const std::optional<Failure> failure = failureOf(reply);
+    if (failure && isLost(*failure)) {
+        co_return *failure;
+    }
+    co_return reply;
+}
+
+RecordStore::Pending<v1::StoreReply> RelayedStore::relay(v1::StoreRequest request)
+{
+    if (clock_.now() < relayAt_) {
+        co_return Failure{FailureCode::Unavailable, "the store is away for other nodes too"};
+    }
+    std::vector<MemberRecord> helpers;
+    for (const auto &[node, member] : view_.members()) {
+        if (node != self_ && !member.stopping) {
+            helpers.insert(node == helper_ ? helpers.begin() : helpers.end(), member);
+        }
+    }
+    const std::string body = request.SerializeAsString();
+    for (size_t index = 0; index < std::min(helpers.size(), MostHelpers); ++index) {
+        Result<v1::StoreReply> reply = co_await ask(helpers[index], body);
+        if (reply) {
+            if (helper_ != helpers[index].node) {
+                helper_ = helpers[index].node;
+                logEvent(LogEvent::StoreRelayed, {{"through", helpers[index].name}});
+            }
+            co_return std::move(reply.assume_value());
+        }
+    }
+    helper_ = InvalidNode;
+    relayAt_ = clock_.now() + times_.relayPause;
+    co_return Failure{FailureCode::Unavailable, "no other node reaches the store"};
+}
+
+RecordStore::Pending<RecordListing> RelayedStore::list(RecordKind kind)
+{
+    if (isDirect()) {
+        Result<RecordListing> listing = co_await direct_.list(kind);
+        if (!noteDirect(listing ? nullptr : &listing.assume_error())) {
+            co_return listing;
+        }
+    }
+    v1::StoreRequest request = makeRequest(StoreCall::List, kind);
+    Result<v1::StoreReply> reply = co_await relay(std::move(request));
+    if (!reply) {
+        co_return std::move(reply).as_failure();
+    }
+    if (const auto failure = failureOf(reply.assume_value())) {
+        co_return *failure;
+    }
+    RecordListing listing;
+    listing.at = StoreRevision(reply.assume_value().revision());
+    for (const v1::StoreRecord &record : reply.assume_value().records()) {
+        listing.records.push_back(toRecord(record));
+    }
+    co_return listing;
+}
+
+RecordStore::Pending<StoredRecord> RelayedStore::read(RecordKind kind, std::string name)
+{
+    if (isDirect()) {
+        Result<StoredRecord> record = co_await direct_.read(kind, name);
+        if (!noteDirect(record ? nullptr : &record.assume_error())) {
+            co_return record;
+        }
+    }
+    v1::StoreRequest request = makeRequest(StoreCall::Read, kind, name);
+    Result<v1::StoreReply> reply = co_await relay(std::move(request));
+    if (!reply) {
+        co_return std::move(reply).as_failure();
+    }
+    if (const auto failure = failureOf(reply.assume_value())) {
+        co_return *failure;
+    }
+    if (reply.assume_value().records_size() != 1) {
+        co_return Failure{FailureCode::Malformed, "one record is expected"};
+    }
+    co_return toRecord(reply.assume_value().records(0));
+}
+
+RecordStore::Pending<StoreRevision> RelayedStore::create(RecordKind kind, std::string name,
+                                                         std::string content)
+{
+    if (isDirect()) {
+        Result<StoreRevision> revision = co_await direct_.create(kind, name, content);
+        if (!noteDirect(revision ? nullptr : &revision.assume_error())) {
+            co_return revision;
+        }
+    }
+    v1::StoreRequest request = makeRequest(StoreCall::Create, kind, name, {}, content);
+    Result<v1::StoreReply> reply = co_await relay(std::move(request));
+    if (!reply) {
+        co_return std::move(reply).as_failure();
+    }
+    if (const auto failure = failureOf(reply.assume_value())) {
+        co_return *failure;
+    }
+    co_return StoreRevision(reply.assume_value().revision());
+}
+
+RecordStore::Pending<StoreRevision> RelayedStore::replace(RecordKind kind, std::string name,
+                                                          StoreRevision expected,
+                                                          std::string content)
+{
+    if (isDirect()) {
+        Result<StoreRevision> revision = co_await direct_.replace(kind, name, expected, content);
+        if (!noteDirect(revision ? nullptr : &revision.assume_error())) {
+            co_return revision;
+        }
+    }
+    v1::StoreRequest request = makeRequest(StoreCall::Replace, kind, name, expected, content);
+    Result<v1::StoreReply> reply = co_await relay(std::move(request));
+    if (!reply) {
+        co_return std::move(reply).as_failure();
+    }
+    if (const auto failure = failureOf(reply.assume_value())) {
+        co_return *failure;
+    }
+    co_return StoreRevision(reply.assume_value().revision());
+}
+
+RecordStore::Pending<RecordChanges> RelayedStore::watch(RecordKind kind, StoreRevision since,
+                                                        milliseconds wait)
+{
+    // A watch would keep a call of the helper's waiting for each kind; listing now and then is
+    // enough while the own way is closed.
+    if (!isDirect()) {
+        co_await pauseFor(times_.watchPause);
+        co_return Failure{FailureCode::Unavailable, "no watch through another node"};
+    }
+    Result<RecordChanges> changes = co_await direct_.watch(kind, since, wait);
+    if (!changes && changes.assume_error().code != FailureCode::Ambiguous) {
+        (void)noteDirect(&changes.assume_error());
+    }
+    co_return changes;
+}
+
+boost::asio::awaitable<std::string> RelayedStore::serve(std::string body)
+{
+    v1::StoreRequest request;
+    v1::StoreReply reply;
+    if (!request.ParseFromString(body)
+        || request.kind() > static_cast<uint32_t>(RecordKind::Leases)) {
+        setFailure(reply, {FailureCode::Malformed, "unreadable request"});
+    } else if (!isDirect()) {
+        setFailure(reply, {FailureCode::Unavailable, "the store does not answer this node"});
+    } else {
+        reply = co_await run(std::move(request));
+    }
+    co_return reply.SerializeAsString();
+}
+
+boost::asio::awaitable<v1::StoreReply> RelayedStore::run(v1::StoreRequest request)
+{
+    v1::StoreReply reply;
+    const auto kind = static_cast<RecordKind>(request.kind());
+    const StoreRevision expected(request.revision());
+    Result<StoreRevision> written = Failure{FailureCode::Malformed, "unknown call"};
+    switch (static_cast<StoreCall>(request.call())) {
+    case StoreCall::List: {
+        Result<RecordListing> listing = co_await direct_.list(kind);
+        if (listing) {
+            reply.set_revision(listing.assume_value().at.value());
+            for (const StoredRecord &record : listing.assume_value().records) {
+                addRecord(reply, record);
+            }
+        } else {
+            setFailure(reply, listing.assume_error());
+        }
+        co_return reply;
+    }
+    case StoreCall::Read: {
+        Result<StoredRecord> record = co_await direct_.read(kind, request.name());
+        if (record) {
+            addRecord(reply, record.assume_value());
+        } else {
+            setFailure(reply, record.assume_error());
+        }
+        co_return reply;
+    }
+    case StoreCall::Create:
+        written = co_await direct_.create(kind, request.name(), request.content());
+        break;
+    case StoreCall::Replace:
+        written = co_await direct_.replace(kind, request.name(), expected, request.content());
+        break;
+    }
+    if (written) {
+        reply.set_revision(written.assume_value().value());
+    } else {
+        setFailure(reply, written.assume_error());
+    }
+    co_return reply;
+}
+
+} // namespace wisteriahoist
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -78,15 +78,17 @@
 SidecarProgram::SidecarProgram(asio::io_context &context, const SidecarSettings &settings,
                                const SidecarPorts &ports)
     : context_(context), settings_(settings), ports_(ports), node_(makeNodeId(settings)),
-      ranges_(context, clock_, ports.store, ports.backend, view_, monitor_, loads_,
+      peers_(context, settings.peers.ip, settings.peers.port),
+      store_(ports.store, clock_, peers_, view_, node_),
+      ranges_(context, clock_, store_, ports.backend, view_, monitor_, loads_, peers_,
               makeSelf(settings, node_), makeGrantTimes(settings)),
       gate_(context, clock_, ports.protocol, settings.backend.ip, settings.backend.port, monitor_,
             ranges_),
-      router_(context, clock_, ports.protocol, view_, loads_, gate_,
+      router_(context, clock_, ports.protocol, view_, loads_, gate_, peers_,
               makeRouterSettings(settings, node_)),
-      sync_(context, ports.store, view_, ports.configName, ports.decodeConfig),
+      sync_(context, store_, view_, ports.configName, ports.decodeConfig),
       publisher_(
-              context, ports.store, [this]() { return describe(); },
+              context, store_, [this]() { return describe(); },
               [this](const MemberRecord &member, StoreRevision revision) {
                   view_.onMember(member, revision);
               }),
@@ -127,12 +129,7 @@
     metricsPage_ = listen(settings_.metrics, HttpHandler([this](HttpRequest request) {
                               return onMetrics(std::move(request));
                           }));
-    peers_ = std::make_shared<PeerListener>(context_, settings_.peers.ip, settings_.peers.port,
-                                            [this](std::string path, std::string body) {
-                                                return router_.onPeerCall(std::move(path),
-                                                                          std::move(body));
-                                            });
-    peers_->start();
+    peers_.start();
     sync_.start();
     publisher_.start();
     ranges_.start();
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -10,6 +10,7 @@
 #include "duty/member_publisher.h"
 #include "duty/range_duty.h"
 #include "duty/request_router.h"
+#include "duty/store_relay.h"
 #include "duty/store_sync.h"
 #include "program/sidecar_settings.h"
 
@@ -77,6 +78,8 @@
     FleetView view_;
     BackendMonitor monitor_{MonitorLimits{}};
     PeerLoads loads_;
+    PeerLink peers_;
+    RelayedStore store_;
     RangeDuty ranges_;
     BackendGate gate_;
     RequestRouter router_;
@@ -88,7 +91,6 @@
     std::shared_ptr<HttpServer> reports_;
     std::shared_ptr<HttpServer> readiness_;
     std::shared_ptr<HttpServer> metricsPage_;
-    std::shared_ptr<PeerListener> peers_;
     bool stopping_ = false;
     TimePoint stopBegun_ = NeverTime;
 };
