--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -84,33 +84,32 @@
         held.unansweredUntil = std::max(held.unansweredUntil, held.pendingUntil);
         held.pendingUntil = lapseOf(times_, hold, now);
         held.lapsesAt = std::max(held.lapsesAt, held.pendingUntil);
-        orders.push_back({held.span, held.fence, hold, held.handover});
+        orders.push_back({held.span, held.fence, hold, held.handover, now});
     }
     return orders;
 }
 
-void RangeKeeper::onGrantEnd(const GrantOrder &order, OrderResult result, TimePoint sentAt)
+void RangeKeeper::onGrantEnd(const GrantOrder &order, OrderResult result)
 {
     // A range may have been cut since the order was sent; the grant covers each part.
     for (Held &held : held_) {
         if (held.fence == order.fence && order.span.covers(held.span)) {
             held.granting = false;
-            applyGrantEnd(held, order, result, sentAt);
+            applyGrantEnd(held, order, result);
         }
     }
 }
 
-void RangeKeeper::applyGrantEnd(Held &held, const GrantOrder &order, OrderResult result,
-                                TimePoint sentAt) const
+void RangeKeeper::applyGrantEnd(Held &held, const GrantOrder &order, OrderResult result) const
 {
-    const TimePoint lapse = lapseOf(times_, order.hold, sentAt);
+    const TimePoint lapse = lapseOf(times_, order.hold, order.sentAt);
     if (held.pendingUntil == lapse) {
         held.pendingUntil = NeverTime;
     }
     switch (result) {
     case OrderResult::Accepted:
-        held.confirmedUntil = std::max(held.confirmedUntil, sentAt + order.hold);
-        held.dueAt = sentAt + times_.renewEvery;
+        held.confirmedUntil = std::max(held.confirmedUntil, order.sentAt + order.hold);
+        held.dueAt = order.sentAt + times_.renewEvery;
         break;
     case OrderResult::HigherFence:
         // Sending the same fence again can only be refused again.
@@ -119,7 +118,7 @@
         break;
     case OrderResult::Unanswered:
         held.unansweredUntil = std::max(held.unansweredUntil, lapse);
-        held.dueAt = sentAt; // At once: the same call again renews the grant.
+        held.dueAt = order.sentAt; // At once: the same call again renews the grant.
         break;
     }
 }
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -32,6 +32,7 @@
     Epoch fence;
     milliseconds hold{0};
     std::string handover; ///< Empty: none.
+    TimePoint sentAt = NeverTime;
 };
 
 /** A call to the backend server: stop new work on these keys, answer when the old work has ended. */
@@ -85,8 +86,7 @@
     /** @return The grants to send now; each counts as sent. @param leaseUntil No grant outlasts it. */
     std::vector<GrantOrder> takeDueGrants(TimePoint leaseUntil, TimePoint now);
 
-    /** @param sentAt The time at which takeDueGrants() gave the order. */
-    void onGrantEnd(const GrantOrder &order, OrderResult result, TimePoint sentAt);
+    void onGrantEnd(const GrantOrder &order, OrderResult result);
 
     /** Stops admitting and renewing @p span, to be released. Spans that are not held are ignored. */
     void beginRelease(const KeySpan &span);
@@ -136,8 +136,7 @@
 
     void takeEntry(const KeySpan &span, const RangeEntry &entry, TimePoint now,
                    std::vector<Held> &next) const;
-    void applyGrantEnd(Held &held, const GrantOrder &order, OrderResult result,
-                       TimePoint sentAt) const;
+    void applyGrantEnd(Held &held, const GrantOrder &order, OrderResult result) const;
     Held *findExact(const KeySpan &span, Epoch fence);
     const Held *find(ShardKey key) const;
 
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -196,9 +196,8 @@
 
 asio::awaitable<void> RangeDuty::sendGrant(GrantOrder order)
 {
-    const TimePoint sentAt = clock_.now();
     const OrderAnswer answer = co_await backend_.grant(order, GrantTimeout);
-    keeper_.onGrantEnd(order, answer.result, sentAt);
+    keeper_.onGrantEnd(order, answer.result);
     if (answer.result != OrderResult::Unanswered) {
         (void)monitor_.onAnswer(clock_.now());
     }
