--- a/src/decision/range/grant_authority.cpp
+++ b/src/decision/range/grant_authority.cpp
@@ -43,7 +43,7 @@
 
 bool GrantAuthority::needsRenewal(TimePoint now) const
 {
-    return !named_.empty() && contactUntil_ > now && renewedAt_ < contactSince_;
+    return !named_.empty() && contactUntil_ > now && renewedAt_ <= contactSince_;
 }
 
 TimePoint GrantAuthority::validUntil() const
@@ -51,7 +51,7 @@
     if (named_.empty()) {
         return lease_.validUntil();
     }
-    if (renewedAt_ < contactSince_) {
+    if (renewedAt_ <= contactSince_) {
         return NeverTime;
     }
     return std::min(lease_.validUntil(), contactUntil_);
--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -158,7 +158,11 @@
 {
     std::vector<ReleaseOrder> orders;
     for (Held &held : held_) {
-        if (held.leaving && !held.releasing && !held.released && held.releaseDueAt <= now) {
+        // A grant and a release on two connections may overtake each other: the grant, applied
+        // last, would take the keys up again, and its answer looks like any other.
+        const bool grantUnderWay = held.pendingUntil != NeverTime;
+        if (held.leaving && !held.releasing && !held.released && held.releaseDueAt <= now
+            && !grantUnderWay) {
             held.releasing = true;
             orders.push_back({held.span, held.fence});
         }
--- a/test/unit/range/range_keeper_test.cpp
+++ b/test/unit/range/range_keeper_test.cpp
@@ -102,6 +102,19 @@
     }
 }
 
+// Two backend servers hold a key for two seconds: a renewal and the release of the same keys were
+// on their way together, on two connections. The release was carried out first, the renewal took
+// the keys up again, and both were answered. The release may only follow the renewal's answer.
+Test(range_keeper, a_release_waits_for_the_answer_of_a_renewal)
+{
+    RangeKeeper keeper = makeKeeper();
+    const auto orders = keeper.takeDueGrants(Forever, Start);
+    keeper.beginRelease({ShardKey(100), ShardKey(200)});
+    cr_assert(keeper.takeDueReleases(Start).empty());
+    keeper.onGrantEnd(orders.front(), OrderResult::Accepted);
+    cr_assert(keeper.takeDueReleases(Start).size() == 1);
+}
+
 // A node that has just started adopts what its earlier life granted, and gives it away at once. The
 // earlier life's last grant may still be on its way, unknown to this one.
 Test(range_keeper, grants_of_an_earlier_life_are_outwaited)
