--- a/src/decision/range/range_planner.cpp
+++ b/src/decision/range/range_planner.cpp
@@ -145,6 +145,42 @@
     return part;
 }
 
+/** @return The end part with the most load, of @p most or less. The last span is never taken
+ *          whole: nothing is gained if a holder is left without keys. */
+EndPart findBestPart(const std::vector<KeySpan> &spans, const std::vector<KeyRate> &rates,
+                     double most)
+{
+    EndPart best;
+    for (const KeySpan &span : spans) {
+        for (const bool front : {true, false}) {
+            const EndPart part = cutEnd(span, rates, most, front);
+            const bool whole = part.span == span && spans.size() == 1;
+            if (part.load > best.load && !whole) {
+                best = part;
+            }
+        }
+    }
+    return best;
+}
+
+/** Takes @p part, one end of one of @p spans, out of them. */
+void takeOut(std::vector<KeySpan> &spans, const KeySpan &part)
+{
+    for (KeySpan &span : spans) {
+        if (!span.covers(part)) {
+            continue;
+        }
+        if (span == part) {
+            std::erase(spans, part);
+        } else if (span.first == part.first) {
+            span.first = ShardKey(part.last.value() + 1);
+        } else {
+            span.last = ShardKey(part.first.value() - 1);
+        }
+        return;
+    }
+}
+
 } // namespace
 
 namespace {
@@ -195,39 +231,41 @@
     return RangeMove{{middle, widest->last}, newcomer.holder};
 }
 
-std::optional<RangeMove> planBalance(const RangeCandidate &self, const std::vector<KeySpan> &spans,
-                                     const std::vector<KeyRate> &rates,
-                                     const std::vector<RangeCandidate> &candidates,
-                                     const BalanceLimits &limits)
+std::vector<RangeMove> planBalance(const RangeCandidate &self, const std::vector<KeySpan> &spans,
+                                   const std::vector<KeyRate> &rates,
+                                   const std::vector<RangeCandidate> &candidates,
+                                   const BalanceLimits &limits)
 {
-    const auto shareOf
-            = [](const RangeCandidate &candidate) { return candidate.busySlots / candidate.slots; };
+    const auto shareOf = [](const RangeCandidate &candidate) {
+        return candidate.busySlots / candidate.slots;
+    };
     const auto idlest = std::min_element(candidates.begin(), candidates.end(),
                                          [&shareOf](const auto &left, const auto &right) {
                                              return shareOf(left) < shareOf(right);
                                          });
     if (idlest == candidates.end() || shareOf(self) < limits.busyShare
         || shareOf(self) - shareOf(*idlest) < limits.margin) {
-        return std::nullopt;
+        return {};
     }
     const double gap = shareOf(self) - shareOf(*idlest);
     const double most = gap * limits.part * std::min(self.slots, idlest->slots);
-    EndPart best;
-    for (const KeySpan &span : spans) {
-        for (const bool front : {true, false}) {
-            const EndPart part = cutEnd(span, rates, most, front);
-            // Nothing is gained if the whole range moves and its holder is left without any.
-            const bool whole = part.span == span && spans.size() == 1;
-            if (part.load > best.load && !whole) {
-                best = part;
-            }
+    std::vector<RangeMove> moves;
+    std::vector<KeySpan> left = spans;
+    double moved = 0;
+    while (moves.size() < limits.ranges) {
+        const EndPart best = findBestPart(left, rates, most - moved);
+        if (best.load <= 0) {
+            break;
         }
+        moves.push_back({best.span, idlest->holder});
+        moved += best.load;
+        takeOut(left, best.span);
     }
-    // A part that hardly weighs anything is not worth the move.
-    if (best.load <= 0 || best.load < most / 4) {
-        return planHotKey(self, rates, candidates, limits);
+    if (moved > 0 && moved >= most * limits.leastPart) {
+        return moves;
     }
-    return RangeMove{best.span, idlest->holder};
+    const auto hotKey = planHotKey(self, rates, candidates, limits);
+    return hotKey ? std::vector<RangeMove>{*hotKey} : std::vector<RangeMove>{};
 }
 
 } // namespace wisteriahoist
--- a/src/decision/range/range_planner.h
+++ b/src/decision/range/range_planner.h
@@ -36,6 +36,10 @@
     double hotKeyGain = 0.2;
     /** Part of the difference that is moved at once; all of it would swing back. */
     double part = 0.5;
+    /** Less load than this share of what should move is not worth the disturbance. */
+    double leastPart = 0.25;
+    /** Ranges that move at once: a holder may have many small ones, none of which weighs much. */
+    size_t ranges = 6;
     /** Loads are reported a second late and fade over three: a second move sooner would act on the
      *  load from before the first. */
     milliseconds pause{3000};
@@ -57,12 +61,13 @@
 
 /**
  * Decides whether a busy holder gives a part of its keys to the least busy candidate.
- * The part is cut at an end of a range, so that the number of ranges grows by one at most, and a
+ * Whole ranges go first; a part is cut at an end of a range, so that their number grows little. A
  * key that is busier than the whole difference stays where it is: its neighbours move instead. Only
  * if one key alone keeps a slow backend server busy, and a faster one would be less busy with it,
  * does that key move.
+ * @return What moves; empty if nothing should.
  */
-std::optional<RangeMove> planBalance(const RangeCandidate &self, const std::vector<KeySpan> &spans,
+std::vector<RangeMove> planBalance(const RangeCandidate &self, const std::vector<KeySpan> &spans,
                                      const std::vector<KeyRate> &rates,
                                      const std::vector<RangeCandidate> &candidates,
                                      const BalanceLimits &limits);
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -334,21 +334,23 @@
         limits.margin = 0;
         others = newcomers;
     }
-    auto move = planBalance(self, held, load_.rates(KeySpan{}, now), others, limits);
-    if (!move && !newcomers.empty() && busiest) {
-        move = planFirstShare(held, newcomers.front());
+    std::vector<RangeMove> moves
+            = planBalance(self, held, load_.rates(KeySpan{}, now), others, limits);
+    if (moves.empty() && !newcomers.empty() && busiest) {
+        if (const auto share = planFirstShare(held, newcomers.front())) {
+            moves.push_back(*share);
+        }
     }
-    if (!move) {
-        return;
+    for (const RangeMove &move : moves) {
+        movedAt_ = now;
+        targets_.push_back(move);
+        keeper_.beginRelease(move.span);
+        logEvent(LogEvent::RangeLeaving, {{"first", move.span.first.value()},
+                                          {"last", move.span.last.value()},
+                                          {"to", holderText(move.holder)},
+                                          {"busy_slots", self.busySlots},
+                                          {"cause", "load"}});
     }
-    movedAt_ = now;
-    targets_.push_back(*move);
-    keeper_.beginRelease(move->span);
-    logEvent(LogEvent::RangeLeaving, {{"first", move->span.first.value()},
-                                      {"last", move->span.last.value()},
-                                      {"to", holderText(move->holder)},
-                                      {"busy_slots", self.busySlots},
-                                      {"cause", "load"}});
 }
 
 RangeHolder RangeDuty::targetOf(const KeySpan &span, TimePoint now) const
--- a/test/unit/range/range_planner_test.cpp
+++ b/test/unit/range/range_planner_test.cpp
@@ -71,14 +71,16 @@
     const std::vector<KeyRate> rates{
             {ShardKey(10), 1.5}, {ShardKey(200), 1.5}, {ShardKey(500), 11}, {ShardKey(900), 2}};
     RangeCandidate self = makeCandidate(1, 16);
-    const auto move = planBalance(self, {span}, rates, {makeCandidate(2, 6)}, BalanceLimits{});
-    cr_assert(move.has_value());
-    cr_assert(!move->span.contains(ShardKey(500)));
-    cr_assert(move->holder.node == NodeId(2));
+    const auto moves = planBalance(self, {span}, rates, {makeCandidate(2, 6)}, BalanceLimits{});
+    cr_assert(!moves.empty());
+    for (const RangeMove &move : moves) {
+        cr_assert(!move.span.contains(ShardKey(500)));
+        cr_assert(move.holder.node == NodeId(2));
+    }
     SECTION("a holder with room keeps what it has: a move costs its keys half a second")
     {
         self.busySlots = 6;
-        cr_assert(!planBalance(self, {span}, rates, {makeCandidate(2, 0)}, BalanceLimits{}));
+        cr_assert(planBalance(self, {span}, rates, {makeCandidate(2, 0)}, BalanceLimits{}).empty());
     }
     SECTION("a hot key alone moves from a slow holder to a faster one that has room for it")
     {
@@ -88,14 +90,31 @@
         self.serviceTime = milliseconds(450);
         fast.serviceTime = milliseconds(250);
         const auto moved = planBalance(self, {span}, hot, {fast}, BalanceLimits{});
-        cr_assert(moved.has_value() && moved->span == KeySpan({ShardKey(500), ShardKey(500)}));
+        cr_assert(moved.size() == 1 && moved[0].span == KeySpan({ShardKey(500), ShardKey(500)}));
         fast.serviceTime = milliseconds(450);
         fast.busySlots = 6;
-        cr_assert(!planBalance(self, {span}, hot, {fast}, BalanceLimits{}));
+        cr_assert(planBalance(self, {span}, hot, {fast}, BalanceLimits{}).empty());
     }
     SECTION("and nothing moves when the others are as busy")
     {
         self.busySlots = 14;
-        cr_assert(!planBalance(self, {span}, rates, {makeCandidate(2, 13)}, BalanceLimits{}));
+        cr_assert(
+                planBalance(self, {span}, rates, {makeCandidate(2, 13)}, BalanceLimits{}).empty());
+    }
+}
+
+// After many moves a holder has thirty small ranges and is asked for five times its slots; callers
+// of most keys are refused for the rest of the day. Not one of the ranges alone weighs a quarter of
+// what should move, so several have to move together.
+Test(range_planner, many_small_ranges_move_together)
+{
+    std::vector<KeySpan> spans;
+    std::vector<KeyRate> rates;
+    for (uint32_t index = 0; index < 30; ++index) {
+        spans.push_back({ShardKey(index * 100), ShardKey(index * 100 + 50)});
+        rates.push_back({ShardKey(index * 100 + 7), 2});
     }
+    const auto moves = planBalance(makeCandidate(1, 60), spans, rates, {makeCandidate(2, 0)},
+                                   BalanceLimits{});
+    cr_assert(moves.size() == BalanceLimits{}.ranges);
 }
