--- a/src/decision/request/attempt_policy.cpp
+++ b/src/decision/request/attempt_policy.cpp
@@ -14,7 +14,8 @@
     const bool notRun = end.outcome == Outcome::NotRun;
     if (notRun && !end.reachedBackend) {
         if (history.sharded) {
-            const bool wait = end.routingMayChange && history.awaitedOwner < limits.ownerWait;
+            const bool wait = (end.routingMayChange && history.awaitedOwner < limits.ownerWait)
+                              || (end.backendAway && history.awaitedOwner < limits.backendWait);
             return wait ? AttemptStep::AwaitOwner : AttemptStep::Finish;
         }
         const bool more = history.asked < history.candidates && history.asked < limits.asks;
--- a/src/decision/request/attempt_policy.h
+++ b/src/decision/request/attempt_policy.h
@@ -13,7 +13,8 @@
     Outcome outcome = Outcome::Unknown;
     uint16_t status = 0;
     bool reachedBackend = false;   ///< It was sent to the backend server.
-    bool routingMayChange = false; ///< Refused for want of an owner, not of room.
+    bool routingMayChange = false; ///< The key is on its way to another holder.
+    bool backendAway = false;      ///< The holder's backend server is down or leaving.
 };
 
 /** What is known of the request as a whole. */
@@ -49,6 +50,8 @@
      * caller that is refused instead comes back once only.
      */
     milliseconds ownerWait{700};
+    /** A crash is noticed and the keys are given away within 0.2 s, if the store answers. */
+    milliseconds backendWait{250};
     /** With less time than this left, another instance could not answer in time. */
     milliseconds leastTimeLeft{60};
 };
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -28,6 +28,10 @@
  */
 constexpr milliseconds Settle{2000};
 constexpr milliseconds ProbeEvery{500};
+/** Keys go only to nodes that have answered this node so lately. */
+constexpr milliseconds HeardWithin{4000};
+/** A node of the service that has not been heard of for so long is asked whether it is there. */
+constexpr milliseconds ProbeAfter{2000};
 /** A node that has not been reached for so long may be lost; its witnesses and its lease decide. */
 constexpr milliseconds SuspectAfter{500};
 
@@ -79,6 +83,13 @@
     return service != nullptr && service->sharded;
 }
 
+bool RangeDuty::hasKeysToGive(TimePoint now) const
+{
+    const StoredTable *stored = view_.findTable(self_.service);
+    return stored != nullptr && countKeys(stored->table, self_.node) > 0
+           && !candidates(now, false).empty();
+}
+
 std::optional<RangeHolder> RangeDuty::holder() const
 {
     if (monitor_.backend().empty() || monitor_.isGone()) {
@@ -115,7 +126,9 @@
     const StoredTable *stored = view_.findTable(self_.service);
     for (const MemberRecord *member : view_.readyMembers(self_.service)) {
         const bool self = member->node == self_.node;
-        if ((self && !withSelf) || (!self && isUnreachable(member->node, now))) {
+        // A record outlives its node while the store is away; only an answer shows that it lives.
+        const bool heard = now - loads_.heardAt(member->node) < HeardWithin;
+        if ((self && !withSelf) || (!self && !heard)) {
             continue;
         }
         RangeCandidate candidate;
@@ -544,6 +557,16 @@
     for (const NodeId node : holders) {
         co_await checkHolder(node);
     }
+    std::vector<MemberRecord> quiet;
+    for (const MemberRecord *member : view_.readyMembers(self_.service)) {
+        if (member->node != self_.node && now - loads_.heardAt(member->node) >= ProbeAfter) {
+            quiet.push_back(*member);
+        }
+    }
+    for (const MemberRecord &member : quiet) {
+        const auto ask = [this, member]() -> asio::awaitable<void> { (void)co_await probe_(member); };
+        asio::co_spawn(context_, ask, asio::detached);
+    }
     watching_ = false;
 }
 
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -53,8 +53,8 @@
     /** @return The life under which this node holds keys; a new one after its lease was revoked. */
     Incarnation session() const { return session_; }
 
-    /** @return Whether nothing is held that others could take over in order. */
-    bool isEmpty() const { return keeper_.size() == 0; }
+    /** @return Whether the table names this node for keys that another one could take. */
+    bool hasKeysToGive(TimePoint now) const;
 
 private:
     bool isSharded() const;
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -54,7 +54,8 @@
     end.outcome = outcomeOf(reply);
     end.status = static_cast<uint16_t>(reply.status());
     end.reachedBackend = reply.reached_backend();
-    end.routingMayChange = reply.reason() == "not-owner" || reply.reason() == "no-backend";
+    end.routingMayChange = reply.reason() == "not-owner";
+    end.backendAway = reply.reason() == "no-backend";
     return end;
 }
 
--- a/src/duty/store_relay.h
+++ b/src/duty/store_relay.h
@@ -13,9 +13,9 @@
 /** Times of the relay. */
 struct RelayTimes {
     /** After a failure the own way is tried again this late: each try may take a whole timeout. */
-    milliseconds directPause{1500};
+    milliseconds directPause{700};
     /** After no other node could help: then the store itself is away, and asking costs calls. */
-    milliseconds relayPause{1500};
+    milliseconds relayPause{1000};
     /** Between two lists while watches are not to be had. */
     milliseconds watchPause{1000};
     milliseconds callTimeout{1000};
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -21,7 +21,6 @@
 /** Left of the time to end when everything is cut that still runs: ending itself takes some. */
 constexpr milliseconds EndMargin{300};
 constexpr milliseconds StopPoll{20};
-constexpr milliseconds SettingsPoll{2000};
 
 GrantTimes makeGrantTimes(const SidecarSettings &settings)
 {
@@ -262,8 +261,9 @@
     if (!stopping_ || now - stopBegun_ < ReadinessGap) {
         return false;
     }
+    // Keys that nobody has taken over would wait for this node's lease to run out.
     const bool idle = router_.openRequests() == 0 && gate_.openRequests() == 0
-                      && callers_->openRequests() == 0;
+                      && callers_->openRequests() == 0 && !ranges_.hasKeysToGive(now);
     return idle || now - stopBegun_ >= settings_.shutdown - EndMargin;
 }
 
--- a/test/unit/request/attempt_policy_test.cpp
+++ b/test/unit/request/attempt_policy_test.cpp
@@ -26,12 +26,13 @@
     return decideNextAttempt(end, history, AttemptLimits{});
 }
 
-const AttemptEnd Lost{Outcome::Unknown, 502, true, false};
-const AttemptEnd Shed{Outcome::NotRun, 503, true, false};
-const AttemptEnd Full{Outcome::NotRun, 503, false, false};
-const AttemptEnd Moved{Outcome::NotRun, 421, false, true};
-const AttemptEnd Failed{Outcome::Done, 500, true, false};
-const AttemptEnd Served{Outcome::Done, 200, true, false};
+const AttemptEnd Lost{Outcome::Unknown, 502, true, false, false};
+const AttemptEnd Shed{Outcome::NotRun, 503, true, false, false};
+const AttemptEnd Full{Outcome::NotRun, 503, false, false, false};
+const AttemptEnd Moved{Outcome::NotRun, 421, false, true, false};
+const AttemptEnd Crashed{Outcome::NotRun, 503, false, false, true};
+const AttemptEnd Failed{Outcome::Done, 500, true, false, false};
+const AttemptEnd Served{Outcome::Done, 200, true, false, false};
 
 } // namespace
 
@@ -83,6 +84,14 @@
         history.awaitedOwner = milliseconds(700);
         cr_assert(decide(Moved, history) == AttemptStep::Finish);
     }
+    SECTION("a crashed holder's for less: without the store it stays with it")
+    {
+        history.sharded = true;
+        history.awaitedOwner = milliseconds(0);
+        cr_assert(decide(Crashed, history) == AttemptStep::AwaitOwner);
+        history.awaitedOwner = milliseconds(250);
+        cr_assert(decide(Crashed, history) == AttemptStep::Finish);
+    }
 }
 
 // Eleven nodes see the same instance fail and each sends its requests once more. Without talk
