--- a/src/adapter/metrics/metric_registry.cpp
+++ b/src/adapter/metrics/metric_registry.cpp
@@ -19,6 +19,8 @@
         return "gauge";
     case MetricKind::Summary:
         return "summary";
+    case MetricKind::Histogram:
+        return "histogram";
     }
     return "untyped";
 }
@@ -110,6 +112,23 @@
     return counter;
 }
 
+Histogram &MetricRegistry::addHistogram(const std::string &name, const std::string &help)
+{
+    Histogram &histogram = histograms_.emplace_back();
+    add({name, help, MetricKind::Histogram}, [&histogram](TimePoint, std::vector<Sample> &samples) {
+        for (size_t index = 0; index < Histogram::Bounds.size(); ++index) {
+            samples.push_back({"_bucket",
+                               {{"le", formatValue(Histogram::Bounds[index])}},
+                               static_cast<double>(histogram.countUpTo(index))});
+        }
+        const auto all = static_cast<double>(histogram.countUpTo(Histogram::Bounds.size()));
+        samples.push_back({"_bucket", {{"le", "+Inf"}}, all});
+        samples.push_back({"_sum", {}, histogram.sum()});
+        samples.push_back({"_count", {}, all});
+    });
+    return histogram;
+}
+
 Distribution &MetricRegistry::addDistribution(const std::string &name, const std::string &help)
 {
     Distribution &distribution = distributions_.emplace_back();
--- a/src/adapter/metrics/metric_registry.h
+++ b/src/adapter/metrics/metric_registry.h
@@ -21,7 +21,7 @@
 using MetricLabels = std::vector<MetricLabel>;
 
 /** The type that the text format states. */
-enum class MetricKind { Counter, Gauge, Summary };
+enum class MetricKind { Counter, Gauge, Summary, Histogram };
 
 /** What a family is called and what it tells. */
 struct MetricHead {
@@ -41,6 +41,9 @@
     LabelledCounter &addLabelled(const std::string &name, const std::string &help,
                                  const std::string &label);
 
+    /** Counts by upper bound, which add up over nodes. */
+    Histogram &addHistogram(const std::string &name, const std::string &help);
+
     /** A summary, with NAME_max and NAME_per_second as gauges beside it. */
     Distribution &addDistribution(const std::string &name, const std::string &help);
 
@@ -68,6 +71,7 @@
     std::deque<Counter> counters_; ///< Deques, since the references given out must stay valid.
     std::deque<Gauge> gauges_;
     std::deque<LabelledCounter> labelled_;
+    std::deque<Histogram> histograms_;
     std::deque<Distribution> distributions_;
     std::vector<Family> families_; ///< Invariant: one for each name.
 };
--- a/src/adapter/metrics/metric_type.cpp
+++ b/src/adapter/metrics/metric_type.cpp
@@ -93,4 +93,23 @@
     return reading;
 }
 
+void Histogram::observe(double value)
+{
+    size_t bucket = 0;
+    while (bucket < Bounds.size() && value > Bounds[bucket]) {
+        ++bucket;
+    }
+    buckets_[bucket].add();
+    sum_.add(value);
+}
+
+uint64_t Histogram::countUpTo(size_t index) const
+{
+    uint64_t count = 0;
+    for (size_t bucket = 0; bucket <= index; ++bucket) {
+        count += buckets_[bucket].value();
+    }
+    return count;
+}
+
 } // namespace wisteriahoist
--- a/src/adapter/metrics/metric_type.h
+++ b/src/adapter/metrics/metric_type.h
@@ -78,6 +78,26 @@
     Counter other_;
 };
 
+/** Counts of values by upper bound, for latencies over a whole fleet: buckets add up. */
+class Histogram
+{
+public:
+    /** Seconds; twice the bound before, from a hop's time to the longest timeouts. */
+    static constexpr std::array<double, 12> Bounds{0.002, 0.005, 0.01, 0.025, 0.05, 0.1,
+                                                   0.2,   0.4,   0.8,  1.6,   3.2,  6.4};
+
+    void observe(double value);
+
+    /** @return Values up to Bounds[index], or all of them for index == Bounds.size(). */
+    uint64_t countUpTo(size_t index) const;
+
+    double sum() const { return sum_.value(); }
+
+private:
+    std::array<Counter, Bounds.size() + 1> buckets_; ///< By smallest bound; the last is above all.
+    Gauge sum_;
+};
+
 /** What a distribution says of its latest whole window. */
 struct DistributionReading {
     static constexpr std::array<double, 3> Quantiles{0.5, 0.9, 0.99};
--- a/src/decision/range/range_planner.cpp
+++ b/src/decision/range/range_planner.cpp
@@ -236,9 +236,8 @@
                                    const std::vector<RangeCandidate> &candidates,
                                    const BalanceLimits &limits)
 {
-    const auto shareOf = [](const RangeCandidate &candidate) {
-        return candidate.busySlots / candidate.slots;
-    };
+    const auto shareOf
+            = [](const RangeCandidate &candidate) { return candidate.busySlots / candidate.slots; };
     const auto idlest = std::min_element(candidates.begin(), candidates.end(),
                                          [&shareOf](const auto &left, const auto &right) {
                                              return shareOf(left) < shareOf(right);
--- a/src/decision/range/range_planner.h
+++ b/src/decision/range/range_planner.h
@@ -12,9 +12,9 @@
 /** A backend server that may be given keys. */
 struct RangeCandidate {
     RangeHolder holder;
-    double busySlots = 0; ///< By its latest report; 0 if there is none.
-    double slots = 1;     ///< That it has.
-    uint32_t keys = 0;    ///< Keys that it holds at present.
+    double busySlots = 0;        ///< By its latest report; 0 if there is none.
+    double slots = 1;            ///< That it has.
+    uint32_t keys = 0;           ///< Keys that it holds at present.
     milliseconds serviceTime{0}; ///< Mean time that a request runs there; 0: not known.
 };
 
@@ -68,8 +68,8 @@
  * @return What moves; empty if nothing should.
  */
 std::vector<RangeMove> planBalance(const RangeCandidate &self, const std::vector<KeySpan> &spans,
-                                     const std::vector<KeyRate> &rates,
-                                     const std::vector<RangeCandidate> &candidates,
-                                     const BalanceLimits &limits);
+                                   const std::vector<KeyRate> &rates,
+                                   const std::vector<RangeCandidate> &candidates,
+                                   const BalanceLimits &limits);
 
 } // namespace wisteriahoist
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -184,8 +184,7 @@
     terms.backend = monitor_.backend();
     terms.callerService = request.caller_service();
     protocol_.setTerms(forwarded, terms);
-    const std::string attemptId = request.attempt_id();
-    call.control->expect([this, attemptId](const HttpResponse &response) {
+    call.control->expect([this, attemptId = request.attempt_id()](const HttpResponse &response) {
         return protocol_.judge(response, attemptId) != AnswerKind::Foreign;
     });
     const std::shared_ptr<ExchangeControl> control = call.control;
@@ -198,6 +197,9 @@
     if (answer) {
         noteMonitorChange(monitor_.onAnswer(now));
         admission_.onEnd(kindOf(request), now - startedAt);
+        if (duration_ != nullptr) {
+            duration_->observe(std::chrono::duration<double>(now - startedAt).count());
+        }
         fillFromAnswer(request, std::move(answer.assume_value()), reply);
     } else {
         admission_.onEnd(kindOf(request), std::nullopt);
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -4,6 +4,7 @@
 
 #include "adapter/http/http_client.h"
 #include "adapter/http/request_protocol.h"
+#include "adapter/metrics/metric_type.h"
 #include "decision/member/backend_monitor.h"
 #include "decision/request/admission_control.h"
 #include "duty/gate_message.h"
@@ -63,6 +64,9 @@
     /** @param action Runs when a connection to the backend server was refused or lost. */
     void onSuspicion(std::function<void()> action) { suspicion_ = std::move(action); }
 
+    /** @param duration Gets the seconds that each answered request took there. */
+    void observeWith(Histogram &duration) { duration_ = &duration; }
+
     v1::BackendLoad load(TimePoint now);
 
     size_t openRequests() const { return calls_.size(); }
@@ -102,6 +106,7 @@
     bool closed_ = false;
     std::function<void()> monitorChanged_;
     std::function<void()> suspicion_;
+    Histogram *duration_ = nullptr;
 };
 
 } // namespace wisteriahoist
--- a/src/duty/peer_link.h
+++ b/src/duty/peer_link.h
@@ -21,6 +21,11 @@
 
     void start();
 
+    /** Accepts no more and closes the connections that others have opened. */
+    void stop() { listener_->stop(); }
+
+    uint16_t port() const { return listener_->port(); }
+
     /** @return The reply's body; Unavailable if the peer never processed the call. */
     asio::awaitable<Result<std::string>> call(const MemberRecord &member, std::string_view path,
                                               std::string body, milliseconds timeout);
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -71,6 +71,12 @@
     wakeTimer_.cancel();
 }
 
+void RangeDuty::halt()
+{
+    halted_ = true;
+    wake();
+}
+
 void RangeDuty::beginStop()
 {
     stopping_ = true;
@@ -136,7 +142,8 @@
         candidate.slots = std::max<uint32_t>(1, member->slots);
         candidate.busySlots = loads_.busySlots(member->node, now);
         candidate.serviceTime
-                = loads_.instanceLoad(member->node, member->failureDomain, member->slots).serviceTime;
+                = loads_.instanceLoad(member->node, member->failureDomain, member->slots)
+                          .serviceTime;
         candidate.keys = stored == nullptr ? 0 : countKeys(stored->table, member->node);
         found.push_back(std::move(candidate));
     }
@@ -155,7 +162,7 @@
 
 asio::awaitable<void> RangeDuty::tickLoop()
 {
-    while (true) {
+    while (!halted_) {
         const TimePoint now = clock_.now();
         const bool sharded = isSharded();
         if (sharded) {
@@ -564,7 +571,8 @@
         }
     }
     for (const MemberRecord &member : quiet) {
-        const auto ask = [this, member]() -> asio::awaitable<void> { (void)co_await probe_(member); };
+        const auto ask
+                = [this, member]() -> asio::awaitable<void> { (void)co_await probe_(member); };
         asio::co_spawn(context_, ask, asio::detached);
     }
     watching_ = false;
@@ -614,9 +622,7 @@
     }
     // Every witness is asked each time: what counts at the end is that all fences stand, after the
     // lease was read whose revision the revocation is bound to.
-    const Takeover begun = takeovers_.at(node);
-    const std::vector<NodeId> witnesses = begun.witnesses();
-    for (const NodeId witness : witnesses) {
+    for (const NodeId witness : lease.witnesses) {
         const FenceAnswer answer = co_await contact_.fence(witness, node, lease.life);
         const auto takeover = takeovers_.find(node);
         if (answer.result != FenceResult::Fenced || takeover == takeovers_.end()) {
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -44,6 +44,9 @@
     /** The node ends soon: its keys go to others while its backend server still releases them. */
     void beginStop();
 
+    /** Ends the duty's loop; nothing is granted or renewed any more. */
+    void halt();
+
     void probeWith(PeerProbe probe) { probe_ = std::move(probe); }
 
     RequestEnd check(ShardKey key, TimePoint now) const override;
@@ -114,6 +117,7 @@
     TimePoint movedAt_ = NeverTime;
     TimePoint probedAt_ = NeverTime;
     bool stopping_ = false;
+    bool halted_ = false;
     bool writing_ = false; ///< Invariant: at most one write of the table is on its way.
     bool renewing_ = false;
     bool watching_ = false;
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -199,7 +199,9 @@
 
 bool RequestRouter::takeRepeat(const Work &work, TimePoint now)
 {
-    const bool taken = budgets_.at(work.hop.service()).tryTake(view_.members().size(), now);
+    RepeatBudget &budget
+            = budgets_.try_emplace(work.hop.service(), settings_.repeats).first->second;
+    const bool taken = budget.tryTake(view_.members().size(), now);
     counters_.repeats += taken ? 1 : 0;
     return taken;
 }
@@ -386,9 +388,24 @@
     return response;
 }
 
-void RequestRouter::logEnd(const Work &work, const v1::HopReply &reply, unsigned status) const
+void RequestRouter::setRepeats(const FleetBudget &repeats)
 {
-    const auto took = std::chrono::duration_cast<milliseconds>(clock_.now() - work.startedAt);
+    if (!(repeats == settings_.repeats)) {
+        settings_.repeats = repeats;
+        budgets_.clear();
+    }
+}
+
+void RequestRouter::logEnd(const Work &work, const v1::HopReply &reply, unsigned status)
+{
+    const TimePoint now = clock_.now();
+    const auto took = std::chrono::duration_cast<milliseconds>(now - work.startedAt);
+    if (duration_ != nullptr) {
+        duration_->observe(std::chrono::duration<double>(now - work.startedAt).count());
+    }
+    if (!lines_.tryTake(now)) {
+        return;
+    }
     logEvent(LogEvent::RequestEnded,
              {{"request", work.hop.attempt_id()},
               {"route", work.route->name},
--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -4,6 +4,8 @@
 
 #include "adapter/http/http_server.h"
 #include "adapter/http/request_protocol.h"
+#include "adapter/log/line_budget.h"
+#include "adapter/metrics/metric_type.h"
 #include "decision/request/attempt_policy.h"
 #include "decision/request/repeat_budget.h"
 #include "duty/backend_gate.h"
@@ -54,6 +56,13 @@
 
     size_t openRequests() const { return open_; }
     const RouterCounters &counters() const { return counters_; }
+    uint64_t droppedLines() const { return lines_.dropped(); }
+
+    /** @param duration Gets the seconds from each request to its answer. */
+    void observeWith(Histogram &duration) { duration_ = &duration; }
+
+    /** Takes over another budget; what was spent of the old one is forgotten. */
+    void setRepeats(const FleetBudget &repeats);
 
 private:
     /** One caller's request and its attempts. */
@@ -87,7 +96,7 @@
     NodeId chooseAny(Work &work);
     bool takeRepeat(const Work &work, TimePoint now);
     HttpResponse makeAnswer(const Work &work, v1::HopReply reply);
-    void logEnd(const Work &work, const v1::HopReply &reply, unsigned status) const;
+    void logEnd(const Work &work, const v1::HopReply &reply, unsigned status);
     double random() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
     asio::io_context &context_;
@@ -102,6 +111,9 @@
     std::map<std::string, RepeatBudget> budgets_; ///< By service.
     std::mt19937_64 random_;
     RouterCounters counters_;
+    /// About 40 KB/s of log at most: a node of the users' sites answers 30 to 60 requests a second.
+    LineBudget lines_{200, 400};
+    Histogram *duration_ = nullptr;
     uint64_t lastRequest_ = 0;
     size_t open_ = 0;
 };
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -14,7 +14,7 @@
 
 /** Times of the watches. */
 struct SyncTimes {
-    milliseconds wait{20000};    ///< Of one watch; each one is paid for.
+    milliseconds wait{20000}; ///< Of one watch; each one is paid for.
     /**
      * Pause before the next watch, for each member. Every change wakes a watch of every node, so
      * the calls grow with the square of the fleet; changes that come within the pause share one.
@@ -22,7 +22,7 @@
      */
     milliseconds pausePerMember{5};
     milliseconds longestGap{500}; ///< Bounds that pause: a change has to be in force within 2 s.
-    milliseconds firstPause{50}; ///< After a failure; doubles while failures go on.
+    milliseconds firstPause{50};  ///< After a failure; doubles while failures go on.
     milliseconds longestPause{
             400}; ///< Changes have to be in force within 2 s of the store's return.
 };
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -21,6 +21,8 @@
 /** Left of the time to end when everything is cut that still runs: ending itself takes some. */
 constexpr milliseconds EndMargin{300};
 constexpr milliseconds StopPoll{20};
+/** Reading the file takes 0.1 ms; a changed bound is in force soon enough. */
+constexpr milliseconds SettingsPoll{5000};
 
 GrantTimes makeGrantTimes(const SidecarSettings &settings)
 {
@@ -76,8 +78,8 @@
 
 SidecarProgram::SidecarProgram(asio::io_context &context, const SidecarSettings &settings,
                                const SidecarPorts &ports)
-    : context_(context), settings_(settings), ports_(ports), node_(makeNodeId(settings)),
-      peers_(context, settings.peers.ip, settings.peers.port),
+    : context_(context), settings_(settings), known_(settings), ports_(ports),
+      node_(makeNodeId(settings)), peers_(context, settings.peers.ip, settings.peers.port),
       store_(ports.store, clock_, peers_, view_, node_),
       ranges_(context, clock_, store_, ports.backend, view_, monitor_, loads_, peers_,
               makeSelf(settings, node_), makeGrantTimes(settings)),
@@ -216,6 +218,12 @@
     counter("wisteriahoist_callers_gone_total", "Callers that left before their answer.",
             [&counters]() { return counters.callersGone; });
     counter("wisteriahoist_store_calls_total", "Calls to the platform's store.", ports_.storeCalls);
+    counter("wisteriahoist_log_lines_dropped_total", "Lines of requests over the log's budget.",
+            [this]() { return router_.droppedLines(); });
+    router_.observeWith(metrics_.addHistogram("wisteriahoist_request_seconds",
+                                              "From a caller's request to its answer."));
+    gate_.observeWith(metrics_.addHistogram("wisteriahoist_backend_seconds",
+                                            "From handing a request over to the answer."));
     gauge("wisteriahoist_config_version", "Configuration in force.",
           [this]() { return view_.routes().version(); });
     gauge("wisteriahoist_members", "Nodes known.", [this]() { return view_.members().size(); });
@@ -229,8 +237,10 @@
 
 void SidecarProgram::onSettings(const SidecarSettings &settings)
 {
-    logEvent(LogEvent::SettingsReloaded, {{"changed", !(settings == settings_)}});
+    logEvent(LogEvent::SettingsReloaded, {{"changed", isNews(settings)}});
+    known_ = settings;
     settings_.shutdown = settings.shutdown;
+    router_.setRepeats(settings.repeats);
 }
 
 void SidecarProgram::beginStop()
@@ -294,6 +304,19 @@
     }
 }
 
+/** The file may also change without a signal. */
+asio::awaitable<void> reloadNowAndThen(SidecarProgram &program,
+                                       std::function<std::optional<SidecarSettings>()> reload)
+{
+    while (true) {
+        co_await pauseFor(SettingsPoll);
+        const std::optional<SidecarSettings> settings = reload();
+        if (settings && program.isNews(*settings)) {
+            program.onSettings(*settings);
+        }
+    }
+}
+
 } // namespace
 
 int runSidecar(asio::io_context &context, SidecarProgram &program,
@@ -303,7 +326,9 @@
     const auto stop = [&]() { return stopOnSignal(context, program); };
     const auto hup = [&]() { return reloadOnSignal(context, program, reload); };
     asio::co_spawn(context, stop, asio::detached);
+    const auto poll = [&]() { return reloadNowAndThen(program, reload); };
     asio::co_spawn(context, hup, asio::detached);
+    asio::co_spawn(context, poll, asio::detached);
     context.run();
     logEvent(LogEvent::NodeStopped);
     return 0;
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -51,6 +51,9 @@
     /** Takes over settings that may change while the process runs. */
     void onSettings(const SidecarSettings &settings);
 
+    /** @return Whether @p settings differ from those that were read last. */
+    bool isNews(const SidecarSettings &settings) const { return !(settings == known_); }
+
     /** Takes no new work, finishes what runs. */
     void beginStop();
 
@@ -73,6 +76,7 @@
     asio::io_context &context_;
     BootClockAdapter clock_;
     SidecarSettings settings_;
+    SidecarSettings known_; ///< As read last; addresses take effect at the next start only.
     SidecarPorts ports_;
     NodeId node_;
     FleetView view_;
--- /dev/null
+++ b/test/support/ownership_fleet.h
@@ -0,0 +1,202 @@
+/** @file ownership_fleet.h Several nodes' ownership duties on one loop, over a store in memory. */
+
+#pragma once
+
+#include "adapter/clock/boot_clock_adapter.h"
+#include "duty/range_duty.h"
+#include "support/scripted_backend.h"
+#include "support/scripted_store.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace wisteriahoist::testing {
+
+/** A backend server that enforces grants: keys by fence, until released. */
+class GrantingBackend final : public BackendControl
+{
+public:
+    asio::awaitable<OrderAnswer> grant(GrantOrder order, milliseconds) override
+    {
+        OrderAnswer answer;
+        if (!alive_) {
+            answer.refusedConnection = true;
+            co_return answer;
+        }
+        ++grants_;
+        if (order.fence < highestFence_) {
+            answer.result = OrderResult::HigherFence;
+            co_return answer;
+        }
+        answer.result = OrderResult::Accepted;
+        co_return answer;
+    }
+
+    asio::awaitable<OrderAnswer> release(ReleaseOrder, milliseconds) override
+    {
+        OrderAnswer answer;
+        answer.refusedConnection = !alive_;
+        answer.result = alive_ ? OrderResult::Accepted : OrderResult::Unanswered;
+        answer.handover = "token";
+        co_return answer;
+    }
+
+    asio::awaitable<BackendSight> look(milliseconds) override
+    {
+        BackendSight sight;
+        sight.answered = alive_;
+        sight.refusedConnection = !alive_;
+        co_return sight;
+    }
+
+    void crash() { alive_ = false; }
+    void seeFence(Epoch fence) { highestFence_ = fence; }
+    uint64_t grants() const { return grants_; }
+
+private:
+    bool alive_ = true;
+    Epoch highestFence_;
+    uint64_t grants_ = 0;
+};
+
+/** One node of the fleet. */
+struct OwnershipNode {
+    OwnershipNode(asio::io_context &context, const Clock &clock, RecordStore &store, uint64_t id,
+                  const std::string &backendId)
+        : peers(context, "127.0.0.1", 0), record(makeRecord(id)),
+          duty(context, clock, store, backend, view, monitor, loads, peers, record, GrantTimes{})
+    {
+        BackendReport report;
+        report.backend = backendId;
+        report.service = "s";
+        report.slots = 12;
+        report.sequence = 1;
+        (void)monitor.onReport(report, clock.now());
+        record.backend = backendId;
+        record.state = BackendState::Ready;
+        record.peerPort = peers.port();
+        peers.serve("/probe", [](std::string) -> asio::awaitable<std::string> {
+            v1::HopReply reply;
+            reply.mutable_load()->set_slots(12);
+            co_return reply.SerializeAsString();
+        });
+        duty.probeWith([this, &clock](const MemberRecord &member) { return probe(clock, member); });
+        RouteConfig config;
+        config.version = 1;
+        config.services["s"] = {"s", 0, true};
+        (void)view.onConfig(config);
+    }
+
+    static MemberRecord makeRecord(uint64_t id)
+    {
+        MemberRecord record;
+        record.node = NodeId(id);
+        record.ip = "127.0.0.1";
+        record.service = "s";
+        record.slots = 12;
+        record.failureDomain = "d" + std::to_string(id);
+        return record;
+    }
+
+    asio::awaitable<bool> probe(const Clock &clock, MemberRecord member)
+    {
+        const Result<std::string> answer
+                = co_await peers.call(member, "/probe", {}, milliseconds(300));
+        answer ? loads.onHeard(member.node, clock.now())
+               : loads.onUnanswered(member.node, clock.now());
+        co_return answer.has_value();
+    }
+
+    MemberRecord published() const
+    {
+        MemberRecord member = record;
+        member.life = duty.session();
+        member.state = monitor.state();
+        return member;
+    }
+
+    GrantingBackend backend;
+    FleetView view;
+    BackendMonitor monitor{MonitorLimits{}};
+    PeerLoads loads;
+    PeerLink peers;
+    MemberRecord record;
+    RangeDuty duty;
+};
+
+/** The fleet; the store's records reach each view at once, as long as it is connected. */
+class OwnershipFleet
+{
+public:
+    OwnershipNode &add(uint64_t id, const std::string &backendId)
+    {
+        nodes_.push_back(std::make_unique<OwnershipNode>(context_, clock_, store_, id, backendId));
+        nodes_.back()->peers.start();
+        nodes_.back()->duty.start();
+        return *nodes_.back();
+    }
+
+    /** Runs until @p holds, at most for @p bound. */
+    bool reaches(const std::function<bool()> &holds, std::chrono::seconds bound)
+    {
+        const TimePoint end = clock_.now() + bound;
+        while (!holds() && clock_.now() < end) {
+            context_.restart();
+            context_.run_for(std::chrono::milliseconds(5));
+            share();
+        }
+        return holds();
+    }
+
+    /** @return Nodes that would hand a request for @p key to their backend server now. */
+    std::vector<uint64_t> admitting(ShardKey key) const
+    {
+        std::vector<uint64_t> found;
+        for (const auto &node : nodes_) {
+            if (node->duty.check(key, clock_.now()) == RequestEnd::None) {
+                found.push_back(node->record.node.value());
+            }
+        }
+        return found;
+    }
+
+    /** The node falls silent: nothing of it runs or is heard any more. */
+    void silence(OwnershipNode &node)
+    {
+        silenced_.insert(node.record.node);
+        node.duty.halt();
+        node.peers.stop();
+    }
+
+    ScriptedStore &store() { return store_; }
+    const Clock &clock() const { return clock_; }
+
+private:
+    void share()
+    {
+        const StoredRecord *stored = store_.find(RecordKind::Ranges, "s");
+        for (const auto &node : nodes_) {
+            if (stored != nullptr) {
+                node->view.onTable("s", decodeRangeTable(stored->content).assume_value(),
+                                   stored->revision);
+            }
+            for (const auto &other : nodes_) {
+                MemberRecord member = other->published();
+                if (known_[{node->record.node, member.node}] == member) {
+                    continue;
+                }
+                known_[{node->record.node, member.node}] = member;
+                node->view.onMember(member, StoreRevision(++revision_));
+            }
+        }
+    }
+
+    asio::io_context context_{1};
+    BootClockAdapter clock_;
+    ScriptedStore store_{context_};
+    std::vector<std::unique_ptr<OwnershipNode>> nodes_;
+    std::map<std::pair<NodeId, NodeId>, MemberRecord> known_;
+    std::set<NodeId> silenced_;
+    uint64_t revision_ = 0;
+};
+
+} // namespace wisteriahoist::testing
--- /dev/null
+++ b/test/unit/range/range_duty_test.cpp
@@ -0,0 +1,111 @@
+/** @file range_duty_test.cpp Keys of a service as nodes come, crash, fall silent and lose their
+ * store. */
+
+#include "support/ownership_fleet.h"
+#include "support/story.h"
+
+using namespace wisteriahoist;
+using namespace wisteriahoist::testing;
+
+namespace {
+
+constexpr std::chrono::seconds Patience{20}; ///< Far above what each step takes; no test times it.
+const ShardKey Low{5};
+const ShardKey High{65000};
+
+bool isServedByOne(const OwnershipFleet &fleet, ShardKey key)
+{
+    return fleet.admitting(key).size() == 1;
+}
+
+} // namespace
+
+Test(range_duty, a_service_is_divided_and_every_key_is_served_by_one)
+{
+    OwnershipFleet fleet;
+    fleet.add(1, "b-1");
+    fleet.add(2, "b-2");
+    fleet.add(3, "b-3");
+    cr_assert(fleet.reaches(
+            [&]() { return isServedByOne(fleet, Low) && isServedByOne(fleet, High); }, Patience));
+    cr_assert(fleet.admitting(Low) != fleet.admitting(High));
+}
+
+// Callers of a third of the keys are refused: their backend server has crashed, its node lives. The
+// refused connection proves that nothing is held any more, so the node gives the keys away at once.
+Test(range_duty, a_crashed_backend_servers_keys_go_to_the_others)
+{
+    OwnershipFleet fleet;
+    OwnershipNode &first = fleet.add(1, "b-1");
+    fleet.add(2, "b-2");
+    cr_assert(fleet.reaches(
+            [&]() { return isServedByOne(fleet, Low) && isServedByOne(fleet, High); }, Patience));
+    first.backend.crash();
+    (void)first.monitor.onRefusedConnection();
+    (void)first.monitor.onRefusedConnection();
+    cr_assert(fleet.reaches(
+            [&]() {
+                return fleet.admitting(Low) == std::vector<uint64_t>{2}
+                       && fleet.admitting(High) == std::vector<uint64_t>{2};
+            },
+            Patience));
+}
+
+// Callers of a third of the keys wait: a VM has lost its power and nothing of it answers. Its
+// witnesses fence it, its contact runs out, its lease is revoked, and another node takes the keys.
+Test(range_duty, a_silent_nodes_keys_are_taken_over)
+{
+    OwnershipFleet fleet;
+    fleet.add(1, "b-1");
+    OwnershipNode &lost = fleet.add(2, "b-2");
+    fleet.add(3, "b-3");
+    const auto all = [&]() { return isServedByOne(fleet, Low) && isServedByOne(fleet, High); };
+    cr_assert(fleet.reaches(all, Patience));
+    fleet.silence(lost);
+    cr_assert(fleet.reaches(
+            [&]() {
+                const StoredRecord *table = fleet.store().find(RecordKind::Ranges, "s");
+                return countKeys(decodeRangeTable(table->content).assume_value(), NodeId(2)) == 0;
+            },
+            Patience));
+    cr_assert(fleet.reaches(all, Patience));
+}
+
+// A backend server leaves in order: its keys are released, and the next holder gets the token with
+// which they need no warm-up.
+Test(range_duty, a_leaving_backend_servers_keys_go_with_their_token)
+{
+    OwnershipFleet fleet;
+    OwnershipNode &first = fleet.add(1, "b-1");
+    fleet.add(2, "b-2");
+    const auto all = [&]() { return isServedByOne(fleet, Low) && isServedByOne(fleet, High); };
+    cr_assert(fleet.reaches(all, Patience));
+    (void)first.monitor.onDeregister("b-1");
+    first.duty.wake();
+    cr_assert(fleet.reaches([&]() { return fleet.admitting(Low) == std::vector<uint64_t>{2}; },
+                            Patience));
+    const StoredRecord *table = fleet.store().find(RecordKind::Ranges, "s");
+    cr_assert(decodeRangeTable(table->content).assume_value().find(Low)->handover == "token");
+}
+
+// The answer to the write that divides the service is lost. The node reads the table before it
+// plans again; writing it once more over its own write would be refused for ever.
+Test(range_duty, a_write_without_an_answer_is_read_back)
+{
+    OwnershipFleet fleet;
+    fleet.add(1, "b-1");
+    fleet.store().loseAnswers(4);
+    cr_assert(fleet.reaches([&]() { return isServedByOne(fleet, Low); }, Patience));
+}
+
+// The backend server has seen a higher fence than the table's: the node was restored from less than
+// it had been. The same fence is never sent again; the table gets a higher one.
+Test(range_duty, a_refused_fence_is_replaced_by_a_higher_one)
+{
+    OwnershipFleet fleet;
+    OwnershipNode &node = fleet.add(1, "b-1");
+    node.backend.seeFence(Epoch(2));
+    cr_assert(fleet.reaches([&]() { return isServedByOne(fleet, Low); }, Patience));
+    const StoredRecord *table = fleet.store().find(RecordKind::Ranges, "s");
+    cr_assert(decodeRangeTable(table->content).assume_value().find(Low)->fence >= Epoch(2));
+}
