--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -329,7 +329,14 @@
     const auto poll = [&]() { return reloadNowAndThen(program, reload); };
     asio::co_spawn(context, hup, asio::detached);
     asio::co_spawn(context, poll, asio::detached);
-    context.run();
+    try {
+        context.run();
+    } catch (const std::exception &error) {
+        // A loop that has ended would leave a node that answers and does nothing. The process ends
+        // instead and starts anew, with the cause in its log.
+        logEvent(LogEvent::NodeFailed, {{"cause", std::string(error.what())}});
+        return 1;
+    }
     logEvent(LogEvent::NodeStopped);
     return 0;
 }
