--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -52,6 +52,7 @@
         {LogEvent::RangesWritten, "ranges-written", LogSeverity::Info},
         {LogEvent::RangesNotWritten, "ranges-not-written", LogSeverity::Warning},
         {LogEvent::MemberPublished, "member-published", LogSeverity::Info},
+        {LogEvent::NodeFailed, "node-failed", LogSeverity::Error},
         {LogEvent::NodeFenced, "node-fenced", LogSeverity::Warning},
         {LogEvent::StoreRelayed, "store-relayed", LogSeverity::Warning},
         {LogEvent::SettingsReloaded, "settings-reloaded", LogSeverity::Info},
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -59,6 +59,7 @@
     RangesWritten,    ///< This node has changed the table of its service.
     RangesNotWritten, ///< The change failed, or its outcome is not known.
     MemberPublished,  ///< This node has written what it is and what is beside it.
+    NodeFailed,       ///< An error that nothing handles; the process ends.
     NodeFenced,       ///< A taker has asked this witness to answer a node no more.
     StoreRelayed,     ///< The store is reached through another node.
     SettingsReloaded,
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -107,16 +107,19 @@
     auto call = std::make_shared<Call>(context_);
     call->deadline = clock_.now() + milliseconds(request.deadline_left_ms());
     calls_[name] = call;
-    co_await serve(request, *call, reply);
-    calls_.erase(name);
+    co_await serve(request, call, reply);
+    const auto found = calls_.find(name);
+    if (found != calls_.end() && found->second == call) {
+        calls_.erase(found);
+    }
     *reply.mutable_load() = load(clock_.now());
     co_return reply;
 }
 
-asio::awaitable<void> BackendGate::serve(const v1::HopRequest &request, Call &call,
+asio::awaitable<void> BackendGate::serve(const v1::HopRequest &request, std::shared_ptr<Call> call,
                                          v1::HopReply &reply)
 {
-    RequestEnd refusal = check(request, call, clock_.now());
+    RequestEnd refusal = check(request, *call, clock_.now());
     if (refusal != RequestEnd::None) {
         fillVerdict(reply, RequestStage::Received, refusal);
         co_return;
@@ -130,25 +133,25 @@
     }
     // What was checked before the wait may have changed: a queued request outlives the move of its
     // key, and would otherwise run beside the new holder's.
-    refusal = check(request, call, clock_.now());
+    refusal = check(request, *call, clock_.now());
     if (refusal != RequestEnd::None) {
         admission_.onEnd(kindOf(request), std::nullopt);
         fillVerdict(reply, RequestStage::Queued, refusal);
         wakeNext();
         co_return;
     }
-    co_await handOver(request, call, reply);
+    co_await handOver(request, *call, reply);
 }
 
-asio::awaitable<RequestEnd> BackendGate::awaitSlot(const v1::HopRequest &request, Call &call,
-                                                   v1::HopReply &reply)
+asio::awaitable<RequestEnd> BackendGate::awaitSlot(const v1::HopRequest &request,
+                                                   std::shared_ptr<Call> call, v1::HopReply &reply)
 {
     const TimePoint now = clock_.now();
     WorkItem item;
     item.id = ++lastId_;
     item.kind = kindOf(request);
     item.priority = request.priority();
-    item.deadline = call.deadline;
+    item.deadline = call->deadline;
     item.objective = now + milliseconds(request.objective_left_ms());
     const AdmissionDecision decision = admission_.offer(item, now);
     if (decision.step == AdmissionDecision::Step::Run) {
@@ -161,17 +164,16 @@
         }
         co_return RequestEnd::Overloaded;
     }
-    const std::shared_ptr<Call> self = calls_.at({request.origin_node(), request.request_id()});
-    waiting_[item.id] = self;
-    call.timer.expires_after(decision.patienceUntil - now);
+    waiting_[item.id] = call;
+    call->timer.expires_after(decision.patienceUntil - now);
     beast::error_code ignored;
-    co_await call.timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_await call->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     waiting_.erase(item.id);
-    if (call.granted) {
+    if (call->granted) {
         co_return RequestEnd::None;
     }
     admission_.remove(item.id);
-    co_return call.cancelled ? RequestEnd::CallerGone : RequestEnd::PatienceOver;
+    co_return call->cancelled ? RequestEnd::CallerGone : RequestEnd::PatienceOver;
 }
 
 asio::awaitable<void> BackendGate::handOver(const v1::HopRequest &request, Call &call,
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -84,9 +84,10 @@
     using CallName = std::pair<uint64_t, uint64_t>; ///< Origin node and its request id.
 
     RequestEnd check(const v1::HopRequest &request, const Call &call, TimePoint now) const;
-    asio::awaitable<RequestEnd> awaitSlot(const v1::HopRequest &request, Call &call,
+    asio::awaitable<RequestEnd> awaitSlot(const v1::HopRequest &request, std::shared_ptr<Call> call,
                                           v1::HopReply &reply);
-    asio::awaitable<void> serve(const v1::HopRequest &request, Call &call, v1::HopReply &reply);
+    asio::awaitable<void> serve(const v1::HopRequest &request, std::shared_ptr<Call> call,
+                                v1::HopReply &reply);
     asio::awaitable<void> handOver(const v1::HopRequest &request, Call &call, v1::HopReply &reply);
     void fillFromAnswer(const v1::HopRequest &request, HttpResponse answer, v1::HopReply &reply);
     void fillFromFailure(const Failure &failure, const Call &call, v1::HopReply &reply);
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -67,6 +67,9 @@
     : context_(context), clock_(clock), protocol_(protocol), view_(view), loads_(loads),
       gate_(gate), settings_(std::move(settings)), peers_(peers), random_(std::random_device{}())
 {
+    // A node that has restarted must not name its requests as its earlier life did: the gate may
+    // still run one of those, and a cancellation would cut off the wrong one.
+    lastRequest_ = random_();
     peers_.serve(std::string(HopPath), [this](std::string body) { return onHop(std::move(body)); });
     peers_.serve(std::string(ProbePath), [this](std::string) { return onProbe(); });
 }
