--- a/src/decision/range/grant_authority.h
+++ b/src/decision/range/grant_authority.h
@@ -65,6 +65,9 @@
     /** @return Until when grants may last; in the past if there is no authority. */
     TimePoint validUntil() const;
 
+    /** @return When the latest renewal that the store took was sent. */
+    TimePoint renewedAt() const { return renewedAt_; }
+
     /** @return Whether contact is there but still wants a renewal of the lease. */
     bool needsRenewal(TimePoint now) const;
 
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -28,6 +28,8 @@
  */
 constexpr milliseconds Settle{2000};
 constexpr milliseconds ProbeEvery{500};
+/** Two renewals of the lease in a row have failed after so long. */
+constexpr milliseconds StoreNear{3500};
 /** Keys go only to nodes that have answered this node so lately. */
 constexpr milliseconds HeardWithin{4000};
 /** A node of the service that has not been heard of for so long is asked whether it is there. */
@@ -89,10 +91,15 @@
     return service != nullptr && service->sharded;
 }
 
+bool RangeDuty::isStoreNear(TimePoint now) const
+{
+    return now - authority_.renewedAt() < StoreNear;
+}
+
 bool RangeDuty::hasKeysToGive(TimePoint now) const
 {
     const StoredTable *stored = view_.findTable(self_.service);
-    return stored != nullptr && countKeys(stored->table, self_.node) > 0
+    return stored != nullptr && (isStoreNear(now) || monitor_.isGone()) && countKeys(stored->table, self_.node) > 0
            && !candidates(now, false).empty();
 }
 
@@ -307,7 +314,10 @@
 
 void RangeDuty::startLeaving(TimePoint now)
 {
-    const bool leaving = stopping_ || monitor_.state() == BackendState::Draining
+    // Without the store nobody could take the keys; released, they would be served by nobody, while
+    // a node that keeps them has them again right after its restart.
+    const bool leaving = (stopping_ && isStoreNear(now))
+                         || monitor_.state() == BackendState::Draining
                          || (monitor_.state() == BackendState::Down && !monitor_.isGone());
     const std::vector<KeySpan> held = keeper_.heldSpans();
     if (!leaving || held.empty()) {
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -61,6 +61,7 @@
 
 private:
     bool isSharded() const;
+    bool isStoreNear(TimePoint now) const;
     std::optional<RangeHolder> holder() const;
     std::vector<RangeCandidate> candidates(TimePoint now, bool withSelf) const;
     const MemberRecord *firstOfService(TimePoint now) const;
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -18,6 +18,11 @@
 
 /** The platform asks for readiness once a second and needs two misses to send no more callers. */
 constexpr milliseconds ReadinessGap{2500};
+/**
+ * The backend server stays reachable for so long after the request to end. Closed at once, it stood
+ * idle for the whole stop: 3 to 6 s for each of four nodes that were restarted a second apart.
+ */
+constexpr milliseconds GateClose{1800};
 /** Left of the time to end when everything is cut that still runs: ending itself takes some. */
 constexpr milliseconds EndMargin{300};
 constexpr milliseconds StopPoll{20};
@@ -143,7 +148,7 @@
     self.backend = monitor_.backend();
     self.state = monitor_.state();
     self.slots = monitor_.slots();
-    self.stopping = stopping_;
+    self.stopping = closing_;
     if (!monitor_.service().empty()) {
         self.service = monitor_.service();
     }
@@ -252,16 +257,20 @@
     stopping_ = true;
     stopBegun_ = clock_.now();
     callers_->closeAfterAnswers();
-    publisher_.wake();
     ranges_.beginStop();
-    if (view_.readyMembers(monitor_.service()).size() > 1) {
-        gate_.closeKeyless();
-    }
 }
 
 void SidecarProgram::continueStop(TimePoint now)
 {
-    if (now - stopBegun_ >= ReadinessGap) {
+    const Duration since = now - stopBegun_;
+    if (since >= GateClose && !closing_) {
+        closing_ = true;
+        publisher_.wake();
+        if (view_.readyMembers(monitor_.service()).size() > 1) {
+            gate_.closeKeyless();
+        }
+    }
+    if (since >= ReadinessGap) {
         callers_->closeIdle();
     }
 }
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -96,6 +96,7 @@
     std::shared_ptr<HttpServer> readiness_;
     std::shared_ptr<HttpServer> metricsPage_;
     bool stopping_ = false;
+    bool closing_ = false; ///< The last part of the stop: other nodes send nothing here any more.
     TimePoint stopBegun_ = NeverTime;
 };
 
