--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -25,23 +25,6 @@
     return limits;
 }
 
-RequestEnd endOf(const Failure &failure, const ExchangeControl &control)
-{
-    if (control.isCancelled()) {
-        return RequestEnd::CallerGone;
-    }
-    switch (failure.code) {
-    case FailureCode::Unavailable:
-        return RequestEnd::Unreachable;
-    case FailureCode::DeadlineExceeded:
-        return RequestEnd::DeadlineOver;
-    case FailureCode::Malformed:
-        return RequestEnd::BadAnswer;
-    default:
-        return RequestEnd::ConnectionLost;
-    }
-}
-
 /** @return Whether callers read @p status as a promise that the request has not run. */
 bool promisesNotRun(unsigned status)
 {
@@ -233,7 +216,7 @@
 {
     const bool neverSent = failure.code == FailureCode::Unavailable;
     const RequestStage stage = neverSent ? RequestStage::Queued : call.control->stage();
-    fillVerdict(reply, stage, endOf(failure, *call.control));
+    fillVerdict(reply, stage, endOfExchange(failure.code, call.control->isCancelled()));
     reply.set_reached_backend(!neverSent);
     if (call.control->isRefused()) {
         noteMonitorChange(monitor_.onRefusedConnection());
--- a/src/duty/gate_duty.cpp
+++ b/src/duty/gate_duty.cpp
@@ -19,24 +19,6 @@
 constexpr milliseconds DrainGrace{3000};
 constexpr size_t WarmConnections = 4; ///< Opened ahead of need; a new one costs about 1 ms.
 
-/** @return How an exchange without an answer ended. */
-RequestEnd endOf(FailureCode code, const ExchangeControl &control)
-{
-    if (control.isCancelled()) {
-        return RequestEnd::CallerGone;
-    }
-    switch (code) {
-    case FailureCode::Unavailable:
-        return RequestEnd::Unreachable;
-    case FailureCode::DeadlineExceeded:
-        return RequestEnd::DeadlineOver;
-    case FailureCode::Malformed:
-        return RequestEnd::BadAnswer;
-    default:
-        return RequestEnd::ConnectionLost;
-    }
-}
-
 milliseconds leftUntil(TimePoint end, TimePoint now)
 {
     return std::max(std::chrono::duration_cast<milliseconds>(end - now), milliseconds(1));
@@ -300,7 +282,8 @@
     slots_.release(shed);
     if (!answer) {
         const RequestStage stage = neverSent ? RequestStage::Queued : call.control->stage();
-        fillVerdict(reply, stage, endOf(answer.assume_error().code, *call.control));
+        fillVerdict(reply, stage,
+                    endOfExchange(answer.assume_error().code, call.control->isCancelled()));
     } else if (shed) {
         fillVerdict(reply, RequestStage::Answered, RequestEnd::BackendRefused);
     } else {
--- a/src/duty/gate_message.cpp
+++ b/src/duty/gate_message.cpp
@@ -74,6 +74,23 @@
     return attempt;
 }
 
+RequestEnd endOfExchange(FailureCode code, bool cancelled)
+{
+    if (cancelled) {
+        return RequestEnd::CallerGone;
+    }
+    switch (code) {
+    case FailureCode::Unavailable:
+        return RequestEnd::Unreachable;
+    case FailureCode::DeadlineExceeded:
+        return RequestEnd::DeadlineOver;
+    case FailureCode::Malformed:
+        return RequestEnd::BadAnswer;
+    default:
+        return RequestEnd::ConnectionLost;
+    }
+}
+
 RequestEnd endOf(DeduplicationStep step)
 {
     switch (step) {
--- a/src/duty/gate_message.h
+++ b/src/duty/gate_message.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "adapter/http/http_type.h"
+#include "core/failure_type.h"
 #include "decision/request/deduplication_table.h"
 #include "decision/request/outcome_table.h"
 #include "wisteriahoist/v1/control.pb.h"
@@ -31,6 +32,10 @@
 /** @return The request as the deduplication table sees it. */
 KeyedAttempt makeKeyedAttempt(const v1::HopRequest &request, TimePoint epochSince);
 
+/** @return How an exchange that failed with @p code ended. @param cancelled By its caller's
+ * leaving. */
+RequestEnd endOfExchange(FailureCode code, bool cancelled);
+
 /** @return The end of a request that the deduplication table did not let run. */
 RequestEnd endOf(DeduplicationStep step);
 
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -27,13 +27,10 @@
  *  others' first heartbeats come within 1.5 s, and who is not there yet has to be given keys later.
  */
 constexpr milliseconds Settle{2000};
-constexpr milliseconds ProbeEvery{500};
 /** Two renewals of the lease in a row have failed after so long. */
 constexpr milliseconds StoreNear{3500};
 /** Keys go only to nodes that have answered this node so lately. */
 constexpr milliseconds HeardWithin{4000};
-/** A node of the service that has not been heard of for so long is asked whether it is there. */
-constexpr milliseconds ProbeAfter{2000};
 /** A node that has not been reached for so long may be lost; its witnesses and its lease decide. */
 constexpr milliseconds SuspectAfter{500};
 
@@ -99,8 +96,8 @@
 bool RangeDuty::hasKeysToGive(TimePoint now) const
 {
     const StoredTable *stored = view_.findTable(self_.service);
-    return stored != nullptr && (isStoreNear(now) || monitor_.isGone()) && countKeys(stored->table, self_.node) > 0
-           && !candidates(now, false).empty();
+    return stored != nullptr && (isStoreNear(now) || monitor_.isGone())
+           && countKeys(stored->table, self_.node) > 0 && !candidates(now, false).empty();
 }
 
 std::optional<RangeHolder> RangeDuty::holder() const
@@ -211,7 +208,7 @@
         writing_ = true;
         spawn(planOnce());
     }
-    if (!watching_ && now - probedAt_ >= ProbeEvery) {
+    if (!watching_ && now - probedAt_ >= WatchEvery) {
         probedAt_ = now;
         watching_ = true;
         spawn(watchOthers());
@@ -555,128 +552,4 @@
     }
 }
 
-asio::awaitable<void> RangeDuty::watchOthers()
-{
-    const TimePoint now = clock_.now();
-    const MemberRecord *first = firstOfService(now);
-    const StoredTable *stored = view_.findTable(self_.service);
-    std::set<NodeId> holders;
-    if (first != nullptr && first->node == self_.node && stored != nullptr) {
-        for (const RangeEntry &entry : stored->table.entries) {
-            if (!entry.holder.isNobody() && entry.holder.node != self_.node) {
-                holders.insert(entry.holder.node);
-            }
-        }
-    }
-    const auto isDone = [&holders](const auto &entry) { return holders.count(entry.first) == 0; };
-    std::erase_if(observers_, isDone);
-    std::erase_if(takeovers_, isDone);
-    for (const NodeId node : holders) {
-        co_await checkHolder(node);
-    }
-    std::vector<MemberRecord> quiet;
-    for (const MemberRecord *member : view_.readyMembers(self_.service)) {
-        if (member->node != self_.node && now - loads_.heardAt(member->node) >= ProbeAfter) {
-            quiet.push_back(*member);
-        }
-    }
-    for (const MemberRecord &member : quiet) {
-        const auto ask
-                = [this, member]() -> asio::awaitable<void> { (void)co_await probe_(member); };
-        asio::co_spawn(context_, ask, asio::detached);
-    }
-    watching_ = false;
-}
-
-asio::awaitable<void> RangeDuty::checkHolder(NodeId node)
-{
-    const MemberRecord *member = view_.findMember(node);
-    if (member != nullptr) {
-        if (clock_.now() - loads_.heardAt(node) < ProbeEvery) {
-            co_return;
-        }
-        const MemberRecord copy = *member;
-        const bool answered = co_await probe_(copy);
-        if (answered || !isUnreachable(node, clock_.now())) {
-            observers_.erase(node);
-            takeovers_.erase(node);
-            co_return;
-        }
-    }
-    Result<StoredRecord> stored = co_await store_.read(RecordKind::Leases, memberRecordName(node));
-    const bool absent = !stored && stored.assume_error().code == FailureCode::NotFound;
-    if (!stored && !absent) {
-        co_return;
-    }
-    const StoreRevision revision = absent ? StoreRevision(0) : stored.assume_value().revision;
-    LeaseObserver &observer
-            = observers_.try_emplace(node, LeaseObserver(StoreLeaseTimes{})).first->second;
-    observer.onRead(revision.value(), clock_.now());
-    bool over = observer.isOver(clock_.now());
-    if (!absent && !over) {
-        Result<LeaseRecord> lease = decodeLease(stored.assume_value().content);
-        over = lease && co_await fenceAtWitnesses(node, lease.assume_value());
-    }
-    if (over) {
-        co_await revoke(node, revision);
-    }
-}
-
-asio::awaitable<bool> RangeDuty::fenceAtWitnesses(NodeId node, const LeaseRecord &lease)
-{
-    const auto known = takeovers_.find(node);
-    const bool same = known != takeovers_.end() && known->second.life() == lease.life
-                      && known->second.witnesses() == lease.witnesses;
-    if (!same) {
-        takeovers_.insert_or_assign(node, Takeover(ContactTimes{}, lease.life, lease.witnesses));
-    }
-    // Every witness is asked each time: what counts at the end is that all fences stand, after the
-    // lease was read whose revision the revocation is bound to.
-    for (const NodeId witness : lease.witnesses) {
-        const FenceAnswer answer = co_await contact_.fence(witness, node, lease.life);
-        const auto takeover = takeovers_.find(node);
-        if (answer.result != FenceResult::Fenced || takeover == takeovers_.end()) {
-            takeovers_.erase(node);
-            co_return false;
-        }
-        takeover->second.onFenced(witness, answer.witnessLife, clock_.now());
-    }
-    const auto takeover = takeovers_.find(node);
-    co_return takeover != takeovers_.end() && takeover->second.isDue(clock_.now());
-}
-
-asio::awaitable<void> RangeDuty::revoke(NodeId node, StoreRevision revision)
-{
-    std::set<Incarnation> lives;
-    const StoredTable *stored = view_.findTable(self_.service);
-    for (const RangeEntry &entry : stored->table.entries) {
-        if (entry.holder.node == node) {
-            lives.insert(entry.holder.life);
-        }
-    }
-    LeaseRecord lease;
-    lease.node = node;
-    lease.revokedBy = self_.node;
-    if (lives.size() == 1) {
-        lease.life = *lives.begin();
-    }
-    std::string name = memberRecordName(node);
-    std::string content = encodeLease(lease);
-    Result<StoreRevision> written = Failure{};
-    if (revision.value() == 0) {
-        written = co_await store_.create(RecordKind::Leases, std::move(name), std::move(content));
-    } else {
-        written = co_await store_.replace(RecordKind::Leases, std::move(name), revision,
-                                          std::move(content));
-    }
-    observers_.erase(node);
-    takeovers_.erase(node);
-    if (!written) {
-        co_return;
-    }
-    logEvent(LogEvent::LeaseRevoked, {{"node", node.value()}, {"revision", revision.value()}});
-    revoked_[node].insert(lives.begin(), lives.end());
-    wake();
-}
-
 } // namespace wisteriahoist
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -32,6 +32,9 @@
 class RangeDuty final : public KeyHolding
 {
 public:
+    /** How often the other holders of the service are looked at. */
+    static constexpr milliseconds WatchEvery{500};
+
     RangeDuty(asio::io_context &context, const Clock &clock, RecordStore &store,
               BackendControl &backend, FleetView &view, BackendMonitor &monitor, PeerLoads &loads,
               PeerLink &peers, const MemberRecord &self, GrantTimes grants);
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -35,19 +35,6 @@
     return std::chrono::duration_cast<milliseconds>(end - now);
 }
 
-/** @return What the transport's failure says about a request that got no reply. */
-RequestEnd endOf(FailureCode code)
-{
-    switch (code) {
-    case FailureCode::DeadlineExceeded:
-        return RequestEnd::DeadlineOver;
-    case FailureCode::Malformed:
-        return RequestEnd::BadAnswer;
-    default:
-        return RequestEnd::ConnectionLost;
-    }
-}
-
 AttemptEnd describe(const v1::HopReply &reply)
 {
     AttemptEnd end;
@@ -300,7 +287,7 @@
         const FailureCode code = bytes.assume_error().code;
         const bool neverSent = code == FailureCode::Unavailable;
         reply = neverSent ? makeVerdictReply(RequestStage::Received, RequestEnd::Unreachable)
-                          : makeVerdictReply(RequestStage::HandedOver, endOf(code));
+                          : makeVerdictReply(RequestStage::HandedOver, endOfExchange(code, false));
         reply.set_reached_backend(!neverSent);
     } else if (!reply.ParseFromString(bytes.assume_value())
                || reply.outcome() == v1::HOP_OUTCOME_UNSPECIFIED) {
--- a/test/unit/range/range_duty_test.cpp
+++ b/test/unit/range/range_duty_test.cpp
@@ -109,3 +109,32 @@
     const StoredRecord *table = fleet.store().find(RecordKind::Ranges, "s");
     cr_assert(decodeRangeTable(table->content).assume_value().find(Low)->fence >= Epoch(2));
 }
+
+// A node is restarted while the store is away. Released, its keys would be served by nobody until
+// the store is back, since no new holder can be named; kept, they are served to the end of the
+// process and again right after its restart.
+Test(range_duty, a_stopping_node_keeps_its_keys_while_the_store_is_away)
+{
+    OwnershipFleet fleet;
+    OwnershipNode &first = fleet.add(1, "b-1");
+    fleet.add(2, "b-2");
+    const auto all = [&]() { return isServedByOne(fleet, Low) && isServedByOne(fleet, High); };
+    cr_assert(fleet.reaches(all, Patience));
+    const std::vector<uint64_t> before = fleet.admitting(Low);
+    fleet.store().setDown(true);
+    (void)fleet.reaches([]() { return false; }, std::chrono::seconds(4));
+    first.duty.beginStop();
+    (void)fleet.reaches([]() { return false; }, std::chrono::seconds(1));
+    cr_assert(fleet.admitting(Low) == before);
+    cr_assert(!first.duty.hasKeysToGive(fleet.clock().now()));
+    SECTION("and gives them away when it is back")
+    {
+        fleet.store().setDown(false);
+        cr_assert(fleet.reaches(
+                [&]() {
+                    return fleet.admitting(Low) == std::vector<uint64_t>{2}
+                           && fleet.admitting(High) == std::vector<uint64_t>{2};
+                },
+                Patience));
+    }
+}
