--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -3,6 +3,7 @@
 #include "platform/sidecar_command.h"
 #include "program/node_program.h"
 #include "program/operator_program.h"
+#include "program/trace_log.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -47,6 +48,7 @@
   wisteriahoist drain   --admin-port N [--wait] [--cancel]
   wisteriahoist confirm-lost --admin-port N --term N --confirmed-by WHO
   wisteriahoist keygen  ID
+  wisteriahoist trace-log REQUEST FILE...   the story of one request out of several logs
 
 Commands that call a node take --node-ip, --key-file and --output text|json as well.
 Exit codes: 0 done; 1 refused or failed; 2 bad usage, settings or declarations.
@@ -147,6 +149,9 @@
 int run(const std::vector<char *> &words)
 {
     const std::string command = words.size() > 1 ? words[1] : "";
+    if (command == "trace-log" && words.size() > 3) {
+        return runTraceLog(words[2], {words.begin() + 3, words.end()});
+    }
     const size_t expected = command == "explain" || command == "keygen" ? 3 : 2;
     if (words.size() != expected) {
         return reportUsage(command.empty() ? "a command is needed" : command + ": wrong arguments");
