--- a/src/decision/member/backend_monitor.cpp
+++ b/src/decision/member/backend_monitor.cpp
@@ -13,7 +13,7 @@
     sequence_ = 0;
     refusals_ = 0;
     gone_ = false;
-    leaving_ = false;
+    leaving_ = std::find(departing_.begin(), departing_.end(), backend) != departing_.end();
     coldUntil_ = NeverTime;
 }
 
@@ -22,9 +22,14 @@
     if (backend_.empty()) {
         return;
     }
-    ended_.push_back(backend_);
-    if (ended_.size() > limits_.endedLives) {
-        ended_.pop_front();
+    remember(ended_, backend_);
+}
+
+void BackendMonitor::remember(std::deque<std::string> &lives, const std::string &backend) const
+{
+    lives.push_back(backend);
+    if (lives.size() > limits_.endedLives) {
+        lives.pop_front();
     }
 }
 
@@ -56,7 +61,11 @@
 
 bool BackendMonitor::onDeregister(const std::string &backend)
 {
-    if (backend != backend_ || state_ == BackendState::Draining) {
+    if (backend != backend_) {
+        remember(departing_, backend);
+        return false;
+    }
+    if (state_ == BackendState::Draining) {
         return false;
     }
     leaving_ = true;
@@ -71,7 +80,7 @@
     }
     beginLife(backend);
     // It has not reported yet: until then nothing is known of it but its id.
-    state_ = BackendState::Absent;
+    state_ = leaving_ ? BackendState::Draining : BackendState::Absent;
     heardAt_ = now;
     return true;
 }
--- a/src/decision/member/backend_monitor.h
+++ b/src/decision/member/backend_monitor.h
@@ -31,7 +31,11 @@
     /** @return Whether state or life has changed. */
     bool onReport(const BackendReport &report, TimePoint now);
 
-    /** The backend server has said that it leaves for good. @return Whether anything changed. */
+    /**
+     * The backend server has said that it leaves for good. A life that is not known here yet (this
+     * node has just started) is remembered as leaving: the acknowledgement binds all the same.
+     * @return Whether anything changed.
+     */
     bool onDeregister(const std::string &backend);
 
     /** Its address answered for another life, or an order named one. @return As above. */
@@ -61,6 +65,7 @@
 private:
     void beginLife(const std::string &backend);
     void endLife();
+    void remember(std::deque<std::string> &lives, const std::string &backend) const;
 
     MonitorLimits limits_;
     std::string backend_;
@@ -74,6 +79,7 @@
     TimePoint heardAt_ = NeverTime;
     TimePoint coldUntil_ = NeverTime;
     std::deque<std::string> ended_;
+    std::deque<std::string> departing_; ///< Lives that said so before they were known here.
 };
 
 } // namespace wisteriahoist
--- a/src/duty/member_publisher.cpp
+++ b/src/duty/member_publisher.cpp
@@ -74,7 +74,12 @@
     // An earlier life's record, or an own write whose answer was lost: go on from what is there.
     Result<StoredRecord> stored = co_await store_.read(RecordKind::Members, std::move(name));
     if (stored) {
+        const bool first = revision_.value() == 0;
         revision_ = stored.assume_value().revision;
+        const Result<MemberRecord> earlier = decodeMember(stored.assume_value().content);
+        if (first && earlier && earlier_) {
+            earlier_(earlier.assume_value());
+        }
     }
     co_return stored.has_value();
 }
--- a/src/duty/member_publisher.h
+++ b/src/duty/member_publisher.h
@@ -23,6 +23,12 @@
 
     void start();
 
+    /** @param action Gets the record that an earlier life of this node has left. */
+    void onEarlier(std::function<void(const MemberRecord &)> action)
+    {
+        earlier_ = std::move(action);
+    }
+
     /** The record may have changed. */
     void wake() { timer_.cancel(); }
 
@@ -37,6 +43,7 @@
     RecordStore &store_;
     std::function<MemberRecord()> describe_;
     std::function<void(const MemberRecord &, StoreRevision)> written_;
+    std::function<void(const MemberRecord &)> earlier_;
     boost::asio::steady_timer timer_;
     MemberRecord stored_;
     StoreRevision revision_; ///< 0: not known.
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -106,6 +106,12 @@
                 view_.routes().config() ? view_.routes().config()->limits : CallerLimits{}));
         ranges_.wake();
     });
+    publisher_.onEarlier([this](const MemberRecord &earlier) {
+        // What an earlier life of this process has acknowledged binds this one too.
+        if (earlier.state == BackendState::Draining && monitor_.onDeregister(earlier.backend)) {
+            onBackendChange();
+        }
+    });
     gate_.onMonitorChange([this]() { onBackendChange(); });
     gate_.onSuspicion([this]() { watch_.suspect(); });
     ranges_.probeWith([this](const MemberRecord &member) { return router_.probe(member); });
--- a/test/unit/member/backend_monitor_test.cpp
+++ b/test/unit/member/backend_monitor_test.cpp
@@ -59,6 +59,24 @@
     cr_assert(monitor.backend() == "i-2");
 }
 
+// A request reaches a backend server 2.2 s after its leaving was acknowledged: its node had just
+// restarted, took the deregistration of a life that it did not know yet, and then a late report
+// of that life, which said that it was ready.
+Test(backend_monitor, a_deregistration_ahead_of_the_first_report_counts)
+{
+    BackendMonitor monitor{MonitorLimits{}};
+    (void)monitor.onDeregister("i-1");
+    (void)monitor.onReport(makeReport("i-1", 7), Start);
+    cr_assert(monitor.state() == BackendState::Draining);
+    SECTION("also if a look at the address is what makes the life known")
+    {
+        BackendMonitor looking{MonitorLimits{}};
+        (void)looking.onDeregister("i-1");
+        (void)looking.onOtherLife("i-1", Start);
+        cr_assert(looking.state() == BackendState::Draining);
+    }
+}
+
 Test(backend_monitor, ends)
 {
     BackendMonitor monitor{MonitorLimits{}};
