--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -111,7 +111,8 @@
     std::map<std::string, RepeatBudget> budgets_; ///< By service.
     std::mt19937_64 random_;
     RouterCounters counters_;
-    /// About 40 KB/s of log at most: a node of the users' sites answers 30 to 60 requests a second.
+    /// Lines of about 300 bytes: 60 KB/s at most. A node of the users' sites answers 30 to 60
+    /// requests a second and stays below it.
     LineBudget lines_{200, 400};
     Histogram *duration_ = nullptr;
     uint64_t lastRequest_ = 0;
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -18,7 +18,7 @@
     /**
      * Pause before the next watch, for each member. Every change wakes a watch of every node, so
      * the calls grow with the square of the fleet; changes that come within the pause share one.
-     * 5 ms keep 60 nodes below 200 calls/s in all, and make a change known 0.3 s late at most.
+     * 5 ms keep 60 nodes at 200 calls/s for each kind at most, and a change is 0.3 s late at most.
      */
     milliseconds pausePerMember{5};
     milliseconds longestGap{500}; ///< Bounds that pause: a change has to be in force within 2 s.
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -26,7 +26,7 @@
 /** Left of the time to end when everything is cut that still runs: ending itself takes some. */
 constexpr milliseconds EndMargin{300};
 constexpr milliseconds StopPoll{20};
-/** Reading the file takes 0.1 ms; a changed bound is in force soon enough. */
+/** The file is small, and what may change in it while the process runs is not urgent. */
 constexpr milliseconds SettingsPoll{5000};
 
 GrantTimes makeGrantTimes(const SidecarSettings &settings)
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -35,9 +35,8 @@
 };
 
 /**
- * All duties of one node on one thread. A node has a fifth of a core, and each wake-up of another
- * thread is paid for: six threads joined by rings cost 1.9 times the processor time of one for the
- * same requests, and nothing here waits for a disk.
+ * All duties of one node on one thread. A node has a fifth of a core, each wake-up of another
+ * thread is paid for, and no duty waits for anything but sockets and timers.
  */
 class SidecarProgram
 {
