--- a/src/decision/member/backend_monitor.cpp
+++ b/src/decision/member/backend_monitor.cpp
@@ -14,7 +14,6 @@
     refusals_ = 0;
     gone_ = false;
     leaving_ = std::find(departing_.begin(), departing_.end(), backend) != departing_.end();
-    coldUntil_ = NeverTime;
 }
 
 void BackendMonitor::endLife()
@@ -55,7 +54,6 @@
     state_ = state;
     slots_ = report.slots;
     service_ = report.service;
-    coldUntil_ = now + report.coldFor;
     return changed;
 }
 
--- a/src/decision/member/backend_monitor.h
+++ b/src/decision/member/backend_monitor.h
@@ -56,9 +56,6 @@
     const std::string &service() const { return service_; }
     TimePoint heardAt() const { return heardAt_; }
 
-    /** @return Whether the backend server is slow since it has just started. */
-    bool isCold(TimePoint now) const { return now < coldUntil_; }
-
     /** @return Whether the life is known to be over, so that it holds nothing any more. */
     bool isGone() const { return gone_; }
 
@@ -77,7 +74,6 @@
     bool gone_ = false;
     bool leaving_ = false; ///< Deregistered or draining; only a new life ends that.
     TimePoint heardAt_ = NeverTime;
-    TimePoint coldUntil_ = NeverTime;
     std::deque<std::string> ended_;
     std::deque<std::string> departing_; ///< Lives that said so before they were known here.
 };
--- a/src/decision/range/grant_authority.h
+++ b/src/decision/range/grant_authority.h
@@ -71,9 +71,6 @@
     /** @return Whether contact is there but still wants a renewal of the lease. */
     bool needsRenewal(TimePoint now) const;
 
-    /** @return Whether answers of witnesses are needed at all. */
-    bool hasWitnesses() const { return !named_.empty(); }
-
 private:
     StoreLease lease_;
     ContactTimes contact_;
--- a/src/decision/range/key_load.h
+++ b/src/decision/range/key_load.h
@@ -39,9 +39,6 @@
 
     double total(TimePoint now);
 
-    /** Forgets all, when the backend server's life ends. */
-    void clear() { weights_.clear(); }
-
 private:
     void fade(TimePoint now);
 
--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -62,11 +62,6 @@
     }
 }
 
-void RangeKeeper::onBackendGone()
-{
-    held_.clear();
-}
-
 std::vector<GrantOrder> RangeKeeper::takeDueGrants(TimePoint leaseUntil, TimePoint now)
 {
     std::vector<GrantOrder> orders;
@@ -223,6 +218,11 @@
     return spans;
 }
 
+bool RangeKeeper::hasLeaving() const
+{
+    return std::any_of(held_.begin(), held_.end(), [](const Held &held) { return held.leaving; });
+}
+
 std::vector<KeySpan> RangeKeeper::heldSpans() const
 {
     std::vector<KeySpan> spans;
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -82,9 +82,6 @@
     /** Takes over the stored table, and who this node and its backend server are at present. */
     void onTable(const RangeTable &table, const std::optional<RangeHolder> &self, TimePoint now);
 
-    /** The backend server's life has ended for certain: it holds nothing any more. */
-    void onBackendGone();
-
     /** @return The grants to send now; each counts as sent. @param leaseUntil No grant outlasts it.
      */
     std::vector<GrantOrder> takeDueGrants(TimePoint leaseUntil, TimePoint now);
@@ -117,6 +114,9 @@
     /** @return Spans held and not leaving, in order. */
     std::vector<KeySpan> heldSpans() const;
 
+    /** @return Whether a range is being released, or waits to be written to another holder. */
+    bool hasLeaving() const;
+
     size_t size() const { return held_.size(); }
 
 private:
--- a/src/duty/contact_duty.cpp
+++ b/src/duty/contact_duty.cpp
@@ -27,14 +27,15 @@
     return request.SerializeAsString();
 }
 
+} // namespace
+
 Incarnation drawLife()
 {
     std::random_device device;
-    return Incarnation((static_cast<uint64_t>(device()) << 31U) | device());
+    const uint64_t high = device();
+    return Incarnation((high << 31U | device()) | 1U);
 }
 
-} // namespace
-
 ContactDuty::ContactDuty(asio::io_context &context, const Clock &clock, PeerLink &peers,
                          FleetView &view, PeerLoads &loads, GrantAuthority &authority, NodeId self,
                          std::string failureDomain)
--- a/src/duty/contact_duty.h
+++ b/src/duty/contact_duty.h
@@ -10,6 +10,9 @@
 
 namespace wisteriahoist {
 
+/** @return A number that names one life of a process, or one session of it; never 0. */
+Incarnation drawLife();
+
 /** How a fence at one witness ended. */
 enum class FenceResult {
     Fenced,
--- a/src/duty/member_publisher.cpp
+++ b/src/duty/member_publisher.cpp
@@ -54,12 +54,8 @@
 {
     std::string name = memberRecordName(member.node);
     std::string content = encodeMember(member);
-    Result<StoreRevision> written = Failure{};
-    if (revision_.value() == 0) {
-        written = co_await store_.create(RecordKind::Members, name, content);
-    } else {
-        written = co_await store_.replace(RecordKind::Members, name, revision_, content);
-    }
+    Result<StoreRevision> written
+            = co_await store_.write(RecordKind::Members, name, revision_, std::move(content));
     if (written) {
         revision_ = written.assume_value();
         stored_ = member;
--- a/src/duty/member_publisher.h
+++ b/src/duty/member_publisher.h
@@ -32,9 +32,6 @@
     /** The record may have changed. */
     void wake() { timer_.cancel(); }
 
-    /** @return Whether the record as it is now has been stored. */
-    bool isPublished() const { return published_ && stored_ == describe_(); }
-
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> publish(const MemberRecord &member);
--- a/src/duty/peer_loads.cpp
+++ b/src/duty/peer_loads.cpp
@@ -108,6 +108,12 @@
     return load;
 }
 
+milliseconds PeerLoads::serviceTime(NodeId node) const
+{
+    const auto found = states_.find(node);
+    return milliseconds(found == states_.end() ? 0 : found->second.load.service_ms());
+}
+
 double PeerLoads::busySlots(NodeId node, TimePoint now) const
 {
     const auto found = states_.find(node);
--- a/src/duty/peer_loads.h
+++ b/src/duty/peer_loads.h
@@ -41,6 +41,9 @@
     /** @return The load of @p node, for the choice among instances. */
     InstanceLoad instanceLoad(NodeId node, const std::string &failureDomain, uint32_t slots) const;
 
+    /** @return Mean time that a request runs there; 0 if it is not known. */
+    milliseconds serviceTime(NodeId node) const;
+
     /** @return Slots that keyed requests ask for there; 0 if it is not known. */
     double busySlots(NodeId node, TimePoint now) const;
 
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -8,13 +8,12 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <random>
 
 namespace wisteriahoist {
 
 namespace {
 
-/** Grants are renewed each second, so a tenth of it is soon enough to look at what is due. */
+/** Grants are renewed each 0.6 s, so a sixth of it is soon enough to look at what is due. */
 constexpr milliseconds Tick{100};
 /** Without keys to keep there is little to look at. */
 constexpr milliseconds IdleTick{1000};
@@ -34,13 +33,6 @@
 /** A node that has not been reached for so long may be lost; its witnesses and its lease decide. */
 constexpr milliseconds SuspectAfter{500};
 
-Incarnation drawLife()
-{
-    std::random_device device;
-    const uint64_t high = device();
-    return Incarnation((high << 31U | device()) | 1U);
-}
-
 std::string holderText(const RangeHolder &holder)
 {
     return std::to_string(holder.node.value()) + "/" + holder.backend;
@@ -145,9 +137,7 @@
         candidate.holder = {member->node, member->life, member->backend};
         candidate.slots = std::max<uint32_t>(1, member->slots);
         candidate.busySlots = loads_.busySlots(member->node, now);
-        candidate.serviceTime
-                = loads_.instanceLoad(member->node, member->failureDomain, member->slots)
-                          .serviceTime;
+        candidate.serviceTime = loads_.serviceTime(member->node);
         candidate.keys = stored == nullptr ? 0 : countKeys(stored->table, member->node);
         found.push_back(std::move(candidate));
     }
@@ -173,7 +163,7 @@
             if (const StoredTable *stored = view_.findTable(self_.service)) {
                 keeper_.onTable(stored->table, holder(), now);
             }
-            if (keeper_.heldSpans().size() == keeper_.size()) {
+            if (!keeper_.hasLeaving()) {
                 targets_.clear();
             }
             startLeaving(now);
@@ -266,7 +256,8 @@
     authority_.onRenewalSent(witnesses);
     const bool wasValid = authority_.validUntil() > sentAt;
     const Incarnation life = session_;
-    Result<StoreRevision> written = co_await writeLease(lease);
+    Result<StoreRevision> written = co_await store_.write(
+            RecordKind::Leases, memberRecordName(self_.node), leaseRevision_, encodeLease(lease));
     if (written) {
         leaseRevision_ = written.assume_value();
         if (life == session_) {
@@ -299,16 +290,6 @@
     wake();
 }
 
-asio::awaitable<Result<StoreRevision>> RangeDuty::writeLease(LeaseRecord lease)
-{
-    std::string name = memberRecordName(lease.node);
-    std::string content = encodeLease(lease);
-    if (leaseRevision_.value() == 0) {
-        return store_.create(RecordKind::Leases, std::move(name), std::move(content));
-    }
-    return store_.replace(RecordKind::Leases, std::move(name), leaseRevision_, std::move(content));
-}
-
 void RangeDuty::startLeaving(TimePoint now)
 {
     // Without the store nobody could take the keys; released, they would be served by nobody, while
@@ -323,13 +304,7 @@
     const std::vector<RangeMove> moves
             = planGiveAway(held, load_.rates(KeySpan{}, now), candidates(now, false));
     for (const RangeMove &move : moves) {
-        targets_.push_back(move);
-        keeper_.beginRelease(move.span);
-        logEvent(LogEvent::RangeLeaving,
-                 {{"first", move.span.first.value()},
-                  {"last", move.span.last.value()},
-                  {"to", holderText(move.holder)},
-                  {"cause", stopping_ ? "node stops" : "backend server leaves"}});
+        beginMove(move, stopping_ ? "node stops" : "backend server leaves", now);
     }
 }
 
@@ -337,7 +312,7 @@
 {
     const std::vector<KeySpan> held = keeper_.heldSpans();
     BalanceLimits limits;
-    if (monitor_.state() != BackendState::Ready || held.empty() || held.size() != keeper_.size()
+    if (monitor_.state() != BackendState::Ready || held.empty() || keeper_.hasLeaving()
         || now - std::max(movedAt_, startedAt_) < limits.pause) {
         return;
     }
@@ -345,7 +320,7 @@
     self.holder = *holder();
     self.slots = std::max<uint32_t>(1, monitor_.slots());
     self.busySlots = load_.total(now);
-    self.serviceTime = loads_.instanceLoad(self_.node, {}, 0).serviceTime;
+    self.serviceTime = loads_.serviceTime(self_.node);
     std::vector<RangeCandidate> others = candidates(now, false);
     std::vector<RangeCandidate> newcomers;
     bool busiest = true;
@@ -370,16 +345,21 @@
     }
     for (const RangeMove &move : moves) {
         movedAt_ = now;
-        targets_.push_back(move);
-        keeper_.beginRelease(move.span);
-        logEvent(LogEvent::RangeLeaving, {{"first", move.span.first.value()},
-                                          {"last", move.span.last.value()},
-                                          {"to", holderText(move.holder)},
-                                          {"busy_slots", self.busySlots},
-                                          {"cause", "load"}});
+        beginMove(move, "load", now);
     }
 }
 
+void RangeDuty::beginMove(const RangeMove &move, std::string_view cause, TimePoint now)
+{
+    targets_.push_back(move);
+    keeper_.beginRelease(move.span);
+    logEvent(LogEvent::RangeLeaving, {{"first", move.span.first.value()},
+                                      {"last", move.span.last.value()},
+                                      {"to", holderText(move.holder)},
+                                      {"busy_slots", load_.total(now)},
+                                      {"cause", std::string(cause)}});
+}
+
 RangeHolder RangeDuty::targetOf(const KeySpan &span, TimePoint now) const
 {
     const std::vector<RangeCandidate> others = candidates(now, true);
@@ -412,22 +392,6 @@
     return table;
 }
 
-RangeTable RangeDuty::giveOwnAway(RangeTable table, TimePoint now)
-{
-    std::vector<KeySpan> spans;
-    for (size_t index = 0; index < table.entries.size(); ++index) {
-        if (table.entries[index].holder.node == self_.node) {
-            spans.push_back(table.spanOf(index));
-        }
-    }
-    const std::vector<RangeMove> moves
-            = planGiveAway(spans, load_.rates(KeySpan{}, now), candidates(now, false));
-    for (const RangeMove &move : moves) {
-        table = giveRange(std::move(table), move.span, move.holder, {});
-    }
-    return table;
-}
-
 bool RangeDuty::isFreeForAll(const RangeHolder &holder) const
 {
     if (holder.isNobody()) {
@@ -437,15 +401,18 @@
     return revoked != revoked_.end() && revoked->second.count(holder.life) > 0;
 }
 
-RangeTable RangeDuty::fillGaps(RangeTable table, TimePoint now) const
+RangeTable RangeDuty::giveAway(RangeTable table,
+                               const std::function<bool(const RangeHolder &)> &isGiven,
+                               const std::vector<KeyRate> &rates,
+                               const std::vector<RangeCandidate> &takers)
 {
     std::vector<KeySpan> spans;
     for (size_t index = 0; index < table.entries.size(); ++index) {
-        if (isFreeForAll(table.entries[index].holder)) {
+        if (isGiven(table.entries[index].holder)) {
             spans.push_back(table.spanOf(index));
         }
     }
-    for (const RangeMove &move : planGiveAway(spans, {}, candidates(now, true))) {
+    for (const RangeMove &move : planGiveAway(spans, rates, takers)) {
         table = giveRange(std::move(table), move.span, move.holder, {});
     }
     return table;
@@ -461,11 +428,14 @@
         }
         next = handReleasedOver(std::move(next), now);
     } else if (monitor_.isGone()) {
-        next = giveOwnAway(std::move(next), now);
+        const auto isOwn = [this](const RangeHolder &held) { return held.node == self_.node; };
+        next = giveAway(std::move(next), isOwn, load_.rates(KeySpan{}, now),
+                        candidates(now, false));
     }
     const MemberRecord *first = firstOfService(now);
     if (first != nullptr && first->node == self_.node) {
-        next = fillGaps(std::move(next), now);
+        const auto isFree = [this](const RangeHolder &held) { return isFreeForAll(held); };
+        next = giveAway(std::move(next), isFree, {}, candidates(now, true));
     }
     if (next == stored.table) {
         return std::nullopt;
@@ -507,20 +477,15 @@
         shares.push_back({candidate.holder, candidate.slots});
     }
     RangeTable table = makeRangeTable(shares);
-    co_await writeTable(std::move(table), std::nullopt);
+    co_await writeTable(std::move(table), StoreRevision(0));
 }
 
-asio::awaitable<void> RangeDuty::writeTable(RangeTable table, std::optional<StoreRevision> over)
+asio::awaitable<void> RangeDuty::writeTable(RangeTable table, StoreRevision over)
 {
     std::string content = encodeRangeTable(table);
     std::string name = self_.service;
-    Result<StoreRevision> written = Failure{};
-    if (over) {
-        written = co_await store_.replace(RecordKind::Ranges, std::move(name), *over,
-                                          std::move(content));
-    } else {
-        written = co_await store_.create(RecordKind::Ranges, std::move(name), std::move(content));
-    }
+    Result<StoreRevision> written
+            = co_await store_.write(RecordKind::Ranges, std::move(name), over, std::move(content));
     if (!written) {
         // It may have been written all the same, or somebody else was first: read before planning.
         refresh_ = true;
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -72,25 +72,27 @@
 
     asio::awaitable<void> tickLoop();
     asio::awaitable<void> renewLease();
-    asio::awaitable<Result<StoreRevision>> writeLease(LeaseRecord lease);
     asio::awaitable<void> sendGrant(GrantOrder order);
     asio::awaitable<void> sendRelease(ReleaseOrder order);
     asio::awaitable<void> planOnce();
-    asio::awaitable<void> writeTable(RangeTable table, std::optional<StoreRevision> over);
+    asio::awaitable<void> writeTable(RangeTable table, StoreRevision over);
     asio::awaitable<void> refreshTable();
     asio::awaitable<void> watchOthers();
     asio::awaitable<bool> fenceAtWitnesses(NodeId node, const LeaseRecord &lease);
     asio::awaitable<void> revoke(NodeId node, StoreRevision revision);
     void sendOrders(TimePoint now);
     std::optional<RangeTable> planTable(const StoredTable &stored, TimePoint now);
-    RangeTable giveOwnAway(RangeTable table, TimePoint now);
+    static RangeTable giveAway(RangeTable table,
+                               const std::function<bool(const RangeHolder &)> &isGiven,
+                               const std::vector<KeyRate> &rates,
+                               const std::vector<RangeCandidate> &takers);
     RangeTable handReleasedOver(RangeTable table, TimePoint now);
-    RangeTable fillGaps(RangeTable table, TimePoint now) const;
     bool isFreeForAll(const RangeHolder &holder) const;
     asio::awaitable<void> createTable();
     asio::awaitable<void> checkHolder(NodeId node);
     void startLeaving(TimePoint now);
     void startBalancing(TimePoint now);
+    void beginMove(const RangeMove &move, std::string_view cause, TimePoint now);
     RangeHolder targetOf(const KeySpan &span, TimePoint now) const;
     void lostLease();
 
--- a/src/duty/range_duty_takeover.cpp
+++ b/src/duty/range_duty_takeover.cpp
@@ -124,13 +124,8 @@
     }
     std::string name = memberRecordName(node);
     std::string content = encodeLease(lease);
-    Result<StoreRevision> written = Failure{};
-    if (revision.value() == 0) {
-        written = co_await store_.create(RecordKind::Leases, std::move(name), std::move(content));
-    } else {
-        written = co_await store_.replace(RecordKind::Leases, std::move(name), revision,
-                                          std::move(content));
-    }
+    Result<StoreRevision> written = co_await store_.write(RecordKind::Leases, std::move(name),
+                                                          revision, std::move(content));
     observers_.erase(node);
     takeovers_.erase(node);
     if (!written) {
--- a/src/duty/store_relay.cpp
+++ b/src/duty/store_relay.cpp
@@ -124,6 +124,9 @@
                 helper_ = helpers[index].node;
                 logEvent(LogEvent::StoreRelayed, {{"through", helpers[index].name}});
             }
+            if (const auto failure = failureOf(reply.assume_value())) {
+                co_return *failure;
+            }
             co_return std::move(reply.assume_value());
         }
     }
@@ -145,9 +148,6 @@
     if (!reply) {
         co_return std::move(reply).as_failure();
     }
-    if (const auto failure = failureOf(reply.assume_value())) {
-        co_return *failure;
-    }
     RecordListing listing;
     listing.at = StoreRevision(reply.assume_value().revision());
     for (const v1::StoreRecord &record : reply.assume_value().records()) {
@@ -169,15 +169,21 @@
     if (!reply) {
         co_return std::move(reply).as_failure();
     }
-    if (const auto failure = failureOf(reply.assume_value())) {
-        co_return *failure;
-    }
     if (reply.assume_value().records_size() != 1) {
         co_return Failure{FailureCode::Malformed, "one record is expected"};
     }
     co_return toRecord(reply.assume_value().records(0));
 }
 
+RecordStore::Pending<StoreRevision> RelayedStore::relayWrite(v1::StoreRequest request)
+{
+    Result<v1::StoreReply> reply = co_await relay(std::move(request));
+    if (!reply) {
+        co_return std::move(reply).as_failure();
+    }
+    co_return StoreRevision(reply.assume_value().revision());
+}
+
 RecordStore::Pending<StoreRevision> RelayedStore::create(RecordKind kind, std::string name,
                                                          std::string content)
 {
@@ -188,14 +194,7 @@
         }
     }
     v1::StoreRequest request = makeRequest(StoreCall::Create, kind, name, {}, content);
-    Result<v1::StoreReply> reply = co_await relay(std::move(request));
-    if (!reply) {
-        co_return std::move(reply).as_failure();
-    }
-    if (const auto failure = failureOf(reply.assume_value())) {
-        co_return *failure;
-    }
-    co_return StoreRevision(reply.assume_value().revision());
+    co_return co_await relayWrite(std::move(request));
 }
 
 RecordStore::Pending<StoreRevision> RelayedStore::replace(RecordKind kind, std::string name,
@@ -209,14 +208,7 @@
         }
     }
     v1::StoreRequest request = makeRequest(StoreCall::Replace, kind, name, expected, content);
-    Result<v1::StoreReply> reply = co_await relay(std::move(request));
-    if (!reply) {
-        co_return std::move(reply).as_failure();
-    }
-    if (const auto failure = failureOf(reply.assume_value())) {
-        co_return *failure;
-    }
-    co_return StoreRevision(reply.assume_value().revision());
+    co_return co_await relayWrite(std::move(request));
 }
 
 RecordStore::Pending<RecordChanges> RelayedStore::watch(RecordKind kind, StoreRevision since,
--- a/src/duty/store_relay.h
+++ b/src/duty/store_relay.h
@@ -44,6 +44,7 @@
 
 private:
     Pending<v1::StoreReply> relay(v1::StoreRequest request);
+    Pending<StoreRevision> relayWrite(v1::StoreRequest request);
     Pending<v1::StoreReply> ask(MemberRecord member, std::string body);
     boost::asio::awaitable<std::string> serve(std::string body);
     boost::asio::awaitable<v1::StoreReply> run(v1::StoreRequest request);
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -37,9 +37,6 @@
 
     void start();
 
-    /** @return Whether the last call of any loop failed. */
-    bool isStoreLost() const { return lost_; }
-
 private:
     boost::asio::awaitable<void> run(RecordKind kind);
     boost::asio::awaitable<Result<StoreRevision>> list(RecordKind kind);
--- a/src/port/record_store.h
+++ b/src/port/record_store.h
@@ -75,6 +75,15 @@
                                            StoreRevision expected, std::string content)
             = 0;
 
+    /** Creates the record if @p expected is 0, else replaces that revision. */
+    Pending<StoreRevision> write(RecordKind kind, std::string name, StoreRevision expected,
+                                 std::string content)
+    {
+        return expected == StoreRevision(0)
+                       ? create(kind, std::move(name), std::move(content))
+                       : replace(kind, std::move(name), expected, std::move(content));
+    }
+
     /**
      * Waits until something of @p kind has changed after @p since, for @p wait at most.
      * @return The changes, perhaps none; HistoryGone if the store no longer knows them.
