Change: [Ownership] A large service's range table is kept in blocks of keys, each a record of its own

Cause: with 41 holders every change replaced one record. Services with up to eight holders keep one record.

--- a/src/adapter/codec/record_codec.cpp
+++ b/src/adapter/codec/record_codec.cpp
@@ -103,11 +103,14 @@
     return member;
 }
 
-std::string encodeRangeTable(const RangeTable &table)
+std::string encodeRangeRecord(const RangeRecord &record)
 {
     v1::RangeTableRecord message;
-    message.set_highest_fence(table.highestFence.value());
-    for (const RangeEntry &entry : table.entries) {
+    message.set_highest_fence(record.table.highestFence.value());
+    message.set_service(record.service);
+    message.set_block(record.block);
+    message.set_blocks(record.layout.count);
+    for (const RangeEntry &entry : record.table.entries) {
         v1::RangeRecord *range = message.add_ranges();
         range->set_first(entry.first.value());
         range->set_node_id(entry.holder.node.value());
@@ -119,14 +122,22 @@
     return toJson(message);
 }
 
-Result<RangeTable> decodeRangeTable(std::string_view content)
+Result<RangeRecord> decodeRangeRecord(std::string_view content)
 {
     v1::RangeTableRecord message;
     Result<void> parsed = fromJson(content, message);
     if (!parsed) {
         return std::move(parsed).as_failure();
     }
-    RangeTable table;
+    RangeRecord record;
+    record.service = message.service();
+    record.block = message.block();
+    record.layout.count = std::max<uint32_t>(1, message.blocks());
+    if (!isLayoutCount(record.layout.count) || record.block >= record.layout.count) {
+        return Failure{FailureCode::Malformed, "no such block of keys"};
+    }
+    const KeySpan span = record.isBlock() ? record.layout.spanOf(record.block) : KeySpan{};
+    RangeTable &table = record.table;
     table.highestFence = Epoch(message.highest_fence());
     for (const v1::RangeRecord &range : message.ranges()) {
         RangeEntry entry;
@@ -134,14 +145,17 @@
         entry.holder = {NodeId(range.node_id()), Incarnation(range.life()), range.backend()};
         entry.fence = Epoch(range.fence());
         entry.handover = range.handover();
-        const bool inOrder = table.entries.empty() ? entry.first == ShardKey(0)
+        const bool inOrder = table.entries.empty() ? entry.first == span.first
                                                    : table.entries.back().first < entry.first;
-        if (!inOrder || entry.first > LastShardKey || entry.fence > table.highestFence) {
+        if (!inOrder || entry.first > span.last || entry.fence > table.highestFence) {
             return Failure{FailureCode::Malformed, "ranges out of order, or a fence too high"};
         }
         table.entries.push_back(std::move(entry));
     }
-    return table;
+    if (record.isBlock() && table.entries.empty()) {
+        return Failure{FailureCode::Malformed, "a block without ranges"};
+    }
+    return record;
 }
 
 std::string encodeLease(const LeaseRecord &lease)
--- a/src/adapter/codec/record_codec.h
+++ b/src/adapter/codec/record_codec.h
@@ -4,7 +4,7 @@
 
 #include "core/failure_type.h"
 #include "decision/member/member_type.h"
-#include "decision/range/range_type.h"
+#include "decision/range/range_block.h"
 
 #include <string>
 #include <string_view>
@@ -24,10 +24,20 @@
 std::string encodeMember(const MemberRecord &member);
 Result<MemberRecord> decodeMember(std::string_view content);
 
-std::string encodeRangeTable(const RangeTable &table);
+/** A record of ranges: a service's first division, or what has become of one block of it. */
+struct RangeRecord {
+    RangeTable table;
+    BlockLayout layout;
+    std::string service; ///< Of a block's record; empty: it is the service's own record.
+    uint32_t block = 0;  ///< Of a block's record.
+
+    bool isBlock() const { return !service.empty(); }
+};
+
+std::string encodeRangeRecord(const RangeRecord &record);
 
 /** @return Malformed also if the ranges break the invariant of a table. */
-Result<RangeTable> decodeRangeTable(std::string_view content);
+Result<RangeRecord> decodeRangeRecord(std::string_view content);
 
 std::string encodeLease(const LeaseRecord &lease);
 Result<LeaseRecord> decodeLease(std::string_view content);
--- a/src/decision/range/range_table.cpp
+++ b/src/decision/range/range_table.cpp
@@ -23,13 +23,15 @@
     table.entries.insert(next, std::move(part));
 }
 
-/** Joins neighbours that differ in nothing but their keys. */
+} // namespace
+
 void mergeEqual(RangeTable &table)
 {
     std::vector<RangeEntry> merged;
     for (RangeEntry &entry : table.entries) {
         const bool same = !merged.empty() && merged.back().holder == entry.holder
-                          && merged.back().fence == entry.fence;
+                          && merged.back().fence == entry.fence
+                          && merged.back().handover == entry.handover;
         if (!same) {
             merged.push_back(std::move(entry));
         }
@@ -37,8 +39,6 @@
     table.entries = std::move(merged);
 }
 
-} // namespace
-
 const RangeEntry *RangeTable::find(ShardKey key) const
 {
     const auto next = std::upper_bound(
--- a/src/decision/range/range_type.h
+++ b/src/decision/range/range_type.h
@@ -71,6 +71,9 @@
     const RangeEntry *find(ShardKey key) const;
 };
 
+/** Joins neighbours that differ in nothing but their keys. */
+void mergeEqual(RangeTable &table);
+
 /** A share of the keys for one holder. */
 struct HolderShare {
     RangeHolder holder;
--- a/src/duty/fleet_view.cpp
+++ b/src/duty/fleet_view.cpp
@@ -9,6 +9,11 @@
     return "node-" + std::to_string(node.value());
 }
 
+std::string blockRecordName(const std::string &service, uint32_t block)
+{
+    return service + ".block-" + std::to_string(block);
+}
+
 void FleetView::notify()
 {
     ++changes_;
@@ -46,16 +51,45 @@
     }
 }
 
-void FleetView::onTable(const std::string &service, RangeTable table, StoreRevision revision)
+StoreRevision StoredTable::revisionOf(uint32_t block) const
+{
+    if (layout.count == 1) {
+        return revision;
+    }
+    const auto found = blocks.find(block);
+    return found == blocks.end() ? StoreRevision(0) : found->second;
+}
+
+void FleetView::onRanges(const std::string &name, RangeRecord record, StoreRevision revision)
 {
-    StoredTable &known = tables_[service];
-    if (revision <= known.revision) {
+    RangeRecords &records = tables_[record.isBlock() ? record.service : name];
+    StoreRevision &known
+            = record.isBlock() ? records.joined.blocks[record.block] : records.joined.revision;
+    if (revision <= known) {
         return;
     }
-    known = {std::move(table), revision};
+    known = revision;
+    if (record.isBlock()) {
+        records.blocks[record.block] = std::move(record.table);
+    } else {
+        records.base = std::move(record.table);
+        records.joined.layout = record.layout;
+    }
+    join(records);
     notify();
 }
 
+void FleetView::join(RangeRecords &records)
+{
+    RangeTable table = records.base;
+    for (const auto &[block, part] : records.blocks) {
+        if (block < records.joined.layout.count) {
+            table = replaceBlock(std::move(table), records.joined.layout.spanOf(block), part);
+        }
+    }
+    records.joined.table = std::move(table);
+}
+
 const MemberRecord *FleetView::findMember(NodeId node) const
 {
     const auto found = members_.find(node);
@@ -76,7 +110,8 @@
 const StoredTable *FleetView::findTable(const std::string &service) const
 {
     const auto found = tables_.find(service);
-    return found == tables_.end() ? nullptr : &found->second;
+    const bool known = found != tables_.end() && found->second.joined.revision.value() != 0;
+    return known ? &found->second.joined : nullptr;
 }
 
 } // namespace wisteriahoist
--- a/src/duty/fleet_view.h
+++ b/src/duty/fleet_view.h
@@ -2,8 +2,8 @@
 
 #pragma once
 
+#include "adapter/codec/record_codec.h"
 #include "decision/member/member_type.h"
-#include "decision/range/range_type.h"
 #include "decision/routing/route_table.h"
 #include "port/record_store.h"
 
@@ -13,10 +13,15 @@
 
 namespace wisteriahoist {
 
-/** A range table as it is stored. */
+/** A service's range table as it is stored, put together from its records. */
 struct StoredTable {
-    RangeTable table;
-    StoreRevision revision;
+    RangeTable table;       ///< With each block as its own record has it.
+    StoreRevision revision; ///< Of the service's own record.
+    BlockLayout layout;
+    std::map<uint32_t, StoreRevision> blocks; ///< Revisions of the blocks that have records.
+
+    /** @return The revision of the record that @p block is written to; 0 if there is none yet. */
+    StoreRevision revisionOf(uint32_t block) const;
 };
 
 /**
@@ -30,7 +35,8 @@
     bool onConfig(RouteConfig config);
     void onMember(const MemberRecord &member, StoreRevision revision);
     void onMemberRemoved(const std::string &name);
-    void onTable(const std::string &service, RangeTable table, StoreRevision revision);
+    /** @param name The record's name. */
+    void onRanges(const std::string &name, RangeRecord record, StoreRevision revision);
 
     /** @param action Runs after each change; kept for the life of this object. */
     void onChange(std::function<void()> action) { actions_.push_back(std::move(action)); }
@@ -51,12 +57,20 @@
     uint64_t changes() const { return changes_; }
 
 private:
+    /** The records of one service's ranges; a block's may come before the service's own. */
+    struct RangeRecords {
+        RangeTable base;
+        StoredTable joined; ///< Without a revision of its own: the service's own record is missing.
+        std::map<uint32_t, RangeTable> blocks;
+    };
+
     void notify();
+    static void join(RangeRecords &records);
 
     RouteConfigHolder config_;
     std::map<NodeId, MemberRecord> members_;
     std::map<NodeId, StoreRevision> memberRevisions_;
-    std::map<std::string, StoredTable> tables_;
+    std::map<std::string, RangeRecords> tables_;
     std::vector<std::function<void()>> actions_;
     uint64_t changes_ = 0;
 };
@@ -64,4 +78,7 @@
 /** @return The name of a member's records in the store. */
 std::string memberRecordName(NodeId node);
 
+/** @return The name of the record that has one block of a service's ranges. */
+std::string blockRecordName(const std::string &service, uint32_t block);
+
 } // namespace wisteriahoist
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -445,19 +445,19 @@
 
 asio::awaitable<void> RangeDuty::planOnce()
 {
-    if (refresh_) {
+    if (!unread_.empty()) {
         co_await refreshTable();
     }
     const TimePoint now = clock_.now();
     const StoredTable *stored = view_.findTable(self_.service);
-    if (refresh_) {
+    if (!unread_.empty()) {
         writing_ = false;
         co_return;
     }
     if (stored == nullptr) {
         co_await createTable();
     } else if (std::optional<RangeTable> next = planTable(*stored, now)) {
-        co_await writeTable(std::move(*next), stored->revision);
+        co_await writeTable(std::move(*next), *stored);
     }
     writing_ = false;
 }
@@ -476,44 +476,78 @@
     for (const RangeCandidate &candidate : candidates(now, true)) {
         shares.push_back({candidate.holder, candidate.slots});
     }
-    RangeTable table = makeRangeTable(shares);
-    co_await writeTable(std::move(table), StoreRevision(0));
+    RangeRecord record;
+    record.table = makeRangeTable(shares);
+    record.layout = chooseLayout(shares.size());
+    (void)co_await writeRecord(self_.service, std::move(record), StoreRevision(0));
 }
 
-asio::awaitable<void> RangeDuty::writeTable(RangeTable table, StoreRevision over)
+asio::awaitable<void> RangeDuty::writeTable(RangeTable next, StoredTable stored)
 {
-    std::string content = encodeRangeTable(table);
-    std::string name = self_.service;
+    const BlockLayout layout = stored.layout;
+    for (uint32_t block = 0; block < layout.count; ++block) {
+        const KeySpan span = layout.spanOf(block);
+        RangeRecord record;
+        record.layout = layout;
+        record.table = cutBlock(next, span);
+        if (record.table.entries == cutBlock(stored.table, span).entries) {
+            continue;
+        }
+        std::string name = self_.service;
+        if (layout.count > 1) {
+            record.service = self_.service;
+            record.block = block;
+            name = blockRecordName(self_.service, block);
+        }
+        // Each block's change is safe by itself. Where the store does not answer, the next blocks
+        // wait for the next look: every call in vain takes a whole timeout.
+        if (!co_await writeRecord(std::move(name), std::move(record), stored.revisionOf(block))) {
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<bool> RangeDuty::writeRecord(std::string name, RangeRecord record,
+                                             StoreRevision over)
+{
+    std::string content = encodeRangeRecord(record);
     Result<StoreRevision> written
-            = co_await store_.write(RecordKind::Ranges, std::move(name), over, std::move(content));
+            = co_await store_.write(RecordKind::Ranges, name, over, std::move(content));
     if (!written) {
         // It may have been written all the same, or somebody else was first: read before planning.
-        refresh_ = true;
-        logEvent(LogEvent::RangesNotWritten,
-                 {{"cause", std::string(failureName(written.assume_error().code))}});
-        co_return;
-    }
-    logEvent(LogEvent::RangesWritten, {{"service", self_.service},
+        const FailureCode code = written.assume_error().code;
+        unread_.insert(name);
+        logEvent(LogEvent::RangesNotWritten, {{"record", name},
+                                              {"over", over.value()},
+                                              {"cause", std::string(failureName(code))}});
+        co_return code == FailureCode::VersionConflict;
+    }
+    logEvent(LogEvent::RangesWritten, {{"record", name},
                                        {"revision", written.assume_value().value()},
-                                       {"ranges", table.entries.size()},
-                                       {"fence", table.highestFence.value()}});
-    view_.onTable(self_.service, std::move(table), written.assume_value());
+                                       {"ranges", record.table.entries.size()},
+                                       {"fence", record.table.highestFence.value()}});
+    view_.onRanges(name, std::move(record), written.assume_value());
     wake();
+    co_return true;
 }
 
 asio::awaitable<void> RangeDuty::refreshTable()
 {
-    std::string name = self_.service;
-    Result<StoredRecord> stored = co_await store_.read(RecordKind::Ranges, std::move(name));
-    if (!stored) {
-        refresh_ = stored.assume_error().code != FailureCode::NotFound;
-        co_return;
-    }
-    refresh_ = false;
-    Result<RangeTable> table = decodeRangeTable(stored.assume_value().content);
-    if (table) {
-        view_.onTable(self_.service, std::move(table.assume_value()),
-                      stored.assume_value().revision);
+    const std::set<std::string> names = unread_;
+    for (const std::string &name : names) {
+        Result<StoredRecord> stored = co_await store_.read(RecordKind::Ranges, name);
+        if (!stored) {
+            if (stored.assume_error().code == FailureCode::NotFound) {
+                unread_.erase(name);
+                continue;
+            }
+            co_return;
+        }
+        unread_.erase(name);
+        Result<RangeRecord> ranges = decodeRangeRecord(stored.assume_value().content);
+        if (ranges) {
+            view_.onRanges(name, std::move(ranges.assume_value()), stored.assume_value().revision);
+        }
     }
 }
 
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -75,7 +75,8 @@
     asio::awaitable<void> sendGrant(GrantOrder order);
     asio::awaitable<void> sendRelease(ReleaseOrder order);
     asio::awaitable<void> planOnce();
-    asio::awaitable<void> writeTable(RangeTable table, StoreRevision over);
+    asio::awaitable<void> writeTable(RangeTable next, StoredTable stored);
+    asio::awaitable<bool> writeRecord(std::string name, RangeRecord record, StoreRevision over);
     asio::awaitable<void> refreshTable();
     asio::awaitable<void> watchOthers();
     asio::awaitable<bool> fenceAtWitnesses(NodeId node, const LeaseRecord &lease);
@@ -127,7 +128,7 @@
     bool writing_ = false; ///< Invariant: at most one write of the table is on its way.
     bool renewing_ = false;
     bool watching_ = false;
-    bool refresh_ = false; ///< The table has to be read before the next write.
+    std::set<std::string> unread_; ///< Records of ranges that are to be read before the next write.
 };
 
 } // namespace wisteriahoist
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -145,12 +145,12 @@
         view_.onMember(member.assume_value(), record.revision);
         return;
     }
-    Result<RangeTable> table = decodeRangeTable(record.content);
-    if (!table) {
-        logMalformed(kind, record.name, table.assume_error());
+    Result<RangeRecord> ranges = decodeRangeRecord(record.content);
+    if (!ranges) {
+        logMalformed(kind, record.name, ranges.assume_error());
         return;
     }
-    view_.onTable(record.name, std::move(table.assume_value()), record.revision);
+    view_.onRanges(record.name, std::move(ranges.assume_value()), record.revision);
 }
 
 void StoreSync::takeRemoved(RecordKind kind, const std::string &name)
--- a/test/support/ownership_fleet.h
+++ b/test/support/ownership_fleet.h
@@ -170,14 +170,19 @@
     ScriptedStore &store() { return store_; }
     const Clock &clock() const { return clock_; }
 
+    /** While set, nodes do not learn what others have written, as behind a slow watch. */
+    void holdNews(bool hold) { holdsNews_ = hold; }
+
 private:
     void share()
     {
-        const StoredRecord *stored = store_.find(RecordKind::Ranges, "s");
+        if (holdsNews_) {
+            return;
+        }
         for (const auto &node : nodes_) {
-            if (stored != nullptr) {
-                node->view.onTable("s", decodeRangeTable(stored->content).assume_value(),
-                                   stored->revision);
+            for (const StoredRecord &stored : store_.records(RecordKind::Ranges)) {
+                node->view.onRanges(stored.name, decodeRangeRecord(stored.content).assume_value(),
+                                    stored.revision);
             }
             for (const auto &other : nodes_) {
                 MemberRecord member = other->published();
@@ -197,6 +202,7 @@
     std::map<std::pair<NodeId, NodeId>, MemberRecord> known_;
     std::set<NodeId> silenced_;
     uint64_t revision_ = 0;
+    bool holdsNews_ = false;
 };
 
 } // namespace wisteriahoist::testing
--- a/test/support/scripted_store.h
+++ b/test/support/scripted_store.h
@@ -35,6 +35,9 @@
     /** The next @p count writes are done but not answered. */
     void loseAnswers(int count) { lostAnswers_ = count; }
 
+    /** @return Writes that were refused since the record had changed. */
+    int conflicts() const { return conflicts_; }
+
     /** While set, every call fails as if the store were down. */
     void setDown(bool down) { down_ = down; }
 
@@ -44,17 +47,25 @@
         return found == records_.end() ? nullptr : &found->second;
     }
 
+    /** @return All records of a kind, by name. */
+    std::vector<StoredRecord> records(RecordKind kind) const
+    {
+        std::vector<StoredRecord> found;
+        for (const auto &[key, record] : records_) {
+            if (key.first == kind) {
+                found.push_back(record);
+            }
+        }
+        return found;
+    }
+
     Pending<RecordListing> list(RecordKind kind) override
     {
         if (down_) {
             co_return unavailable();
         }
         RecordListing listing;
-        for (const auto &[key, record] : records_) {
-            if (key.first == kind) {
-                listing.records.push_back(record);
-            }
-        }
+        listing.records = records(kind);
         listing.at = StoreRevision(revision_);
         co_return listing;
     }
@@ -77,6 +88,7 @@
             co_return unavailable();
         }
         if (find(kind, name) != nullptr) {
+            ++conflicts_;
             co_return Failure{FailureCode::VersionConflict, name};
         }
         co_return answer(put(kind, name, content));
@@ -93,6 +105,7 @@
             co_return Failure{FailureCode::NotFound, name};
         }
         if (record->revision != expected) {
+            ++conflicts_;
             co_return Failure{FailureCode::VersionConflict, name};
         }
         co_return answer(put(kind, name, content));
@@ -136,6 +149,7 @@
     uint64_t revision_ = 0;
     uint64_t cuts_ = 0;
     int lostAnswers_ = 0;
+    int conflicts_ = 0;
     bool muted_ = false;
     bool down_ = false;
 };
--- /dev/null
+++ b/test/unit/range/range_block_test.cpp
@@ -0,0 +1,122 @@
+/** @file range_block_test.cpp A range table in several records: cut apart, joined, never out of
+ * step.
+ */
+
+#include "adapter/codec/record_codec.h"
+#include "duty/fleet_view.h"
+#include "support/story.h"
+
+using namespace wisteriahoist;
+using namespace wisteriahoist::testing;
+
+namespace {
+
+RangeHolder holderOf(uint64_t node)
+{
+    return {NodeId(node), Incarnation(1), "b-" + std::to_string(node)};
+}
+
+RangeTable makeTable(size_t holders)
+{
+    std::vector<HolderShare> shares;
+    for (size_t index = 1; index <= holders; ++index) {
+        shares.push_back({holderOf(index), 1});
+    }
+    return makeRangeTable(shares);
+}
+
+RangeRecord makeBase(size_t holders)
+{
+    RangeRecord record;
+    record.table = makeTable(holders);
+    record.layout = chooseLayout(holders);
+    return record;
+}
+
+RangeRecord makeBlock(const RangeTable &table, const BlockLayout &layout, uint32_t block)
+{
+    RangeRecord record;
+    record.service = "s";
+    record.block = block;
+    record.layout = layout;
+    record.table = cutBlock(table, layout.spanOf(block));
+    return record;
+}
+
+} // namespace
+
+Test(range_block, a_small_service_has_one_record_and_a_large_one_several)
+{
+    cr_assert_eq(chooseLayout(4).count, 1U);
+    cr_assert_eq(chooseLayout(8).count, 1U);
+    cr_assert_eq(chooseLayout(41).count, 256U);
+    cr_assert_eq(chooseLayout(18000).count, 1024U);
+    cr_assert(BlockLayout{256}.spanOf(255).last == LastShardKey);
+    cr_assert(!isLayoutCount(3) && !isLayoutCount(0) && !isLayoutCount(2048));
+}
+
+Test(range_block, what_is_cut_apart_joins_to_the_same_table)
+{
+    const RangeTable table = makeTable(41);
+    const BlockLayout layout = chooseLayout(41);
+    RangeTable joined = giveRange(table, KeySpan{}, holderOf(99), {});
+    for (uint32_t block = 0; block < layout.count; ++block) {
+        joined = replaceBlock(std::move(joined), layout.spanOf(block),
+                              cutBlock(table, layout.spanOf(block)));
+    }
+    cr_assert(joined.entries == table.entries);
+}
+
+Test(range_block, a_view_joins_records_in_whatever_order_they_come)
+{
+    const RangeRecord base = makeBase(41);
+    const KeySpan moved{ShardKey(300), ShardKey(310)};
+    const RangeTable after = giveRange(base.table, moved, holderOf(7), "token");
+    const RangeRecord block = makeBlock(after, base.layout, 1);
+    FleetView view;
+
+    SECTION("a block ahead of the service's own record is no table yet")
+    {
+        view.onRanges("s.block-1", block, StoreRevision(9));
+        cr_assert(view.findTable("s") == nullptr);
+    }
+    SECTION("with it the block counts, and the rest is as it was divided first")
+    {
+        view.onRanges("s", base, StoreRevision(5));
+        const StoredTable *stored = view.findTable("s");
+        cr_assert(stored != nullptr);
+        cr_assert(stored->table.find(ShardKey(305))->holder == holderOf(7));
+        cr_assert(stored->table.entries == after.entries);
+        cr_assert(stored->revisionOf(1) == StoreRevision(9));
+        cr_assert(stored->revisionOf(2) == StoreRevision(0));
+    }
+    SECTION("an older record of the block changes nothing")
+    {
+        view.onRanges("s.block-1", makeBlock(base.table, base.layout, 1), StoreRevision(8));
+        cr_assert(view.findTable("s")->table.find(ShardKey(305))->holder == holderOf(7));
+    }
+}
+
+Test(range_block, a_blocks_record_is_read_as_it_was_written)
+{
+    const RangeRecord base = makeBase(41);
+    const RangeRecord block = makeBlock(base.table, base.layout, 200);
+    const Result<RangeRecord> read = decodeRangeRecord(encodeRangeRecord(block));
+    cr_assert(read.has_value());
+    cr_assert(read.assume_value().isBlock());
+    cr_assert_eq(read.assume_value().block, 200U);
+    cr_assert(read.assume_value().table == block.table);
+
+    SECTION("ranges outside of the block are malformed")
+    {
+        RangeRecord wrong = block;
+        wrong.block = 201;
+        cr_assert(!decodeRangeRecord(encodeRangeRecord(wrong)).has_value());
+    }
+    SECTION("so is a layout that no release writes")
+    {
+        RangeRecord wrong = block;
+        wrong.layout.count = 250;
+        cr_assert(!decodeRangeRecord(encodeRangeRecord(wrong)).has_value());
+    }
+}
--- a/test/unit/range/range_duty_test.cpp
+++ b/test/unit/range/range_duty_test.cpp
@@ -65,7 +65,8 @@
     cr_assert(fleet.reaches(
             [&]() {
                 const StoredRecord *table = fleet.store().find(RecordKind::Ranges, "s");
-                return countKeys(decodeRangeTable(table->content).assume_value(), NodeId(2)) == 0;
+                return countKeys(decodeRangeRecord(table->content).assume_value().table, NodeId(2))
+                       == 0;
             },
             Patience));
     cr_assert(fleet.reaches(all, Patience));
@@ -85,7 +86,8 @@
     cr_assert(fleet.reaches([&]() { return fleet.admitting(Low) == std::vector<uint64_t>{2}; },
                             Patience));
     const StoredRecord *table = fleet.store().find(RecordKind::Ranges, "s");
-    cr_assert(decodeRangeTable(table->content).assume_value().find(Low)->handover == "token");
+    cr_assert(decodeRangeRecord(table->content).assume_value().table.find(Low)->handover
+              == "token");
 }
 
 // The answer to the write that divides the service is lost. The node reads the table before it
@@ -107,7 +109,7 @@
     node.backend.seeFence(Epoch(2));
     cr_assert(fleet.reaches([&]() { return isServedByOne(fleet, Low); }, Patience));
     const StoredRecord *table = fleet.store().find(RecordKind::Ranges, "s");
-    cr_assert(decodeRangeTable(table->content).assume_value().find(Low)->fence >= Epoch(2));
+    cr_assert(decodeRangeRecord(table->content).assume_value().table.find(Low)->fence >= Epoch(2));
 }
 
 // A node is restarted while the store is away. Released, its keys would be served by nobody until
@@ -138,3 +140,48 @@
                 Patience));
     }
 }
+
+// Callers of keys that move are turned down for a second and more: a large service's holders all
+// change one record, each on what it knew before the others' changes, and all but the first are
+// refused. With a record for each block of keys, changes far apart do not collide.
+Test(range_duty, holders_of_a_large_service_change_their_keys_without_colliding)
+{
+    OwnershipFleet fleet;
+    std::vector<OwnershipNode *> nodes;
+    for (uint64_t id = 1; id <= 10; ++id) {
+        nodes.push_back(&fleet.add(id, "b-" + std::to_string(id)));
+    }
+    std::set<uint64_t> crashed;
+    const auto isServed = [&]() {
+        for (uint32_t key = 5; key <= LastShardKey.value(); key += 4000) {
+            const std::vector<uint64_t> servers = fleet.admitting(ShardKey(key));
+            if (servers.size() != 1 || crashed.count(servers.front()) > 0) {
+                return false;
+            }
+        }
+        return true;
+    };
+    cr_assert(fleet.reaches(isServed, Patience));
+    const int before = fleet.store().conflicts();
+    fleet.holdNews(true);
+    for (size_t index = 0; index < 4; ++index) {
+        OwnershipNode &node = *nodes[2 * index];
+        node.backend.crash();
+        (void)node.monitor.onRefusedConnection();
+        (void)node.monitor.onRefusedConnection();
+        node.duty.wake();
+        crashed.insert(node.record.node.value());
+    }
+    const auto hasGivenAway = [](const OwnershipNode *node) {
+        return countKeys(node->view.findTable("s")->table, node->record.node) == 0;
+    };
+    cr_assert(fleet.reaches(
+            [&]() {
+                return hasGivenAway(nodes[0]) && hasGivenAway(nodes[2]) && hasGivenAway(nodes[4])
+                       && hasGivenAway(nodes[6]);
+            },
+            Patience));
+    cr_assert_eq(fleet.store().conflicts(), before);
+    fleet.holdNews(false);
+    cr_assert(fleet.reaches(isServed, Patience));
+}
