Fix: [Ownership] A block's change joins the table in one pass

Cause: every change joined all 256 blocks anew, each with a copy of all ranges; on nodes with a tenth of a core that took the core.

--- a/src/decision/range/range_block.cpp
+++ b/src/decision/range/range_block.cpp
@@ -40,33 +40,36 @@
 {
     RangeTable part;
     part.highestFence = table.highestFence;
-    for (size_t index = 0; index < table.entries.size(); ++index) {
-        const KeySpan held = table.spanOf(index);
-        if (held.overlaps(span)) {
-            RangeEntry entry = table.entries[index];
-            entry.first = std::max(entry.first, span.first);
-            part.entries.push_back(std::move(entry));
-        }
+    auto entry = std::upper_bound(
+            table.entries.begin(), table.entries.end(), span.first,
+            [](ShardKey key, const RangeEntry &other) { return key < other.first; });
+    if (entry != table.entries.begin()) {
+        --entry;
+    }
+    for (; entry != table.entries.end() && entry->first <= span.last; ++entry) {
+        part.entries.push_back(*entry);
+        part.entries.back().first = std::max(entry->first, span.first);
     }
     return part;
 }
 
 RangeTable replaceBlock(RangeTable table, const KeySpan &span, const RangeTable &part)
 {
-    RangeTable joined;
-    joined.highestFence = std::max(table.highestFence, part.highestFence);
-    const auto append = [&joined](const RangeTable &from) {
-        joined.entries.insert(joined.entries.end(), from.entries.begin(), from.entries.end());
-    };
-    if (span.first > ShardKey(0)) {
-        append(cutBlock(table, {ShardKey(0), ShardKey(span.first.value() - 1)}));
-    }
-    append(part);
+    splitAt(table, span.first);
     if (span.last < LastShardKey) {
-        append(cutBlock(table, {ShardKey(span.last.value() + 1), LastShardKey}));
+        splitAt(table, ShardKey(span.last.value() + 1));
     }
-    mergeEqual(joined);
-    return joined;
+    const auto isBefore = [](const RangeEntry &entry, ShardKey key) { return entry.first < key; };
+    const auto begin
+            = std::lower_bound(table.entries.begin(), table.entries.end(), span.first, isBefore);
+    const auto end = std::find_if(begin, table.entries.end(), [&span](const RangeEntry &entry) {
+        return entry.first > span.last;
+    });
+    const auto gap = table.entries.erase(begin, end);
+    table.entries.insert(gap, part.entries.begin(), part.entries.end());
+    table.highestFence = std::max(table.highestFence, part.highestFence);
+    mergeEqual(table);
+    return table;
 }
 
 } // namespace wisteriahoist
--- a/src/decision/range/range_table.cpp
+++ b/src/decision/range/range_table.cpp
@@ -7,9 +7,6 @@
 
 namespace wisteriahoist {
 
-namespace {
-
-/** Makes an entry begin at @p key. */
 void splitAt(RangeTable &table, ShardKey key)
 {
     auto next = std::upper_bound(
@@ -23,8 +20,6 @@
     table.entries.insert(next, std::move(part));
 }
 
-} // namespace
-
 void mergeEqual(RangeTable &table)
 {
     std::vector<RangeEntry> merged;
@@ -121,13 +116,18 @@
 
 uint32_t countKeys(const RangeTable &table, NodeId node)
 {
-    uint32_t count = 0;
+    const std::map<NodeId, uint32_t> counts = countKeysByNode(table);
+    const auto found = counts.find(node);
+    return found == counts.end() ? 0 : found->second;
+}
+
+std::map<NodeId, uint32_t> countKeysByNode(const RangeTable &table)
+{
+    std::map<NodeId, uint32_t> counts;
     for (size_t index = 0; index < table.entries.size(); ++index) {
-        if (table.entries[index].holder.node == node) {
-            count += table.spanOf(index).size();
-        }
+        counts[table.entries[index].holder.node] += table.spanOf(index).size();
     }
-    return count;
+    return counts;
 }
 
 } // namespace wisteriahoist
--- a/src/decision/range/range_type.h
+++ b/src/decision/range/range_type.h
@@ -5,6 +5,7 @@
 #include "core/id_type.h"
 #include "core/time_type.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,9 @@
     const RangeEntry *find(ShardKey key) const;
 };
 
+/** Makes an entry begin at @p key. */
+void splitAt(RangeTable &table, ShardKey key);
+
 /** Joins neighbours that differ in nothing but their keys. */
 void mergeEqual(RangeTable &table);
 
@@ -101,4 +105,7 @@
 /** @return How many keys @p node holds. */
 uint32_t countKeys(const RangeTable &table, NodeId node);
 
+/** @return How many keys each node holds; nodes without any are left out. */
+std::map<NodeId, uint32_t> countKeysByNode(const RangeTable &table);
+
 } // namespace wisteriahoist
--- a/src/duty/fleet_view.cpp
+++ b/src/duty/fleet_view.cpp
@@ -69,25 +69,24 @@
         return;
     }
     known = revision;
-    if (record.isBlock()) {
-        records.blocks[record.block] = std::move(record.table);
-    } else {
-        records.base = std::move(record.table);
+    RangeTable &table = records.joined.table;
+    const bool divided = records.joined.revision.value() != 0;
+    if (!record.isBlock()) {
+        table = std::move(record.table);
         records.joined.layout = record.layout;
-    }
-    join(records);
-    notify();
-}
-
-void FleetView::join(RangeRecords &records)
-{
-    RangeTable table = records.base;
-    for (const auto &[block, part] : records.blocks) {
-        if (block < records.joined.layout.count) {
-            table = replaceBlock(std::move(table), records.joined.layout.spanOf(block), part);
+        for (const auto &[block, early] : records.early) {
+            if (block >= record.layout.count) {
+                continue;
+            }
+            table = replaceBlock(std::move(table), record.layout.spanOf(block), early);
         }
+        records.early.clear();
+    } else if (!divided) {
+        records.early[record.block] = std::move(record.table);
+    } else if (record.layout == records.joined.layout) {
+        table = replaceBlock(std::move(table), record.layout.spanOf(record.block), record.table);
     }
-    records.joined.table = std::move(table);
+    notify();
 }
 
 const MemberRecord *FleetView::findMember(NodeId node) const
--- a/src/duty/fleet_view.h
+++ b/src/duty/fleet_view.h
@@ -57,15 +57,13 @@
     uint64_t changes() const { return changes_; }
 
 private:
-    /** The records of one service's ranges; a block's may come before the service's own. */
+    /** The records of one service's ranges. */
     struct RangeRecords {
-        RangeTable base;
         StoredTable joined; ///< Without a revision of its own: the service's own record is missing.
-        std::map<uint32_t, RangeTable> blocks;
+        std::map<uint32_t, RangeTable> early; ///< Blocks that came before the service's own record.
     };
 
     void notify();
-    static void join(RangeRecords &records);
 
     RouteConfigHolder config_;
     std::map<NodeId, MemberRecord> members_;
