Change: [Ownership] Moves draw their receivers at random; lost holders are looked at all at once

Lost holders were asked one after the other, 0.3 s each; quiet nodes were all probed by all others twice a second, the square of a service.

--- a/src/decision/range/range_planner.cpp
+++ b/src/decision/range/range_planner.cpp
@@ -74,6 +74,18 @@
 
 } // namespace
 
+std::vector<RangeCandidate> drawCandidates(std::vector<RangeCandidate> candidates, size_t most,
+                                           std::mt19937_64 &random)
+{
+    if (candidates.size() <= most) {
+        return candidates;
+    }
+    std::vector<RangeCandidate> drawn;
+    std::sample(std::make_move_iterator(candidates.begin()),
+                std::make_move_iterator(candidates.end()), std::back_inserter(drawn), most, random);
+    return drawn;
+}
+
 std::vector<RangeMove> planGiveAway(const std::vector<KeySpan> &spans,
                                     const std::vector<KeyRate> &rates,
                                     const std::vector<RangeCandidate> &candidates)
--- a/src/decision/range/range_planner.h
+++ b/src/decision/range/range_planner.h
@@ -6,6 +6,7 @@
 #include "decision/range/key_load.h"
 
 #include <optional>
+#include <random>
 
 namespace wisteriahoist {
 
@@ -45,6 +46,22 @@
     milliseconds pause{3000};
 };
 
+/**
+ * How many backend servers are looked at for one balancing move. All holders see the same reports,
+ * a second old: with 41 of them, six chose the same idlest one within a second and each other's
+ * keys waited there. The idlest of three random ones is a good one, and rarely everybody's.
+ */
+inline constexpr size_t BalanceSample = 3;
+/**
+ * How many backend servers get the keys of one that leaves. Cut into a piece for each of 40, they
+ * made the table ten times as long, and each piece costs a release, a write and a grant.
+ */
+inline constexpr size_t GiveAwaySample = 6;
+
+/** @return @p most of @p candidates, drawn at random; all of them if there are no more. */
+std::vector<RangeCandidate> drawCandidates(std::vector<RangeCandidate> candidates, size_t most,
+                                           std::mt19937_64 &random);
+
 /**
  * Divides @p spans among @p candidates so that their loads come out level. The load of the spans
  * is taken from @p rates; with @p rates empty, it is taken to be even over the keys.
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -47,7 +47,7 @@
       monitor_(monitor), loads_(loads), self_(self), session_(drawLife()),
       keeper_(grants, RangeKeeper::lapseOf(grants, grants.hold, clock.now())),
       contact_(context, clock, peers, view, loads, authority_, self.node, self.failureDomain),
-      wakeTimer_(context)
+      random_(std::random_device{}()), wakeTimer_(context)
 { }
 
 void RangeDuty::start()
@@ -126,6 +126,10 @@
 {
     std::vector<RangeCandidate> found;
     const StoredTable *stored = view_.findTable(self_.service);
+    std::map<NodeId, uint32_t> keys;
+    if (stored != nullptr) {
+        keys = countKeysByNode(stored->table);
+    }
     for (const MemberRecord *member : view_.readyMembers(self_.service)) {
         const bool self = member->node == self_.node;
         // A record outlives its node while the store is away; only an answer shows that it lives.
@@ -138,7 +142,7 @@
         candidate.slots = std::max<uint32_t>(1, member->slots);
         candidate.busySlots = loads_.busySlots(member->node, now);
         candidate.serviceTime = loads_.serviceTime(member->node);
-        candidate.keys = stored == nullptr ? 0 : countKeys(stored->table, member->node);
+        candidate.keys = keys[member->node];
         found.push_back(std::move(candidate));
     }
     return found;
@@ -198,10 +202,10 @@
         writing_ = true;
         spawn(planOnce());
     }
-    if (!watching_ && now - probedAt_ >= WatchEvery) {
+    if (checking_ == 0 && now - probedAt_ >= WatchEvery) {
         probedAt_ = now;
-        watching_ = true;
-        spawn(watchOthers());
+        watchOthers();
+        probeQuiet(now);
     }
     for (GrantOrder &order : keeper_.takeDueGrants(authority_.validUntil(), now)) {
         spawn(sendGrant(std::move(order)));
@@ -302,7 +306,8 @@
         return;
     }
     const std::vector<RangeMove> moves
-            = planGiveAway(held, load_.rates(KeySpan{}, now), candidates(now, false));
+            = planGiveAway(held, load_.rates(KeySpan{}, now),
+                           drawCandidates(candidates(now, false), GiveAwaySample, random_));
     for (const RangeMove &move : moves) {
         beginMove(move, stopping_ ? "node stops" : "backend server leaves", now);
     }
@@ -336,6 +341,7 @@
         limits.margin = 0;
         others = newcomers;
     }
+    others = drawCandidates(std::move(others), BalanceSample, random_);
     std::vector<RangeMove> moves
             = planBalance(self, held, load_.rates(KeySpan{}, now), others, limits);
     if (moves.empty() && !newcomers.empty() && busiest) {
@@ -404,7 +410,7 @@
 RangeTable RangeDuty::giveAway(RangeTable table,
                                const std::function<bool(const RangeHolder &)> &isGiven,
                                const std::vector<KeyRate> &rates,
-                               const std::vector<RangeCandidate> &takers)
+                               std::vector<RangeCandidate> takers)
 {
     std::vector<KeySpan> spans;
     for (size_t index = 0; index < table.entries.size(); ++index) {
@@ -412,6 +418,10 @@
             spans.push_back(table.spanOf(index));
         }
     }
+    if (spans.empty()) {
+        return table;
+    }
+    takers = drawCandidates(std::move(takers), GiveAwaySample, random_);
     for (const RangeMove &move : planGiveAway(spans, rates, takers)) {
         table = giveRange(std::move(table), move.span, move.holder, {});
     }
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -78,15 +78,14 @@
     asio::awaitable<void> writeTable(RangeTable next, StoredTable stored);
     asio::awaitable<bool> writeRecord(std::string name, RangeRecord record, StoreRevision over);
     asio::awaitable<void> refreshTable();
-    asio::awaitable<void> watchOthers();
+    void watchOthers();
+    void probeQuiet(TimePoint now);
     asio::awaitable<bool> fenceAtWitnesses(NodeId node, const LeaseRecord &lease);
     asio::awaitable<void> revoke(NodeId node, StoreRevision revision);
     void sendOrders(TimePoint now);
     std::optional<RangeTable> planTable(const StoredTable &stored, TimePoint now);
-    static RangeTable giveAway(RangeTable table,
-                               const std::function<bool(const RangeHolder &)> &isGiven,
-                               const std::vector<KeyRate> &rates,
-                               const std::vector<RangeCandidate> &takers);
+    RangeTable giveAway(RangeTable table, const std::function<bool(const RangeHolder &)> &isGiven,
+                        const std::vector<KeyRate> &rates, std::vector<RangeCandidate> takers);
     RangeTable handReleasedOver(RangeTable table, TimePoint now);
     bool isFreeForAll(const RangeHolder &holder) const;
     asio::awaitable<void> createTable();
@@ -112,6 +111,7 @@
     StoreRevision leaseRevision_;
     uint64_t renewals_ = 0;
     KeyLoad load_;
+    std::mt19937_64 random_;
     PeerProbe probe_;
     asio::steady_timer wakeTimer_;
     std::vector<RangeMove> targets_;            ///< Who is to get what is being released.
@@ -127,7 +127,7 @@
     bool halted_ = false;
     bool writing_ = false; ///< Invariant: at most one write of the table is on its way.
     bool renewing_ = false;
-    bool watching_ = false;
+    size_t checking_ = 0;          ///< Holders that are being looked at.
     std::set<std::string> unread_; ///< Records of ranges that are to be read before the next write.
 };
 
--- a/src/duty/range_duty_takeover.cpp
+++ b/src/duty/range_duty_takeover.cpp
@@ -14,13 +14,14 @@
 
 /** A node of the service that has not been heard of for so long is asked whether it is there. */
 constexpr milliseconds ProbeAfter{2000};
+/** Six a second for each node, however large the service is: enough to know some that take keys. */
+constexpr size_t ProbesAtOnce = 3;
 
 } // namespace
 
-asio::awaitable<void> RangeDuty::watchOthers()
+void RangeDuty::watchOthers()
 {
-    const TimePoint now = clock_.now();
-    const MemberRecord *first = firstOfService(now);
+    const MemberRecord *first = firstOfService(clock_.now());
     const StoredTable *stored = view_.findTable(self_.service);
     std::set<NodeId> holders;
     if (first != nullptr && first->node == self_.node && stored != nullptr) {
@@ -33,21 +34,33 @@
     const auto isDone = [&holders](const auto &entry) { return holders.count(entry.first) == 0; };
     std::erase_if(observers_, isDone);
     std::erase_if(takeovers_, isDone);
+    // All at once: where half of a service is lost, each lost holder takes a connection's timeout,
+    // and the last of twenty would be looked at after six seconds.
+    checking_ = holders.size();
     for (const NodeId node : holders) {
-        co_await checkHolder(node);
+        const auto check = [this, node]() -> asio::awaitable<void> {
+            co_await checkHolder(node);
+            --checking_;
+        };
+        asio::co_spawn(context_, check, asio::detached);
     }
+}
+
+void RangeDuty::probeQuiet(TimePoint now)
+{
     std::vector<MemberRecord> quiet;
     for (const MemberRecord *member : view_.readyMembers(self_.service)) {
         if (member->node != self_.node && now - loads_.heardAt(member->node) >= ProbeAfter) {
             quiet.push_back(*member);
         }
     }
+    std::shuffle(quiet.begin(), quiet.end(), random_);
+    quiet.resize(std::min(quiet.size(), ProbesAtOnce));
     for (const MemberRecord &member : quiet) {
         const auto ask
                 = [this, member]() -> asio::awaitable<void> { (void)co_await probe_(member); };
         asio::co_spawn(context_, ask, asio::detached);
     }
-    watching_ = false;
 }
 
 asio::awaitable<void> RangeDuty::checkHolder(NodeId node)
