--- a/src/adapter/codec/record_codec.cpp
+++ b/src/adapter/codec/record_codec.cpp
@@ -75,6 +75,7 @@
     message.set_state(encodeState(member.state));
     message.set_slots(member.slots);
     message.set_stopping(member.stopping);
+    message.set_cpu_share(member.cpuShare);
     return toJson(message);
 }
 
@@ -100,6 +101,7 @@
     member.state = decodeState(message.state());
     member.slots = message.slots();
     member.stopping = message.stopping();
+    member.cpuShare = message.cpu_share();
     return member;
 }
 
--- a/src/decision/member/member_type.h
+++ b/src/decision/member/member_type.h
@@ -31,6 +31,7 @@
     BackendState state = BackendState::Absent;
     uint32_t slots = 0;    ///< Requests that the backend server runs at once.
     bool stopping = false; ///< The node's process has been told to end.
+    double cpuShare = 0;   ///< Of a core, that the node may use; 0: not known.
     bool operator==(const MemberRecord &) const = default;
 
     bool takesRequests() const { return state == BackendState::Ready && !stopping; }
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -2,13 +2,13 @@
 
 #include "duty/request_router.h"
 
-#include "adapter/clock/pause_func.h"
 #include "adapter/http/header_rules.h"
 #include "adapter/log/event_log.h"
 #include "duty/ingress_message.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
 
 namespace wisteriahoist {
 
@@ -21,8 +21,8 @@
 /** Lets the gate's own verdict at the deadline (it may be "not run") arrive before the hop's. */
 constexpr milliseconds HopGrace{20};
 constexpr milliseconds CancelTimeout{500};
-/** Between two questions to the owner of a key that is on its way. */
-constexpr milliseconds OwnerPause{50};
+/** Between two questions to the owner of a key that is on its way; a new owner is asked at once. */
+constexpr milliseconds OwnerPause{100};
 /** The first configuration is read within a second of a node's start, or the store is away. */
 constexpr milliseconds RetryConfig{1000};
 /** A lost node's keys are served again after about three seconds. */
@@ -57,6 +57,7 @@
     // A node that has restarted must not name its requests as its earlier life did: the gate may
     // still run one of those, and a cancellation would cut off the wrong one.
     lastRequest_ = random_();
+    view_.onChange([this]() { wakeWaiters(); });
     peers_.serve(std::string(HopPath), [this](std::string body) { return onHop(std::move(body)); });
     peers_.serve(std::string(ProbePath), [this](std::string) { return onProbe(); });
 }
@@ -136,6 +137,7 @@
     hop.set_body(request.body());
     const ServiceConfig *service = view_.routes().findService(hop.service());
     work->history.sharded = service != nullptr && service->sharded;
+    work->history.objective = route.latencyObjective;
     work->history.idempotent = route.kind == RequestKind::Idempotent;
     work->history.maxAttempts = std::max<uint32_t>(1, route.maxAttempts);
     if (work->history.sharded && terms.shardKey) {
@@ -198,15 +200,27 @@
 
 asio::awaitable<void> RequestRouter::awaitRouting(std::shared_ptr<Work> work)
 {
-    constexpr milliseconds Step{10};
     const TimePoint begun = clock_.now();
     work->asked.clear();
-    while (clock_.now() - begun < OwnerPause && view_.changes() == work->routingSeen) {
-        co_await pauseFor(Step);
-    }
+    asio::steady_timer timer(context_, OwnerPause);
+    const auto waiter = waiters_.insert(waiters_.end(), {work.get(), &timer});
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    waiters_.erase(waiter);
     work->history.awaitedOwner += clock_.now() - begun;
 }
 
+void RequestRouter::wakeWaiters()
+{
+    for (const Waiter &waiter : waiters_) {
+        const RangeEntry *owner = findOwner(*waiter.work);
+        const std::optional<RangeEntry> &seen = waiter.work->routingSeen;
+        if (owner != nullptr && (!seen || !(owner->holder == seen->holder))) {
+            waiter.timer->cancel();
+        }
+    }
+}
+
 NodeId RequestRouter::chooseAny(Work &work)
 {
     const TimePoint now = clock_.now();
@@ -229,15 +243,19 @@
             .value_or(InvalidNode);
 }
 
+const RangeEntry *RequestRouter::findOwner(const Work &work) const
+{
+    const StoredTable *stored = view_.findTable(work.hop.service());
+    return stored == nullptr ? nullptr : stored->table.find(ShardKey(work.hop.shard_key()));
+}
+
 NodeId RequestRouter::chooseTarget(Work &work)
 {
-    work.routingSeen = view_.changes();
     if (!work.history.sharded) {
         return chooseAny(work);
     }
-    const StoredTable *stored = view_.findTable(work.hop.service());
-    const RangeEntry *entry
-            = stored == nullptr ? nullptr : stored->table.find(ShardKey(work.hop.shard_key()));
+    const RangeEntry *entry = findOwner(work);
+    work.routingSeen = entry == nullptr ? std::nullopt : std::optional<RangeEntry>(*entry);
     return entry == nullptr ? InvalidNode : entry->holder.node;
 }
 
--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -13,6 +13,7 @@
 #include "duty/peer_link.h"
 #include "duty/peer_loads.h"
 
+#include <list>
 #include <random>
 #include <set>
 
@@ -77,8 +78,8 @@
         TimePoint objective;
         NodeId target; ///< Of the present attempt.
         std::set<NodeId> asked;
-        uint64_t routingSeen = 0;   ///< Changes of the view when the target was chosen.
-        milliseconds retryAfter{0}; ///< The shortest that any node gave.
+        std::optional<RangeEntry> routingSeen; ///< Of its key, when the target was chosen.
+        milliseconds retryAfter{0};            ///< The shortest that any node gave.
     };
 
     HttpResponse refuse(http::status status, std::string_view type, const std::string &detail,
@@ -92,6 +93,8 @@
     asio::awaitable<std::string> onProbe();
     asio::awaitable<void> awaitRouting(std::shared_ptr<Work> work);
     asio::awaitable<void> sendCancel(NodeId target, uint64_t requestId);
+    const RangeEntry *findOwner(const Work &work) const;
+    void wakeWaiters();
     NodeId chooseTarget(Work &work);
     NodeId chooseAny(Work &work);
     bool takeRepeat(const Work &work, TimePoint now);
@@ -115,6 +118,12 @@
     /// requests a second and stays below it.
     LineBudget lines_{200, 400};
     Histogram *duration_ = nullptr;
+    /** A request that waits until its key has another holder. */
+    struct Waiter {
+        const Work *work = nullptr;
+        asio::steady_timer *timer = nullptr;
+    };
+    std::list<Waiter> waiters_;
     uint64_t lastRequest_ = 0;
     size_t open_ = 0;
 };
--- /dev/null
+++ b/src/duty/shared_watch.cpp
@@ -0,0 +1,211 @@
+/** @file shared_watch.cpp Watches of the store that many nodes share. */
+
+#include "duty/shared_watch.h"
+
+#include "adapter/log/event_log.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace wisteriahoist {
+
+namespace {
+
+constexpr std::string_view FeedPath = "/feed";
+
+/** The store's watch would go on with what it knows; a list tells for certain. */
+Failure listAgain(const std::string &cause)
+{
+    return {FailureCode::HistoryGone, cause};
+}
+
+v1::StoreRecord encodeChange(const RecordChange &change)
+{
+    v1::StoreRecord record;
+    record.set_name(change.record.name);
+    record.set_revision(change.record.revision.value());
+    record.set_content(change.record.content);
+    record.set_removed(change.removed);
+    return record;
+}
+
+RecordChange decodeChange(const v1::StoreRecord &record)
+{
+    return {{record.name(), StoreRevision(record.revision()), record.content()}, record.removed()};
+}
+
+} // namespace
+
+SharedWatch::SharedWatch(asio::io_context &context, RecordStore &store, const Clock &clock,
+                         PeerLink &peers, const FleetView &view, const MemberRecord &self,
+                         FeederLimits limits, SharedWatchTimes times)
+    : context_(context), store_(store), clock_(clock), peers_(peers), view_(view), self_(self.node),
+      failureDomain_(self.failureDomain), limits_(limits), times_(times), startedAt_(clock.now())
+{
+    peers_.serve(std::string(FeedPath),
+                 [this](std::string body) { return serve(std::move(body)); });
+}
+
+milliseconds SharedWatch::waitOf(RecordKind kind) const
+{
+    return kind == RecordKind::Configuration ? times_.configWait : times_.otherWait;
+}
+
+bool SharedWatch::isFresh(RecordKind kind, TimePoint now) const
+{
+    const auto found = feeds_.find(kind);
+    const TimePoint confirmed = found == feeds_.end() ? NeverTime : found->second.confirmedAt();
+    return confirmed != NeverTime && now - confirmed <= waitOf(kind) + times_.margin;
+}
+
+RecordStore::Pending<RecordListing> SharedWatch::list(RecordKind kind)
+{
+    const TimePoint sentAt = clock_.now();
+    Result<RecordListing> listing = co_await store_.list(kind);
+    if (listing) {
+        feeds_[kind].onList(listing.assume_value(), sentAt);
+        wakeFollowers();
+    }
+    co_return listing;
+}
+
+RecordStore::Pending<StoredRecord> SharedWatch::read(RecordKind kind, std::string name)
+{
+    co_return co_await store_.read(kind, std::move(name));
+}
+
+RecordStore::Pending<StoreRevision> SharedWatch::create(RecordKind kind, std::string name,
+                                                        std::string content)
+{
+    co_return co_await store_.create(kind, std::move(name), std::move(content));
+}
+
+RecordStore::Pending<StoreRevision>
+SharedWatch::replace(RecordKind kind, std::string name, StoreRevision expected, std::string content)
+{
+    co_return co_await store_.replace(kind, std::move(name), expected, std::move(content));
+}
+
+RecordStore::Pending<RecordChanges> SharedWatch::watch(RecordKind kind, StoreRevision since,
+                                                       milliseconds wait)
+{
+    const TimePoint now = clock_.now();
+    const bool settled = now - startedAt_ >= times_.settle;
+    const auto isUsable = [this, now, settled](NodeId node) {
+        const auto found = shunned_.find(node);
+        return settled && (found == shunned_.end() || now >= found->second.until);
+    };
+    const std::optional<NodeId> feeder
+            = chooseFeeder(view_.members(), self_, failureDomain_, isUsable, limits_);
+    following_ = feeder.has_value();
+    if (following_) {
+        const MemberRecord member = *view_.findMember(*feeder);
+        co_return co_await follow(member, kind, since);
+    }
+    const bool feeds = view_.members().size() >= limits_.leastMembers;
+    co_return co_await watchStore(kind, since, feeds ? std::min(wait, waitOf(kind)) : wait);
+}
+
+RecordStore::Pending<RecordChanges> SharedWatch::watchStore(RecordKind kind, StoreRevision since,
+                                                            milliseconds wait)
+{
+    Result<RecordChanges> changes = co_await store_.watch(kind, since, wait);
+    if (changes) {
+        feeds_[kind].onChanges(changes.assume_value(), clock_.now());
+        wakeFollowers();
+    } else {
+        feeds_[kind].onLost();
+    }
+    co_return changes;
+}
+
+RecordStore::Pending<RecordChanges> SharedWatch::follow(MemberRecord feeder, RecordKind kind,
+                                                        StoreRevision since)
+{
+    v1::FeedRequest request;
+    request.set_kind(static_cast<uint32_t>(kind));
+    request.set_since(since.value());
+    std::string body = request.SerializeAsString();
+    Result<std::string> bytes
+            = co_await peers_.call(feeder, FeedPath, std::move(body), times_.followTimeout);
+    v1::FeedReply reply;
+    const bool whole
+            = bytes && !bytes.assume_value().empty() && reply.ParseFromString(bytes.assume_value());
+    if (!whole || !reply.fresh()) {
+        shun(feeder.node, clock_.now());
+        logEvent(LogEvent::FeederLost,
+                 {{"feeder", feeder.name},
+                  {"kind", static_cast<int64_t>(kind)},
+                  {"cause", whole ? std::string("its news are old") : std::string("no answer")}});
+        co_return listAgain("the feeder has no news");
+    }
+    shunned_.erase(feeder.node);
+    RecordChanges changes;
+    changes.at = StoreRevision(reply.revision());
+    for (const v1::StoreRecord &record : reply.records()) {
+        changes.changes.push_back(decodeChange(record));
+    }
+    co_return changes;
+}
+
+void SharedWatch::shun(NodeId feeder, TimePoint now)
+{
+    Shun &entry = shunned_[feeder];
+    if (now < entry.until) {
+        return; // Calls for other kinds of records have failed at the same time.
+    }
+    const milliseconds time = std::max(entry.next, times_.firstShun);
+    entry.until = now + time;
+    entry.next = std::min(time * 2, times_.longestShun);
+}
+
+asio::awaitable<std::string> SharedWatch::serve(std::string body)
+{
+    v1::FeedRequest request;
+    v1::FeedReply reply;
+    if (request.ParseFromString(body)
+        && request.kind() <= static_cast<uint32_t>(RecordKind::Leases)) {
+        reply = co_await answer(std::move(request));
+    }
+    co_return reply.SerializeAsString();
+}
+
+asio::awaitable<v1::FeedReply> SharedWatch::answer(v1::FeedRequest request)
+{
+    const auto kind = static_cast<RecordKind>(request.kind());
+    const StoreRevision since(request.since());
+    const TimePoint end = clock_.now() + times_.followWait;
+    v1::FeedReply reply;
+    while (true) {
+        const TimePoint now = clock_.now();
+        // A follower of another node would pass on news that are older than it can tell.
+        const auto changes = following_ || !isFresh(kind, now) ? std::nullopt
+                                                               : feeds_[kind].changesSince(since);
+        reply.set_fresh(changes.has_value());
+        if (!changes) {
+            co_return reply;
+        }
+        if (!changes->changes.empty() || now >= end) {
+            reply.set_revision(changes->at.value());
+            for (const RecordChange &change : changes->changes) {
+                *reply.add_records() = encodeChange(change);
+            }
+            co_return reply;
+        }
+        const TimePoint stale = feeds_[kind].confirmedAt() + waitOf(kind) + times_.margin;
+        asio::steady_timer timer(context_, std::min(end, stale) - now + milliseconds(1));
+        waiting_.insert(&timer);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        waiting_.erase(&timer);
+    }
+}
+
+void SharedWatch::wakeFollowers()
+{
+    for (asio::steady_timer *timer : waiting_) {
+        timer->cancel();
+    }
+}
+
+} // namespace wisteriahoist
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -71,8 +71,7 @@
             note(kind, nullptr);
             at = next.assume_value();
             pause = times_.firstPause;
-            const auto members = static_cast<int64_t>(view_.members().size());
-            co_await pauseFor(std::min(times_.pausePerMember * members, times_.longestGap));
+            co_await pauseFor(gapAfter(kind));
             continue;
         }
         // A watch that was cut may have missed changes whose history is gone. The store says so
@@ -84,13 +83,24 @@
         }
         note(kind, &failure);
         co_await pauseFor(pause);
-        pause = std::min(pause * 2, times_.longestPause);
+        const auto members = static_cast<int64_t>(view_.members().size());
+        pause = std::min(pause * 2, times_.longestPause + times_.pausePerMember * members);
         while (lost_ && kind != ProbingKind) {
             co_await pauseFor(times_.firstPause);
         }
     }
 }
 
+milliseconds StoreSync::gapAfter(RecordKind kind)
+{
+    if (kind != RecordKind::Members) {
+        return times_.gap;
+    }
+    memberGap_ = membersChanged_ ? std::min(std::max(times_.gap, memberGap_ * 2), times_.longestGap)
+                                 : times_.gap;
+    return memberGap_;
+}
+
 asio::awaitable<Result<StoreRevision>> StoreSync::list(RecordKind kind)
 {
     Result<RecordListing> listing = co_await store_.list(kind);
@@ -109,6 +119,9 @@
     if (!changes) {
         co_return std::move(changes).as_failure();
     }
+    if (kind == RecordKind::Members) {
+        membersChanged_ = !changes.assume_value().changes.empty();
+    }
     for (const RecordChange &change : changes.assume_value().changes) {
         if (change.removed) {
             takeRemoved(kind, change.record.name);
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -15,16 +15,20 @@
 /** Times of the watches. */
 struct SyncTimes {
     milliseconds wait{20000}; ///< Of one watch; each one is paid for.
+    milliseconds gap{50};     ///< Between two watches: changes that come within it share one.
     /**
-     * Pause before the next watch, for each member. Every change wakes a watch of every node, so
-     * the calls grow with the square of the fleet; changes that come within the pause share one.
-     * 5 ms keep 60 nodes at 200 calls/s for each kind at most, and a change is 0.3 s late at most.
+     * While members change in a row that gap doubles, up to this. When a fleet of 91 starts, 182
+     * changes come within two seconds, and each of them would wake a watch of every node.
      */
-    milliseconds pausePerMember{5};
-    milliseconds longestGap{500}; ///< Bounds that pause: a change has to be in force within 2 s.
-    milliseconds firstPause{50};  ///< After a failure; doubles while failures go on.
-    milliseconds longestPause{
-            400}; ///< Changes have to be in force within 2 s of the store's return.
+    milliseconds longestGap{400};
+    milliseconds firstPause{50}; ///< After a failure; doubles while failures go on.
+    /**
+     * Bounds that pause: changes have to be in force within 2 s of the store's return. While the
+     * store is away every node asks now and then, and refused calls are paid for too, so the pause
+     * is longer by some for each member.
+     */
+    milliseconds longestPause{400};
+    milliseconds pausePerMember{6};
 };
 
 /** One loop for each kind: list, then watch from the listed revision; after a failure list again.
@@ -41,6 +45,7 @@
     boost::asio::awaitable<void> run(RecordKind kind);
     boost::asio::awaitable<Result<StoreRevision>> list(RecordKind kind);
     boost::asio::awaitable<Result<StoreRevision>> watch(RecordKind kind, StoreRevision since);
+    milliseconds gapAfter(RecordKind kind);
     void take(RecordKind kind, const StoredRecord &record);
     void takeRemoved(RecordKind kind, const std::string &name);
     void note(RecordKind kind, const Failure *failure);
@@ -51,6 +56,8 @@
     std::string configName_;
     ConfigDecoder decodeConfig_;
     SyncTimes times_;
+    bool membersChanged_ = false; ///< The last watch of members told a change.
+    milliseconds memberGap_{0};   ///< After that watch.
     bool lost_ = false;
 };
 
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -53,6 +53,7 @@
     self.peerPort = settings.peers.port;
     self.failureDomain = settings.failureDomain;
     self.service = settings.service;
+    self.cpuShare = settings.cpuShare;
     return self;
 }
 
@@ -85,7 +86,8 @@
                                const SidecarPorts &ports)
     : context_(context), settings_(settings), known_(settings), ports_(ports),
       node_(makeNodeId(settings)), peers_(context, settings.peers.ip, settings.peers.port),
-      store_(ports.store, clock_, peers_, view_, node_),
+      relay_(ports.store, clock_, peers_, view_, node_),
+      store_(context, relay_, clock_, peers_, view_, makeSelf(settings, node_)),
       ranges_(context, clock_, store_, ports.backend, view_, monitor_, loads_, peers_,
               makeSelf(settings, node_), makeGrantTimes(settings)),
       gate_(context, clock_, ports.protocol, settings.backend.ip, settings.backend.port, monitor_,
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -10,6 +10,7 @@
 #include "duty/member_publisher.h"
 #include "duty/range_duty.h"
 #include "duty/request_router.h"
+#include "duty/shared_watch.h"
 #include "duty/store_relay.h"
 #include "duty/store_sync.h"
 #include "program/sidecar_settings.h"
@@ -82,7 +83,8 @@
     BackendMonitor monitor_{MonitorLimits{}};
     PeerLoads loads_;
     PeerLink peers_;
-    RelayedStore store_;
+    RelayedStore relay_;
+    SharedWatch store_;
     RangeDuty ranges_;
     BackendGate gate_;
     RequestRouter router_;
--- a/src/program/sidecar_settings.h
+++ b/src/program/sidecar_settings.h
@@ -34,6 +34,7 @@
     milliseconds longestHold{0};  ///< The longest grant that it takes; 0: keys are not granted.
     milliseconds shutdown{6000};  ///< From the request to end until the process is killed.
     FleetBudget repeats;
+    double cpuShare = 0; ///< Of a core, that this process may use; 0: not known.
     bool operator==(const SidecarSettings &) const = default;
 };
 
--- /dev/null
+++ b/test/unit/store/shared_watch_test.cpp
@@ -0,0 +1,203 @@
+/** @file shared_watch_test.cpp Nodes that hear of the store's changes from another node. */
+
+#include "duty/shared_watch.h"
+
+#include "adapter/clock/boot_clock_adapter.h"
+#include "support/scripted_backend.h"
+#include "support/scripted_store.h"
+#include "support/story.h"
+
+using namespace wisteriahoist;
+using namespace wisteriahoist::testing;
+
+namespace {
+
+std::map<NodeId, MemberRecord> makeFleet(size_t members)
+{
+    std::map<NodeId, MemberRecord> fleet;
+    for (size_t index = 1; index <= members; ++index) {
+        MemberRecord member;
+        member.node = NodeId(index);
+        member.failureDomain = index % 2 == 0 ? "even" : "odd";
+        member.cpuShare = index <= 4 ? 0.5 : 0.1;
+        fleet[member.node] = member;
+    }
+    return fleet;
+}
+
+bool all(NodeId)
+{
+    return true;
+}
+
+/** A feeder (2) and a follower (1), each with its own way to one store. */
+struct Fixture {
+    Fixture()
+    {
+        limits.leastMembers = 2;
+        limits.followers = 2;
+        times.configWait = milliseconds(100);
+        times.margin = milliseconds(100);
+        times.followWait = milliseconds(20);
+        times.settle = milliseconds(0);
+        MemberRecord feeder;
+        feeder.node = NodeId(2);
+        feeder.ip = "127.0.0.1";
+        feeder.peerPort = feederPeers.port();
+        feeder.cpuShare = 1;
+        MemberRecord follower;
+        follower.node = NodeId(1);
+        for (FleetView *view : {&followerView, &feederView}) {
+            view->onMember(feeder, StoreRevision(1));
+            view->onMember(follower, StoreRevision(2));
+        }
+        feederPeers.start();
+        follower_ = std::make_unique<SharedWatch>(context, followerStore, clock, followerPeers,
+                                                  followerView, follower, limits, times);
+        feeder_ = std::make_unique<SharedWatch>(context, store, clock, feederPeers, feederView,
+                                                feeder, limits, times);
+    }
+
+    template <typename T>
+    T run(asio::awaitable<T> work)
+    {
+        return runUntil(context, std::move(work));
+    }
+
+    Result<RecordChanges> watchAsFollower(StoreRevision since)
+    {
+        return run(follower_->watch(RecordKind::Configuration, since, milliseconds(20000)));
+    }
+
+    asio::io_context context;
+    BootClockAdapter clock;
+    FleetView followerView;
+    FleetView feederView;
+    ScriptedStore store{context};
+    ScriptedStore followerStore{context};
+    PeerLink followerPeers{context, "127.0.0.1", 0};
+    PeerLink feederPeers{context, "127.0.0.1", 0};
+    FeederLimits limits;
+    SharedWatchTimes times;
+    std::unique_ptr<SharedWatch> follower_;
+    std::unique_ptr<SharedWatch> feeder_;
+};
+
+} // namespace
+
+Test(shared_watch, whom_a_node_follows)
+{
+    const FeederLimits limits;
+
+    SECTION("in a small fleet nobody")
+    {
+        cr_assert(!chooseFeeder(makeFleet(19), NodeId(9), "odd", all, limits));
+    }
+    SECTION("in a large one a strong node, of the own failure domain if there is one")
+    {
+        const auto fleet = makeFleet(120);
+        size_t feeders = 0;
+        std::map<NodeId, size_t> followers;
+        for (const auto &[node, member] : fleet) {
+            const auto feeder = chooseFeeder(fleet, node, member.failureDomain, all, limits);
+            feeders += feeder ? 0 : 1;
+            if (feeder) {
+                ++followers[*feeder];
+                cr_assert(fleet.at(*feeder).cpuShare > 0.4);
+                cr_assert_eq(fleet.at(*feeder).failureDomain, member.failureDomain);
+            }
+        }
+        cr_assert_eq(feeders, 4U);
+        cr_assert_eq(followers.size(), 4U);
+        for (const auto &[feeder, count] : followers) {
+            cr_assert_leq(count, 45U);
+        }
+    }
+    SECTION("another one if that has failed, and nobody if all have")
+    {
+        const auto fleet = makeFleet(40);
+        const auto first = chooseFeeder(fleet, NodeId(9), "odd", all, limits);
+        const auto other = [&](NodeId node) { return node != *first; };
+        const auto second = chooseFeeder(fleet, NodeId(9), "odd", other, limits);
+        cr_assert(second && *second != *first);
+        const auto none = [](NodeId) { return false; };
+        cr_assert(!chooseFeeder(fleet, NodeId(9), "odd", none, limits));
+    }
+}
+
+Test(shared_watch, a_follower_hears_what_the_feeder_has_seen)
+{
+    Fixture fixture;
+    fixture.store.put(RecordKind::Configuration, "main", "1");
+    cr_assert(fixture.run(fixture.feeder_->list(RecordKind::Configuration)).has_value());
+
+    SECTION("a change that it does not know yet")
+    {
+        const auto changes = fixture.watchAsFollower(StoreRevision(1));
+        cr_assert(changes.has_value() && changes.assume_value().changes.empty());
+        fixture.store.put(RecordKind::Configuration, "main", "2");
+        const auto seen = fixture.run(fixture.feeder_->watch(RecordKind::Configuration,
+                                                             StoreRevision(1), milliseconds(50)));
+        cr_assert(seen.has_value());
+        const auto told = fixture.watchAsFollower(StoreRevision(1));
+        cr_assert(told.has_value());
+        cr_assert_eq(told.assume_value().changes.size(), 1U);
+        cr_assert(told.assume_value().changes[0].record.content == "2");
+        cr_assert(told.assume_value().at == StoreRevision(2));
+    }
+    SECTION("it asks no store for that")
+    {
+        fixture.followerStore.setDown(true);
+        cr_assert(fixture.watchAsFollower(StoreRevision(1)).has_value());
+    }
+}
+
+// A follower would serve an old configuration for as long as its feeder is cut off from the store
+// and does not know it. The feeder ends the call when the store has confirmed nothing for too long,
+// and the follower lists the records itself and goes its own way.
+Test(shared_watch, old_news_are_none)
+{
+    Fixture fixture;
+    fixture.store.put(RecordKind::Configuration, "main", "1");
+    cr_assert(fixture.run(fixture.feeder_->list(RecordKind::Configuration)).has_value());
+    cr_assert(fixture.watchAsFollower(StoreRevision(1)).has_value());
+    constexpr int Tries = 40; // Of 20 ms each; the feeder's confirmation lasts 200 ms.
+    Result<RecordChanges> late = fixture.watchAsFollower(StoreRevision(1));
+    for (int tried = 1; tried < Tries && late; ++tried) {
+        late = fixture.watchAsFollower(StoreRevision(1));
+    }
+    cr_assert(!late.has_value());
+    cr_assert(late.assume_error().code == FailureCode::HistoryGone);
+    fixture.followerStore.put(RecordKind::Configuration, "main", "2");
+    const auto own = fixture.watchAsFollower(StoreRevision(0));
+    cr_assert(own.has_value() && own.assume_value().changes.size() == 1);
+}
+
+// A feeder that was cut off lists again; what was removed before that list it cannot tell.
+Test(shared_watch, a_follower_from_before_the_feeders_list_lists_itself)
+{
+    Fixture fixture;
+    fixture.store.put(RecordKind::Configuration, "main", "1");
+    fixture.store.put(RecordKind::Configuration, "main", "2");
+    cr_assert(fixture.run(fixture.feeder_->list(RecordKind::Configuration)).has_value());
+    cr_assert(!fixture.watchAsFollower(StoreRevision(1)).has_value());
+}
+
+Test(shared_watch, a_feed_tells_of_removed_records)
+{
+    RecordFeed feed;
+    RecordListing listing;
+    listing.records = {{"a", StoreRevision(1), "1"}, {"b", StoreRevision(2), "1"}};
+    listing.at = StoreRevision(2);
+    feed.onList(listing, TimePoint(milliseconds(5)));
+    RecordChanges changes;
+    changes.changes = {{{"a", StoreRevision(3), "1"}, true}, {{"b", StoreRevision(4), "2"}, false}};
+    changes.at = StoreRevision(4);
+    feed.onChanges(changes, TimePoint(milliseconds(9)));
+    const auto told = feed.changesSince(StoreRevision(2));
+    cr_assert(told && told->changes.size() == 2);
+    cr_assert(told->changes[0].removed && !told->changes[1].removed);
+    cr_assert_eq(feed.changesSince(StoreRevision(3))->changes.size(), 1U);
+    feed.onLost();
+    cr_assert(!feed.changesSince(StoreRevision(4)));
+}
--- a/test/unit/store/store_sync_test.cpp
+++ b/test/unit/store/store_sync_test.cpp
@@ -18,11 +18,20 @@
     return config;
 }
 
+/** @return Times without a pause between two watches: a watch is always open, also when it is cut.
+ */
+SyncTimes makeTimes()
+{
+    SyncTimes times;
+    times.gap = milliseconds(0);
+    return times;
+}
+
 struct Fixture {
     asio::io_context context;
     ScriptedStore store{context};
     FleetView view;
-    StoreSync sync{context, store, view, "main", decodeVersion};
+    StoreSync sync{context, store, view, "main", decodeVersion, makeTimes()};
 
     bool reaches(uint64_t version)
     {
