--- a/src/duty/shared_watch.cpp
+++ b/src/duty/shared_watch.cpp
@@ -102,8 +102,10 @@
         const MemberRecord member = *view_.findMember(*feeder);
         co_return co_await follow(member, kind, since);
     }
-    const bool feeds = view_.members().size() >= limits_.leastMembers;
-    co_return co_await watchStore(kind, since, feeds ? std::min(wait, waitOf(kind)) : wait);
+    if (view_.members().size() >= limits_.leastMembers) {
+        wait = std::min(wait, settled ? waitOf(kind) : times_.settle);
+    }
+    co_return co_await watchStore(kind, since, wait);
 }
 
 RecordStore::Pending<RecordChanges> SharedWatch::watchStore(RecordKind kind, StoreRevision since,
