--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -30,6 +30,12 @@
 constexpr milliseconds StoreNear{3500};
 /** Keys go only to nodes that have answered this node so lately. */
 constexpr milliseconds HeardWithin{4000};
+/**
+ * After a refused write the news of who was first are on their way, and come within 0.3 s; only
+ * then the record is read. When all nodes of a fleet of 91 had restarted, 952 of 1,475 writes were
+ * refused, and each cost a read besides.
+ */
+constexpr milliseconds AwaitNews{500};
 /** A node that has not been reached for so long may be lost; its witnesses and its lease decide. */
 constexpr milliseconds SuspectAfter{500};
 
@@ -460,12 +466,11 @@
     }
     const TimePoint now = clock_.now();
     const StoredTable *stored = view_.findTable(self_.service);
-    if (!unread_.empty()) {
+    if (stored == nullptr && unread_.empty()) {
+        co_await createTable();
+    } else if (stored == nullptr) {
         writing_ = false;
         co_return;
-    }
-    if (stored == nullptr) {
-        co_await createTable();
     } else if (std::optional<RangeTable> next = planTable(*stored, now)) {
         co_await writeTable(std::move(*next), *stored);
     }
@@ -509,6 +514,9 @@
             record.block = block;
             name = blockRecordName(self_.service, block);
         }
+        if (unread_.count(name) > 0) {
+            continue;
+        }
         // Each block's change is safe by itself. Where the store does not answer, the next blocks
         // wait for the next look: every call in vain takes a whole timeout.
         if (!co_await writeRecord(std::move(name), std::move(record), stored.revisionOf(block))) {
@@ -526,11 +534,12 @@
     if (!written) {
         // It may have been written all the same, or somebody else was first: read before planning.
         const FailureCode code = written.assume_error().code;
-        unread_.insert(name);
+        const bool conflict = code == FailureCode::VersionConflict;
+        unread_[name] = {over, clock_.now() + (conflict ? AwaitNews : milliseconds(0))};
         logEvent(LogEvent::RangesNotWritten, {{"record", name},
                                               {"over", over.value()},
                                               {"cause", std::string(failureName(code))}});
-        co_return code == FailureCode::VersionConflict;
+        co_return conflict;
     }
     logEvent(LogEvent::RangesWritten, {{"record", name},
                                        {"revision", written.assume_value().value()},
@@ -541,19 +550,38 @@
     co_return true;
 }
 
+StoreRevision RangeDuty::knownRevision(const std::string &name) const
+{
+    const StoredTable *stored = view_.findTable(self_.service);
+    if (stored == nullptr) {
+        return StoreRevision(0);
+    }
+    for (const auto &[block, revision] : stored->blocks) {
+        if (blockRecordName(self_.service, block) == name) {
+            return revision;
+        }
+    }
+    return name == self_.service ? stored->revision : StoreRevision(0);
+}
+
 asio::awaitable<void> RangeDuty::refreshTable()
 {
-    const std::set<std::string> names = unread_;
-    for (const std::string &name : names) {
+    std::erase_if(unread_, [this](const auto &entry) {
+        return knownRevision(entry.first) > entry.second.over;
+    });
+    const std::map<std::string, Unread> unread = unread_;
+    for (const auto &[name, entry] : unread) {
+        if (clock_.now() < entry.readAt) {
+            continue;
+        }
         Result<StoredRecord> stored = co_await store_.read(RecordKind::Ranges, name);
-        if (!stored) {
-            if (stored.assume_error().code == FailureCode::NotFound) {
-                unread_.erase(name);
-                continue;
-            }
+        if (!stored && stored.assume_error().code != FailureCode::NotFound) {
             co_return;
         }
         unread_.erase(name);
+        if (!stored) {
+            continue;
+        }
         Result<RangeRecord> ranges = decodeRangeRecord(stored.assume_value().content);
         if (ranges) {
             view_.onRanges(name, std::move(ranges.assume_value()), stored.assume_value().revision);
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -77,6 +77,7 @@
     asio::awaitable<void> planOnce();
     asio::awaitable<void> writeTable(RangeTable next, StoredTable stored);
     asio::awaitable<bool> writeRecord(std::string name, RangeRecord record, StoreRevision over);
+    StoreRevision knownRevision(const std::string &name) const;
     asio::awaitable<void> refreshTable();
     void watchOthers();
     void probeQuiet(TimePoint now);
@@ -127,8 +128,14 @@
     bool halted_ = false;
     bool writing_ = false; ///< Invariant: at most one write of the table is on its way.
     bool renewing_ = false;
-    size_t checking_ = 0;          ///< Holders that are being looked at.
-    std::set<std::string> unread_; ///< Records of ranges that are to be read before the next write.
+    size_t checking_ = 0; ///< Holders that are being looked at.
+    /** A record of ranges whose write failed: not written again before its newest state is known.
+     */
+    struct Unread {
+        StoreRevision over; ///< The newest revision that was known at the write.
+        TimePoint readAt;   ///< It is read then, if no news of it have come.
+    };
+    std::map<std::string, Unread> unread_;
 };
 
 } // namespace wisteriahoist
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -93,12 +93,16 @@
 
 milliseconds StoreSync::gapAfter(RecordKind kind)
 {
-    if (kind != RecordKind::Members) {
+    // A node that has just started knows few members, whatever the size of the fleet.
+    const bool grows = kind == RecordKind::Members || view_.members().size() >= times_.leastMembers;
+    if (kind == RecordKind::Configuration || !grows) {
         return times_.gap;
     }
-    memberGap_ = membersChanged_ ? std::min(std::max(times_.gap, memberGap_ * 2), times_.longestGap)
-                                 : times_.gap;
-    return memberGap_;
+    const milliseconds most
+            = kind == RecordKind::Members ? times_.longestMemberGap : times_.longestRangeGap;
+    Recent &recent = recent_[kind];
+    recent.gap = recent.changed ? std::min(std::max(times_.gap, recent.gap * 2), most) : times_.gap;
+    return recent.gap;
 }
 
 asio::awaitable<Result<StoreRevision>> StoreSync::list(RecordKind kind)
@@ -119,9 +123,7 @@
     if (!changes) {
         co_return std::move(changes).as_failure();
     }
-    if (kind == RecordKind::Members) {
-        membersChanged_ = !changes.assume_value().changes.empty();
-    }
+    recent_[kind].changed = !changes.assume_value().changes.empty();
     for (const RecordChange &change : changes.assume_value().changes) {
         if (change.removed) {
             takeRemoved(kind, change.record.name);
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -17,10 +17,14 @@
     milliseconds wait{20000}; ///< Of one watch; each one is paid for.
     milliseconds gap{50};     ///< Between two watches: changes that come within it share one.
     /**
-     * While members change in a row that gap doubles, up to this. When a fleet of 91 starts, 182
-     * changes come within two seconds, and each of them would wake a watch of every node.
+     * While changes of a kind come in a row that gap doubles, up to these. A fleet of 91 that
+     * starts makes 182 changes of members within two seconds and 1,500 of ranges, and each would
+     * wake a watch of every node that does not follow another yet. Ranges may be half as late: a
+     * request for a key that has moved pays for it.
      */
-    milliseconds longestGap{400};
+    milliseconds longestMemberGap{400};
+    milliseconds longestRangeGap{200};
+    size_t leastMembers = 20;    ///< Smaller fleets keep to the short gap.
     milliseconds firstPause{50}; ///< After a failure; doubles while failures go on.
     /**
      * Bounds that pause: changes have to be in force within 2 s of the store's return. While the
@@ -56,8 +60,12 @@
     std::string configName_;
     ConfigDecoder decodeConfig_;
     SyncTimes times_;
-    bool membersChanged_ = false; ///< The last watch of members told a change.
-    milliseconds memberGap_{0};   ///< After that watch.
+    /** What the last watch of a kind came to. */
+    struct Recent {
+        bool changed = false;
+        milliseconds gap{0}; ///< After it.
+    };
+    std::map<RecordKind, Recent> recent_;
     bool lost_ = false;
 };
 
--- a/test/support/scripted_store.h
+++ b/test/support/scripted_store.h
@@ -70,8 +70,16 @@
         co_return listing;
     }
 
+    /** @return Reads of single records of @p kind. */
+    int reads(RecordKind kind) const
+    {
+        const auto found = reads_.find(kind);
+        return found == reads_.end() ? 0 : found->second;
+    }
+
     Pending<StoredRecord> read(RecordKind kind, std::string name) override
     {
+        ++reads_[kind];
         if (down_) {
             co_return unavailable();
         }
@@ -150,6 +158,7 @@
     uint64_t cuts_ = 0;
     int lostAnswers_ = 0;
     int conflicts_ = 0;
+    std::map<RecordKind, int> reads_;
     bool muted_ = false;
     bool down_ = false;
 };
--- a/test/unit/range/range_duty_test.cpp
+++ b/test/unit/range/range_duty_test.cpp
@@ -185,3 +185,40 @@
     fleet.holdNews(false);
     cr_assert(fleet.reaches(isServed, Patience));
 }
+
+// The store refuses calls above its rate, and callers of keys that nobody may grant wait: a fleet
+// that restarts as a whole writes its ranges all at once, two thirds are refused since another node
+// was first, and each refusal costs a read besides. The watch brings the same news without a call.
+Test(range_duty, a_refused_write_waits_for_the_news_instead_of_reading)
+{
+    OwnershipFleet fleet;
+    OwnershipNode &first = fleet.add(1, "b-1");
+    OwnershipNode &second = fleet.add(2, "b-2");
+    fleet.add(3, "b-3");
+    const auto all = [&]() { return isServedByOne(fleet, Low) && isServedByOne(fleet, High); };
+    cr_assert(fleet.reaches(all, Patience));
+    const int conflicts = fleet.store().conflicts();
+    const int reads = fleet.store().reads(RecordKind::Ranges);
+    fleet.holdNews(true);
+    for (OwnershipNode *node : {&first, &second}) {
+        node->backend.crash();
+        (void)node->monitor.onRefusedConnection();
+        (void)node->monitor.onRefusedConnection();
+        node->duty.wake();
+    }
+    cr_assert(fleet.reaches([&]() { return fleet.store().conflicts() > conflicts; }, Patience));
+    int looks = 0;
+    cr_assert(fleet.reaches(
+            [&]() {
+                first.duty.wake();
+                second.duty.wake();
+                return ++looks > 20;
+            },
+            Patience));
+    fleet.holdNews(false);
+    const std::vector<uint64_t> third{3};
+    cr_assert(fleet.reaches(
+            [&]() { return fleet.admitting(Low) == third && fleet.admitting(High) == third; },
+            Patience));
+    cr_assert_eq(fleet.store().reads(RecordKind::Ranges), reads);
+}
