--- a/src/adapter/http2/http2_session.cpp
+++ b/src/adapter/http2/http2_session.cpp
@@ -20,8 +20,8 @@
 constexpr uint32_t MaxConcurrentStreams = 2048;
 constexpr uint32_t StreamWindowBytes = 1024 * 1024;
 constexpr int32_t ConnectionWindowBytes = 16 * 1024 * 1024;
-/** A message between two nodes is 0.5 to 2 KB. A fleet of 91 has 180 sessions in each node, so 32 KB
- *  for each were 6 of its 13 MB. */
+/** A message between two nodes is 0.5 to 2 KB. A fleet of 91 has 180 sessions in each node, so 32
+ * KB for each were 6 of its 13 MB. */
 constexpr size_t ReadChunkBytes = 8 * 1024;
 constexpr size_t MaxMessageBytes = 17 * 1024 * 1024;
 
--- a/src/decision/range/range_planner.cpp
+++ b/src/decision/range/range_planner.cpp
@@ -3,7 +3,6 @@
 #include "decision/range/range_planner.h"
 
 #include <algorithm>
-#include <cmath>
 #include <numeric>
 
 namespace wisteriahoist {
@@ -244,83 +243,36 @@
     return RangeMove{{middle, widest->last}, newcomer.holder};
 }
 
-namespace {
-
-double shareOf(const RangeCandidate &candidate)
-{
-    return candidate.busySlots / candidate.slots;
-}
-
-/** Who takes load off a busy holder, and the share of their slots that all of them then have. */
-struct Receivers {
-    std::vector<RangeCandidate> candidates; ///< The idlest first.
-    double level = 0;
-};
-
-/** @return As few of @p candidates as bring all of them, and @p self, below the busy share. */
-Receivers chooseReceivers(const RangeCandidate &self, std::vector<RangeCandidate> candidates,
-                          const BalanceLimits &limits)
-{
-    std::sort(candidates.begin(), candidates.end(),
-              [](const auto &left, const auto &right) { return shareOf(left) < shareOf(right); });
-    Receivers receivers;
-    double busy = self.busySlots;
-    double slots = self.slots;
-    for (RangeCandidate &candidate : candidates) {
-        const bool enough = !receivers.candidates.empty() && busy / slots <= limits.busyShare;
-        if (enough || shareOf(self) - shareOf(candidate) < limits.margin) {
-            break;
-        }
-        busy += candidate.busySlots;
-        slots += candidate.slots;
-        receivers.candidates.push_back(std::move(candidate));
-    }
-    receivers.level = busy / slots;
-    return receivers;
-}
-
-} // namespace
-
-size_t balanceSample(const RangeCandidate &self, const BalanceLimits &limits)
-{
-    const auto needed = static_cast<size_t>(std::ceil(shareOf(self) / limits.busyShare));
-    return std::clamp(needed, BalanceSample, LargestBalanceSample);
-}
-
 std::vector<RangeMove> planBalance(const RangeCandidate &self, const std::vector<KeySpan> &spans,
                                    const std::vector<KeyRate> &rates,
                                    const std::vector<RangeCandidate> &candidates,
                                    const BalanceLimits &limits)
 {
-    if (shareOf(self) < limits.busyShare) {
-        return {};
-    }
-    const Receivers receivers = chooseReceivers(self, candidates, limits);
-    if (receivers.candidates.empty()) {
+    const auto shareOf
+            = [](const RangeCandidate &candidate) { return candidate.busySlots / candidate.slots; };
+    const auto idlest = std::min_element(candidates.begin(), candidates.end(),
+                                         [&shareOf](const auto &left, const auto &right) {
+                                             return shareOf(left) < shareOf(right);
+                                         });
+    if (idlest == candidates.end() || shareOf(self) < limits.busyShare
+        || shareOf(self) - shareOf(*idlest) < limits.margin) {
         return {};
     }
+    const double gap = shareOf(self) - shareOf(*idlest);
+    const double most = gap * limits.part * std::min(self.slots, idlest->slots);
     std::vector<RangeMove> moves;
     std::vector<KeySpan> left = spans;
-    for (const RangeCandidate &receiver : receivers.candidates) {
-        const double most = (receivers.level - shareOf(receiver)) * receiver.slots;
-        std::vector<RangeMove> parts;
-        std::vector<KeySpan> without = left;
-        double moved = 0;
-        while (parts.size() < limits.ranges) {
-            const EndPart best = findBestPart(without, rates, most - moved);
-            if (best.load <= 0) {
-                break;
-            }
-            parts.push_back({best.span, receiver.holder});
-            moved += best.load;
-            takeOut(without, best.span);
-        }
-        if (moved > 0 && moved >= most * limits.leastPart) {
-            moves.insert(moves.end(), parts.begin(), parts.end());
-            left = std::move(without);
+    double moved = 0;
+    while (moves.size() < limits.ranges) {
+        const EndPart best = findBestPart(left, rates, most - moved);
+        if (best.load <= 0) {
+            break;
         }
+        moves.push_back({best.span, idlest->holder});
+        moved += best.load;
+        takeOut(left, best.span);
     }
-    if (!moves.empty()) {
+    if (moved > 0 && moved >= most * limits.leastPart) {
         return moves;
     }
     const auto hotKey = planHotKey(self, rates, candidates, limits);
--- a/src/decision/range/range_planner.h
+++ b/src/decision/range/range_planner.h
@@ -35,10 +35,11 @@
     double margin = 0.3;
     /** By so much the busier one of the two has to be less busy after a hot key's move. */
     double hotKeyGain = 0.2;
+    /** Part of the difference that is moved at once; all of it would swing back. */
+    double part = 0.5;
     /** Less load than this share of what should move is not worth the disturbance. */
     double leastPart = 0.25;
-    /** Ranges that move to one receiver at once: a holder may have many small ones, none of which
-     *  weighs much. */
+    /** Ranges that move at once: a holder may have many small ones, none of which weighs much. */
     size_t ranges = 6;
     /** Loads are reported a second late and fade over three: a second move sooner would act on the
      *  load from before the first. */
@@ -51,8 +52,6 @@
  * keys waited there. The idlest of three random ones is a good one, and rarely everybody's.
  */
 inline constexpr size_t BalanceSample = 3;
-/** The same for a holder with many times the load that it can carry. */
-inline constexpr size_t LargestBalanceSample = 8;
 /**
  * How many backend servers get the keys of one that leaves. Cut into a piece for each of 40, they
  * made the table ten times as long, and each piece costs a release, a write and a grant.
@@ -78,10 +77,7 @@
                                         const RangeCandidate &newcomer);
 
 /**
- * Decides whether a busy holder gives parts of its keys to less busy candidates: to as few as are
- * needed for all to be below the busy share, so to several at once where a stretch of keys has
- * become hot. Halved with one other at a time, three seconds apart, 200 keys that were asked for
- * what six backend servers can do were still with two or three when others had become hot.
+ * Decides whether a busy holder gives a part of its keys to the least busy candidate.
  * Whole ranges go first; a part is cut at an end of a range, so that their number grows little. A
  * key that is busier than the whole difference stays where it is: its neighbours move instead. Only
  * if one key alone keeps a slow backend server busy, and a faster one would be less busy with it,
@@ -93,7 +89,4 @@
                                    const std::vector<RangeCandidate> &candidates,
                                    const BalanceLimits &limits);
 
-/** @return How many candidates planBalance should be given for so busy a holder. */
-size_t balanceSample(const RangeCandidate &self, const BalanceLimits &limits);
-
 } // namespace wisteriahoist
--- a/src/decision/request/attempt_policy.cpp
+++ b/src/decision/request/attempt_policy.cpp
@@ -21,7 +21,7 @@
     if (history.objective > Duration(0)) {
         const auto share
                 = std::chrono::duration_cast<Duration>(history.objective * limits.ownerWaitShare);
-        most = std::min(most, share);
+        most = std::min(most, std::max<Duration>(share, limits.leastOwnerWait));
     }
     return history.awaitedOwner < most;
 }
--- a/src/decision/request/attempt_policy.h
+++ b/src/decision/request/attempt_policy.h
@@ -57,6 +57,10 @@
      * others kept their callers from coming back while there was time for it.
      */
     double ownerWaitShare = 0.3;
+    /** But it is at least this long, time enough for a crash to be noticed: a call of a backend
+     *  server that is refused fails the request that needs it, with the work already done for it.
+     */
+    milliseconds leastOwnerWait{250};
     /** A crash is noticed and the keys are given away within 0.2 s, if the store answers. */
     milliseconds backendWait{250};
     /** With less time than this left, another instance could not answer in time. */
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -347,7 +347,7 @@
         limits.margin = 0;
         others = newcomers;
     }
-    others = drawCandidates(std::move(others), balanceSample(self, limits), random_);
+    others = drawCandidates(std::move(others), BalanceSample, random_);
     std::vector<RangeMove> moves
             = planBalance(self, held, load_.rates(KeySpan{}, now), others, limits);
     if (moves.empty() && !newcomers.empty() && busiest) {
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -19,11 +19,11 @@
     /**
      * While changes of a kind come in a row that gap doubles, up to these. A fleet of 91 that
      * starts makes 182 changes of members within two seconds and 1,500 of ranges, and each would
-     * wake a watch of every node that does not follow another yet. Ranges may be half as late: a
+     * wake a watch of every node that does not follow another yet. Ranges may be later by less: a
      * request for a key that has moved pays for it.
      */
     milliseconds longestMemberGap{400};
-    milliseconds longestRangeGap{200};
+    milliseconds longestRangeGap{100};
     size_t leastMembers = 20;    ///< Smaller fleets keep to the short gap.
     milliseconds firstPause{50}; ///< After a failure; doubles while failures go on.
     /**
--- a/test/unit/request/attempt_policy_test.cpp
+++ b/test/unit/request/attempt_policy_test.cpp
@@ -84,6 +84,20 @@
         history.awaitedOwner = milliseconds(700);
         cr_assert(decide(Moved, history) == AttemptStep::Finish);
     }
+    SECTION("for less if that is of no use any more, but long enough for a crash to be noticed")
+    {
+        history.sharded = true;
+        history.objective = milliseconds(1500);
+        history.awaitedOwner = milliseconds(449);
+        cr_assert(decide(Moved, history) == AttemptStep::AwaitOwner);
+        history.awaitedOwner = milliseconds(450);
+        cr_assert(decide(Moved, history) == AttemptStep::Finish);
+        history.objective = milliseconds(200);
+        cr_assert(decide(Moved, history) == AttemptStep::Finish);
+        history.awaitedOwner = milliseconds(249);
+        cr_assert(decide(Moved, history) == AttemptStep::AwaitOwner);
+        history.objective = Duration(0);
+    }
     SECTION("a crashed holder's for less: without the store it stays with it")
     {
         history.sharded = true;
