Fix: [Ownership] A plan in several writes ends when its holder's state has changed meanwhile

Two refused connections count as the end of a backend server's life; a heartbeat of the same life takes that back, and its node grants again what the table says is its own, while the rest of the plan gives the same keys away. With one record that was one write of some milliseconds, with blocks it lasts as long as all their writes. The test gives all keys away without the check; with it the node keeps more than half.

--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -500,7 +500,14 @@
 asio::awaitable<void> RangeDuty::writeTable(RangeTable next, StoredTable stored)
 {
     const BlockLayout layout = stored.layout;
+    const std::optional<RangeHolder> planned = holder();
     for (uint32_t block = 0; block < layout.count; ++block) {
+        // A backend server that was taken for gone may answer again between two writes, and is then
+        // granted what the table still says is its own; the rest of the plan would give those very
+        // keys to others.
+        if (holder() != planned) {
+            co_return;
+        }
         const KeySpan span = layout.spanOf(block);
         RangeRecord record;
         record.layout = layout;
--- a/test/support/ownership_fleet.h
+++ b/test/support/ownership_fleet.h
@@ -49,6 +49,7 @@
     }
 
     void crash() { alive_ = false; }
+    void revive() { alive_ = true; }
     void seeFence(Epoch fence) { highestFence_ = fence; }
     uint64_t grants() const { return grants_; }
 
--- a/test/support/scripted_store.h
+++ b/test/support/scripted_store.h
@@ -6,6 +6,7 @@
 #include "port/record_store.h"
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -70,6 +71,9 @@
         co_return listing;
     }
 
+    /** @param action Runs after each write that was done. */
+    void onWrite(std::function<void()> action) { written_ = std::move(action); }
+
     /** @return Reads of single records of @p kind. */
     int reads(RecordKind kind) const
     {
@@ -145,6 +149,9 @@
 
     Result<StoreRevision> answer(StoreRevision revision)
     {
+        if (written_) {
+            written_();
+        }
         if (lostAnswers_ > 0) {
             --lostAnswers_;
             return Failure{FailureCode::Ambiguous, "answer lost"};
@@ -158,6 +165,7 @@
     uint64_t cuts_ = 0;
     int lostAnswers_ = 0;
     int conflicts_ = 0;
+    std::function<void()> written_;
     std::map<RecordKind, int> reads_;
     bool muted_ = false;
     bool down_ = false;
--- a/test/unit/range/range_duty_test.cpp
+++ b/test/unit/range/range_duty_test.cpp
@@ -222,3 +222,43 @@
             Patience));
     cr_assert_eq(fleet.store().reads(RecordKind::Ranges), reads);
 }
+
+// Two connections to a backend server are refused while it lives, and its node gives its keys away,
+// block by block. After the first write a heartbeat of the same life comes: from now on the node
+// grants again what the table says is its own. The rest of the old plan would give those keys to
+// others, and two backend servers would hold them.
+Test(range_duty, a_plan_ends_when_the_backend_server_turns_out_to_live)
+{
+    OwnershipFleet fleet;
+    OwnershipNode &node = fleet.add(1, "b-1");
+    for (uint64_t id = 2; id <= 10; ++id) {
+        fleet.add(id, "b-" + std::to_string(id));
+    }
+    const auto keys
+            = [&node]() { return countKeys(node.view.findTable("s")->table, node.record.node); };
+    const auto all = [&]() { return isServedByOne(fleet, Low) && isServedByOne(fleet, High); };
+    cr_assert(fleet.reaches(all, Patience));
+    const uint32_t before = keys();
+    const auto records = [&]() { return fleet.store().records(RecordKind::Ranges).size(); };
+    const size_t recordsBefore = records();
+    node.backend.crash();
+    (void)node.monitor.onRefusedConnection();
+    (void)node.monitor.onRefusedConnection();
+    bool lives = false;
+    fleet.store().onWrite([&]() {
+        if (!lives && records() > recordsBefore) { // Not a renewal of a lease.
+            lives = true;
+            node.backend.revive();
+            BackendReport report;
+            report.backend = "b-1";
+            report.service = "s";
+            report.slots = 12;
+            report.sequence = 2;
+            (void)node.monitor.onReport(report, fleet.clock().now());
+        }
+    });
+    node.duty.wake();
+    cr_assert(fleet.reaches([&]() { return lives && keys() < before; }, Patience));
+    cr_assert(fleet.reaches(all, Patience));
+    cr_assert_gt(keys(), before / 2);
+}
