--- a/src/duty/ingress_duty.cpp
+++ b/src/duty/ingress_duty.cpp
@@ -211,7 +211,7 @@
         load.failureDomain = member.failureDomain;
         load.slots = member.slots;
         load.outstanding = outstanding_[id];
-        loads.push_back(std::move(load));
+        loads.push_back(load);
     }
     const MemberInfo *own = routing.findMember(self_);
     const std::string domain = own == nullptr ? std::string() : own->failureDomain;
