Fix: [Store] A node keeps what it hears as a follower, for those who follow it later

Cause: found on reading. A follower's feed missed the changes it heard; as the next feeder, without a list in between, it told its followers of later changes only. The test reads such a feed.

--- a/src/duty/shared_watch.cpp
+++ b/src/duty/shared_watch.cpp
@@ -147,6 +147,9 @@
     for (const v1::StoreRecord &record : reply.records()) {
         changes.changes.push_back(decodeChange(record));
     }
+    // This node may be the next feeder. Without these its feed would have a gap, and followers that
+    // are behind it would never hear of what fell into it. The store has confirmed nothing to it.
+    feeds_[kind].onChanges(changes, NeverTime);
     co_return changes;
 }
 
--- a/test/unit/store/shared_watch_test.cpp
+++ b/test/unit/store/shared_watch_test.cpp
@@ -183,6 +183,48 @@
     cr_assert(!fixture.watchAsFollower(StoreRevision(1)).has_value());
 }
 
+// Followers keep a configuration that was replaced: their feeder stops, and the node that takes its
+// place heard of the change while it followed itself. It never listed since, and its own watch of
+// the store begins after the change.
+Test(shared_watch, what_was_heard_as_a_follower_is_told_as_a_feeder)
+{
+    Fixture fixture;
+    fixture.store.put(RecordKind::Configuration, "main", "1");
+    cr_assert(fixture.run(fixture.feeder_->list(RecordKind::Configuration)).has_value());
+    fixture.followerStore.put(RecordKind::Configuration, "main", "1");
+    cr_assert(fixture.run(fixture.follower_->list(RecordKind::Configuration)).has_value());
+    fixture.store.put(RecordKind::Configuration, "main", "2");
+    cr_assert(fixture.run(fixture.feeder_->watch(RecordKind::Configuration, StoreRevision(1),
+                                                 milliseconds(50)))
+                      .has_value());
+    cr_assert(fixture.watchAsFollower(StoreRevision(1)).has_value());
+
+    MemberRecord stopping = *fixture.followerView.findMember(NodeId(2));
+    stopping.stopping = true;
+    fixture.followerView.onMember(stopping, StoreRevision(3));
+    fixture.followerStore.put(RecordKind::Configuration, "other", "1");
+    fixture.followerStore.put(RecordKind::Configuration, "other", "2");
+    cr_assert(fixture.watchAsFollower(StoreRevision(2)).has_value());
+
+    MemberRecord third;
+    third.node = NodeId(3);
+    third.ip = "127.0.0.1";
+    third.peerPort = fixture.followerPeers.port();
+    fixture.followerPeers.start();
+    v1::FeedRequest request;
+    request.set_kind(static_cast<uint32_t>(RecordKind::Configuration));
+    request.set_since(1);
+    const auto bytes = fixture.run(fixture.feederPeers.call(
+            third, "/feed", request.SerializeAsString(), milliseconds(1000)));
+    v1::FeedReply reply;
+    cr_assert(bytes.has_value() && reply.ParseFromString(bytes.assume_value()));
+    cr_assert(reply.fresh());
+    const auto isNew = [](const v1::StoreRecord &record) {
+        return record.name() == "main" && record.content() == "2";
+    };
+    cr_assert(std::any_of(reply.records().begin(), reply.records().end(), isNew));
+}
+
 Test(shared_watch, a_feed_tells_of_removed_records)
 {
     RecordFeed feed;
