Add: [Soak] Real nodes as processes under random faults, each promise checked meanwhile

Stand-ins that speak the platform's face (store, backend server, caller) stand in platform/standin; proxies, plan, audit and run in tool/soak. make soak SEEDS=A..B. Child processes no longer inherit the sockets of who starts them (seen: the address of a killed backend server stayed in use).

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the project; each exits non-zero on failure and ends with one line of figures.
-.PHONY: tsan demo test fault-matrix measure bench lint format proto install release
+.PHONY: soak tsan demo test fault-matrix measure bench lint format proto install release
 
 install:
 	@scripts/install-deps.sh
@@ -41,3 +41,10 @@
 
 proto:
 	@scripts/generate-proto.sh
+
+# SEEDS=A..B; a seed takes about 40 s, JOBS of them run at the same time.
+SEEDS ?= 1..4
+JOBS ?= 3
+soak: release
+	@cmake --build build/release --target wisteriahoist-soak
+	@build/release/tool/soak/wisteriahoist-soak --seeds=$(SEEDS) --jobs=$(JOBS) --node_binary=build/release/wisteriahoist
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -12,6 +12,8 @@
 #include <iostream>
 
 ABSL_FLAG(std::string, config, "", "node: the settings file");
+ABSL_FLAG(std::string, announced_peers, "",
+          "sidecar: IP:PORT where other nodes reach this one, if not where it listens");
 ABSL_FLAG(std::string, f, "", "check, diff, apply: the folder of declarations");
 ABSL_FLAG(std::string, node_ip, "127.0.0.1", "commands that call a node: its IP number");
 ABSL_FLAG(uint16_t, admin_port, 0, "commands that call a node: its admin port");
@@ -37,7 +39,8 @@
 constexpr const char *Usage = R"(a router for servers that own keys exclusively
 
   wisteriahoist node    --config FILE
-  wisteriahoist sidecar [--config FILE]   on the users' platform; default: the file that it names
+  wisteriahoist sidecar [--config FILE] [--announced-peers IP:PORT]
+                        on the users' platform; default: the file that it names
   wisteriahoist check   -f FOLDER
   wisteriahoist diff    -f FOLDER --admin-port N
   wisteriahoist apply   -f FOLDER --admin-port N [--dry-run] [--wait] [--expected-version N]
@@ -157,7 +160,8 @@
         return reportUsage(command.empty() ? "a command is needed" : command + ": wrong arguments");
     }
     if (command == "sidecar") {
-        return platform::runSidecarCommand(absl::GetFlag(FLAGS_config));
+        return platform::runSidecarCommand(
+                {absl::GetFlag(FLAGS_config), absl::GetFlag(FLAGS_announced_peers)});
     }
     if (command == "node") {
         return runNode(absl::GetFlag(FLAGS_config));
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -49,8 +49,9 @@
     MemberRecord self;
     self.node = node;
     self.name = settings.name;
-    self.ip = settings.peers.ip;
-    self.peerPort = settings.peers.port;
+    const Endpoint &reached = settings.announcedPeers.value_or(settings.peers);
+    self.ip = reached.ip;
+    self.peerPort = reached.port;
     self.failureDomain = settings.failureDomain;
     self.service = settings.service;
     self.cpuShare = settings.cpuShare;
--- a/src/program/sidecar_settings.h
+++ b/src/program/sidecar_settings.h
@@ -7,6 +7,7 @@
 #include "core/time_type.h"
 #include "decision/request/repeat_budget.h"
 
+#include <optional>
 #include <string>
 
 namespace wisteriahoist {
@@ -26,8 +27,10 @@
     Endpoint backend;    ///< Only processes on the same VM reach it.
     Endpoint callers;    ///< HTTP/1.1 from callers and from the backend server.
     Endpoint peers;      ///< HTTP/2 from other nodes.
-    Endpoint readiness;  ///< Asked by the platform.
-    Endpoint reports;    ///< Heartbeats of the backend server.
+    /** Where other nodes reach `peers` if not there: behind a proxy or translated addresses. */
+    std::optional<Endpoint> announcedPeers;
+    Endpoint readiness; ///< Asked by the platform.
+    Endpoint reports;   ///< Heartbeats of the backend server.
     Endpoint metrics;
     Endpoint store;
     milliseconds heartbeat{1000}; ///< About so often the backend server reports.
--- a/src/standin/child_process.cpp
+++ b/src/standin/child_process.cpp
@@ -13,7 +13,8 @@
 
 namespace wisteriahoist {
 
-ChildProcess::ChildProcess(const std::vector<std::string> &arguments, const std::string &errorFile)
+ChildProcess::ChildProcess(const std::vector<std::string> &arguments, const std::string &errorFile,
+                           const std::string &outputFile)
 {
     std::array<int, 2> ends{};
     if (pipe2(ends.data(), O_CLOEXEC) != 0) {
@@ -21,9 +22,16 @@
     }
     posix_spawn_file_actions_t actions{};
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    if (outputFile.empty()) {
+        posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    } else {
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outputFile.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND, 0644);
+    }
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errorFile.c_str(),
                                      O_WRONLY | O_CREAT | O_TRUNC, 0644);
+    // A child that inherited our sockets would keep them open after we have closed them.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::vector<char *> pointers;
     for (const std::string &argument : arguments) {
         pointers.push_back(const_cast<char *>(argument.c_str()));
@@ -66,13 +74,27 @@
     }
 }
 
+void ChildProcess::onEnd(int status)
+{
+    ended_ = true;
+    exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+bool ChildProcess::hasEnded()
+{
+    int status = 0;
+    if (!ended_ && waitpid(id_, &status, WNOHANG) == id_) {
+        onEnd(status);
+    }
+    return ended_;
+}
+
 int ChildProcess::wait()
 {
     if (!ended_) {
         int status = 0;
         waitpid(id_, &status, 0);
-        ended_ = true;
-        exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+        onEnd(status);
     }
     return exitCode_;
 }
--- a/src/standin/child_process.h
+++ b/src/standin/child_process.h
@@ -17,9 +17,11 @@
     /**
      * @param arguments The program and its arguments.
      * @param errorFile Where its standard error goes.
+     * @param outputFile Its standard output is added there; empty: readLine() gives it.
      * @throws std::system_error if it cannot be started.
      */
-    ChildProcess(const std::vector<std::string> &arguments, const std::string &errorFile);
+    ChildProcess(const std::vector<std::string> &arguments, const std::string &errorFile,
+                 const std::string &outputFile = {});
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
@@ -30,12 +32,17 @@
     /** Sends @p signal; nothing if it has ended. */
     void signal(int signal);
 
+    /** @return Whether it has ended; does not wait. */
+    bool hasEnded();
+
     /** Waits for its end. @return Its exit code; 128 + signal if a signal ended it. */
     int wait();
 
     pid_t id() const { return id_; }
 
 private:
+    void onEnd(int status);
+
     pid_t id_ = -1;
     int output_ = -1;
     int exitCode_ = -1;
--- /dev/null
+++ b/tool/soak/soak_audit.cpp
@@ -0,0 +1,276 @@
+/** @file soak_audit.cpp What callers and backend servers saw, and which promises that breaks. */
+
+#include "soak/soak_audit.h"
+
+#include <algorithm>
+#include <array>
+
+namespace wisteriahoist::soak {
+
+namespace {
+
+constexpr std::array<std::string_view, 14> Names{
+        "sole-owner",      "rising-fence",    "at-most-once", "not-run-is-true", "own-answer",
+        "known-request",   "attempt-limit",   "time-left",    "leaving",         "planned-work",
+        "config-in-force", "config-not-back", "work-ends",    "recovery"};
+constexpr size_t KeyCount = LastShardKey.value() + 1;
+/** Work that goes on after its caller has left is a pattern from so many cases on. */
+constexpr uint64_t LateWorkCases = 4;
+
+/** @return The part of @p path up to its second slash: the prefix that a route is chosen by. */
+std::string prefixOf(const std::string &path)
+{
+    return path.substr(0, path.find('/', 1) + 1);
+}
+
+} // namespace
+
+std::string_view promiseName(Promise promise)
+{
+    return Names[static_cast<size_t>(promise)];
+}
+
+SoakAudit::SoakAudit(std::vector<std::string> serviceOfNode, AuditBounds bounds)
+    : serviceOfNode_(std::move(serviceOfNode)), bounds_(bounds), leases_(KeyCount)
+{ }
+
+void SoakAudit::report(Promise promise, TimePoint now, const std::string &what)
+{
+    violations_.push_back({promise, now, what});
+}
+
+bool SoakAudit::isCalm(std::optional<size_t> node, TimePoint from, TimePoint until) const
+{
+    return std::none_of(disturbances_.begin(), disturbances_.end(), [&](const Disturbance &one) {
+        const bool concerns = !node || !one.node || *one.node == *node;
+        return concerns && one.from <= until && one.until + bounds_.settle >= from;
+    });
+}
+
+void SoakAudit::onDisturbance(std::optional<size_t> node, TimePoint from, TimePoint until)
+{
+    disturbances_.push_back({node, from, until});
+}
+
+void SoakAudit::onRouted(const std::string &path, const std::string &service, TimePoint now)
+{
+    routings_[path].push_back({now, service});
+}
+
+// Leases.
+
+void SoakAudit::onGranted(const std::string &backend, const KeySpan &span, Epoch fence,
+                          TimePoint now, TimePoint until)
+{
+    const auto thawed = thawedAt_.find(nodeOf_[backend]);
+    const bool excused = thawed != thawedAt_.end() && now - thawed->second <= bounds_.thaw;
+    bool told = excused;
+    for (uint32_t key = span.first.value(); key <= span.last.value(); ++key) {
+        Lease &lease = leases_[key];
+        const bool other = !lease.backend.empty() && lease.backend != backend;
+        if (other && now < lease.until && !told) {
+            report(Promise::SoleOwner, now,
+                   "key " + std::to_string(key) + " given to " + backend + " while " + lease.backend
+                           + " holds it");
+            told = true;
+        }
+        if (other && fence <= lease.fence && !told) {
+            report(Promise::RisingFence, now,
+                   "key " + std::to_string(key) + " given to " + backend + " under fence "
+                           + std::to_string(fence.value()) + ", not above that of "
+                           + lease.backend);
+            told = true;
+        }
+        lease.until = lease.backend == backend ? std::max(lease.until, until) : until;
+        lease.backend = backend;
+        lease.fence = std::max(lease.fence, fence);
+    }
+}
+
+void SoakAudit::onReleased(const std::string &backend, const KeySpan &span)
+{
+    for (uint32_t key = span.first.value(); key <= span.last.value(); ++key) {
+        if (leases_[key].backend == backend) {
+            leases_[key].until = NeverTime;
+        }
+    }
+}
+
+void SoakAudit::onEnded(const std::string &backend)
+{
+    onReleased(backend, {ShardKey(0), LastShardKey});
+}
+
+void SoakAudit::onLeavingAcknowledged(const std::string &backend, TimePoint now)
+{
+    leavingSince_.emplace(backend, now);
+}
+
+// Requests.
+
+void SoakAudit::onSent(const SentRequest &request)
+{
+    requests_[request.attempt].sent = request;
+}
+
+void SoakAudit::onRunBegun(const std::string &backend, const std::string &service,
+                           const platform::ArrivedRequest &arrived, TimePoint now)
+{
+    const auto found = requests_.find(arrived.attempt);
+    if (found == requests_.end()) {
+        report(Promise::KnownRequest, now, "nobody sent " + arrived.attempt);
+        return;
+    }
+    Request &request = found->second;
+    ++request.runs;
+    const SentRequest &sent = request.sent;
+    if (arrived.method != sent.method || arrived.target != sent.path
+        || arrived.callerService != serviceOfNode_[sent.node]) {
+        report(Promise::KnownRequest, now,
+               sent.attempt + " arrived as " + arrived.method + " " + arrived.target + " of "
+                       + arrived.callerService);
+    }
+    if (request.runs > sent.maxAttempts) {
+        report(Promise::AttemptLimit, now, sent.attempt + " ran once more than allowed");
+    }
+    const milliseconds left
+            = std::chrono::duration_cast<milliseconds>(sent.at + sent.timeLimit - now);
+    if (arrived.timeLeft > left + bounds_.timeLeft && isCalm(sent.node, sent.at, now)) {
+        report(Promise::TimeLeft, now,
+               sent.attempt + " was given " + std::to_string(arrived.timeLeft.count()) + " ms of "
+                       + std::to_string(left.count()));
+    }
+    const auto leaving = leavingSince_.find(backend);
+    if (leaving != leavingSince_.end() && now > leaving->second + bounds_.leaving
+        && isCalm(sent.node, sent.at, now)) {
+        report(Promise::Leaving, now, sent.attempt + " ran at " + backend + ", which has left");
+    }
+    checkRouting(request, service, now);
+}
+
+void SoakAudit::checkRouting(const Request &request, const std::string &service, TimePoint now)
+{
+    const SentRequest &sent = request.sent;
+    const std::vector<Routing> &routings = routings_[prefixOf(sent.path)];
+    bool allowed = false;
+    bool everAllowed = false;
+    for (size_t index = 0; index < routings.size(); ++index) {
+        const bool replaced = index + 1 < routings.size()
+                              && sent.at > routings[index + 1].at + bounds_.configApply;
+        const bool same = routings[index].service == service;
+        allowed = allowed || (same && !replaced);
+        everAllowed = everAllowed || same;
+    }
+    if (!everAllowed) {
+        report(Promise::ConfigInForce, now,
+               sent.attempt + " ran at " + service + ", never allowed");
+    } else if (!allowed && isCalm(sent.node, sent.at, now)) {
+        report(Promise::ConfigInForce, now, sent.attempt + " ran at " + service + " as before");
+    }
+}
+
+void SoakAudit::onRunEnded(const std::string &attempt, TimePoint now, TimePoint planned)
+{
+    const auto found = requests_.find(attempt);
+    if (found == requests_.end() || !found->second.answer || !found->second.answer->timedOut) {
+        return;
+    }
+    const TimePoint due = found->second.endedAt + bounds_.workEnds;
+    if (planned > due && isCalm(std::nullopt, found->second.sent.at, now)) {
+        ++leftEarly_;
+        endedLate_ += now > due ? 1 : 0;
+    }
+}
+
+void SoakAudit::onAnswered(const std::string &attempt, const platform::CallerAnswer &answer,
+                           TimePoint now)
+{
+    Request &request = requests_[attempt];
+    request.answer = answer;
+    request.endedAt = now;
+    if (answer.status / 100 == 2) {
+        ++answered_;
+        seenPaths_[request.sent.node].emplace(prefixOf(request.sent.path), now);
+    }
+    checkAnswer(request, now);
+    if (answer.status == 404) {
+        checkNotFound(request, now);
+    }
+}
+
+void SoakAudit::checkAnswer(const Request &request, TimePoint now)
+{
+    const platform::CallerAnswer &answer = *request.answer;
+    const std::string &attempt = request.sent.attempt;
+    const std::string begin = "ran " + attempt + " at ";
+    if (!answer.answeredFor.empty() && answer.answeredFor != attempt) {
+        report(Promise::OwnAnswer, now, attempt + " got the answer to " + answer.answeredFor);
+    } else if (answer.status / 100 == 2
+               && (answer.proof.empty() || answer.body.compare(0, begin.size(), begin) != 0)) {
+        report(Promise::OwnAnswer, now, attempt + " got as success: " + answer.body.substr(0, 80));
+    }
+}
+
+void SoakAudit::checkNotFound(const Request &request, TimePoint now)
+{
+    const SentRequest &sent = request.sent;
+    const std::vector<Routing> &routings = routings_[prefixOf(sent.path)];
+    if (routings.empty()) {
+        return;
+    }
+    const auto &seen = seenPaths_[sent.node];
+    const auto served = seen.find(prefixOf(sent.path));
+    if (served != seen.end() && sent.at > served->second + bounds_.configBack) {
+        report(Promise::ConfigNotBack, now, sent.attempt + ": no route any more");
+    } else if (sent.at > routings.front().at + bounds_.configApply
+               && isCalm(sent.node, sent.at, now)) {
+        report(Promise::ConfigInForce, now, sent.attempt + ": no route yet");
+    }
+}
+
+/** Planned work alone has disturbed the fleet: nothing that was read may be cut or answered
+ * falsely. */
+void SoakAudit::checkCut(const Request &request)
+{
+    const platform::CallerAnswer &answer = *request.answer;
+    const SentRequest &sent = request.sent;
+    const bool cut = answer.status == 0 && !answer.timedOut && answer.sent;
+    const bool broken = answer.status == 502 || answer.status == 504;
+    const bool read = request.runs > 0 || request.endedAt - sent.at > bounds_.unread;
+    if ((broken || (cut && read)) && isCalm(std::nullopt, sent.at, request.endedAt)) {
+        report(Promise::PlannedWork, request.endedAt,
+               sent.attempt + (cut ? " was cut" : " got " + std::to_string(answer.status))
+                       + " with nothing but planned work; runs " + std::to_string(request.runs));
+    }
+}
+
+void SoakAudit::onNotRecovered(const std::string &what, TimePoint now)
+{
+    report(Promise::Recovery, now, what);
+}
+
+void SoakAudit::finish(TimePoint now)
+{
+    for (const auto &[attempt, request] : requests_) {
+        if (!request.sent.mayRepeat && request.runs > 1) {
+            report(Promise::AtMostOnce, request.sent.at,
+                   attempt + " ran " + std::to_string(request.runs) + " times");
+        }
+        if (!request.answer) {
+            continue;
+        }
+        if (request.runs > 0 && platform::promisesNotRun(request.answer->status)) {
+            report(Promise::NotRunIsTrue, request.endedAt,
+                   attempt + " got " + std::to_string(request.answer->status) + " and ran "
+                           + std::to_string(request.runs) + " times");
+        }
+        checkCut(request);
+    }
+    if (endedLate_ >= LateWorkCases && endedLate_ * 4 > leftEarly_) {
+        report(Promise::WorkEnds, now,
+               std::to_string(endedLate_) + " of " + std::to_string(leftEarly_)
+                       + " went on after their callers had left");
+    }
+}
+
+} // namespace wisteriahoist::soak
--- /dev/null
+++ b/tool/soak/soak_node.h
@@ -0,0 +1,59 @@
+/** @file soak_node.h One VM of the soak: a real node process, its backend server, links with
+ * faults. */
+
+#pragma once
+
+#include "platform/standin/backend_server_standin.h"
+#include "platform/standin/object_store_standin.h"
+#include "soak/fault_proxy.h"
+#include "standin/child_process.h"
+
+#include <memory>
+#include <string>
+
+namespace wisteriahoist::soak {
+
+/** Where one soak runs; several may run side by side. */
+struct SoakSettings {
+    std::string nodeBinary;
+    std::string directory; ///< For settings and logs.
+    uint64_t seed = 1;
+    size_t nodes = 8;
+    uint8_t slot = 20; ///< Second number of all its loopback addresses; unique on the machine.
+};
+
+/** One VM. The process is real; all that surrounds it is in the soak's own process. */
+class SoakNode
+{
+public:
+    SoakNode(asio::io_context &context, const SoakSettings &settings, size_t index,
+             const std::string &service, bool sharded, platform::ObjectStoreStandin &store,
+             platform::BackendObserver &observer);
+
+    void start();
+    void signal(int signal) { process_->signal(signal); }
+    /** Kills the process and waits for its end. */
+    void kill();
+
+    bool isRunning() { return process_ != nullptr && !process_->hasEnded(); }
+    int exitCode() { return process_->wait(); }
+
+    const std::string &name() const { return settings_.name; }
+    const std::string &service() const { return settings_.service; }
+    Endpoint callers() const { return settings_.callers; }
+    Endpoint readiness() const { return settings_.readiness; }
+    platform::BackendServerStandin &backend() { return backend_; }
+    FaultProxy &storeLink() { return storeLink_; }
+    FaultProxy &peerLink() { return peerLink_; }
+
+private:
+    std::string directory_;
+    std::string binary_;
+    SidecarSettings settings_;
+    FaultProxy storeLink_;
+    FaultProxy peerLink_;
+    platform::BackendServerStandin backend_;
+    std::unique_ptr<ChildProcess> process_;
+};
+
+} // namespace wisteriahoist::soak
