--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -54,6 +54,7 @@
         {LogEvent::MemberPublished, "member-published", LogSeverity::Info},
         {LogEvent::NodeFailed, "node-failed", LogSeverity::Error},
         {LogEvent::NodeFenced, "node-fenced", LogSeverity::Warning},
+        {LogEvent::WatchSilent, "watch-silent", LogSeverity::Warning},
         {LogEvent::FeederLost, "feeder-lost", LogSeverity::Warning},
         {LogEvent::StoreRelayed, "store-relayed", LogSeverity::Warning},
         {LogEvent::SettingsReloaded, "settings-reloaded", LogSeverity::Info},
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -61,6 +61,7 @@
     MemberPublished,  ///< This node has written what it is and what is beside it.
     NodeFailed,       ///< An error that nothing handles; the process ends.
     NodeFenced,       ///< A taker has asked this witness to answer a node no more.
+    WatchSilent,      ///< Other nodes have heard of changes that the own watch has not told.
     FeederLost,       ///< The node that told what changes in the store does not any more.
     StoreRelayed,     ///< The store is reached through another node.
     SettingsReloaded,
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -312,7 +312,9 @@
         reply = makeVerdictReply(RequestStage::HandedOver, RequestEnd::BadAnswer);
         reply.set_reached_backend(true);
     }
-    loads_.onReply(member.node, reply, reached, clock_.now());
+    const TimePoint now = clock_.now();
+    loads_.onReply(member.node, reply, reached, now);
+    hearNews(reply, now);
     co_return reply;
 }
 
@@ -322,14 +324,40 @@
     const Result<std::string> answer = co_await peers_.call(member, ProbePath, {}, ProbeTimeout);
     v1::HopReply reply;
     const bool answered = answer && reply.ParseFromString(answer.assume_value());
-    loads_.onReply(member.node, reply, answered, clock_.now());
+    const TimePoint now = clock_.now();
+    loads_.onReply(member.node, reply, answered, now);
+    hearNews(reply, now);
     co_return answered;
 }
 
+void RequestRouter::tellNews(v1::HopReply &reply) const
+{
+    if (news_ == nullptr) {
+        return;
+    }
+    RecordNews known = news_->news();
+    reply.mutable_news()->set_configuration(known[RecordKind::Configuration].value());
+    reply.mutable_news()->set_members(known[RecordKind::Members].value());
+    reply.mutable_news()->set_ranges(known[RecordKind::Ranges].value());
+}
+
+void RequestRouter::hearNews(const v1::HopReply &reply, TimePoint now)
+{
+    if (news_ == nullptr || !reply.has_news()) {
+        return;
+    }
+    const v1::StoreNews &told = reply.news();
+    news_->onPeerNews({{RecordKind::Configuration, StoreRevision(told.configuration())},
+                       {RecordKind::Members, StoreRevision(told.members())},
+                       {RecordKind::Ranges, StoreRevision(told.ranges())}},
+                      now);
+}
+
 asio::awaitable<std::string> RequestRouter::onProbe()
 {
     v1::HopReply reply;
     *reply.mutable_load() = gate_.load(clock_.now());
+    tellNews(reply);
     co_return reply.SerializeAsString();
 }
 
@@ -343,6 +371,7 @@
         gate_.cancel(hop.origin_node(), hop.request_id());
     } else {
         reply = co_await gate_.run(std::move(hop));
+        tellNews(reply);
     }
     co_return reply.SerializeAsString();
 }
--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -12,6 +12,7 @@
 #include "duty/fleet_view.h"
 #include "duty/peer_link.h"
 #include "duty/peer_loads.h"
+#include "port/news_exchange.h"
 
 #include <list>
 #include <random>
@@ -62,6 +63,9 @@
     /** @param duration Gets the seconds from each request to its answer. */
     void observeWith(Histogram &duration) { duration_ = &duration; }
 
+    /** Each answer between nodes tells what the answering one has heard of the store. */
+    void exchangeNews(NewsExchange &news) { news_ = &news; }
+
     /** Takes over another budget; what was spent of the old one is forgotten. */
     void setRepeats(const FleetBudget &repeats);
 
@@ -91,6 +95,8 @@
     asio::awaitable<v1::HopReply> forward(MemberRecord member, v1::HopRequest hop);
     asio::awaitable<std::string> onHop(std::string body);
     asio::awaitable<std::string> onProbe();
+    void tellNews(v1::HopReply &reply) const;
+    void hearNews(const v1::HopReply &reply, TimePoint now);
     asio::awaitable<void> awaitRouting(std::shared_ptr<Work> work);
     asio::awaitable<void> sendCancel(NodeId target, uint64_t requestId);
     const RangeEntry *findOwner(const Work &work) const;
@@ -118,6 +124,7 @@
     /// requests a second and stays below it.
     LineBudget lines_{200, 400};
     Histogram *duration_ = nullptr;
+    NewsExchange *news_ = nullptr;
     /** A request that waits until its key has another holder. */
     struct Waiter {
         const Work *work = nullptr;
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -52,10 +52,36 @@
     for (const RecordKind kind :
          {RecordKind::Configuration, RecordKind::Members, RecordKind::Ranges}) {
         const auto loop = [this, kind]() { return run(kind); };
+        lags_.try_emplace(kind, times_.longestLag);
         asio::co_spawn(context_, loop, asio::detached);
     }
 }
 
+void StoreSync::onPeerNews(const RecordNews &news, TimePoint now)
+{
+    // In a large fleet calls of watches are short anyway; while the store is away the loop lists.
+    if (lost_ || view_.members().size() >= times_.leastMembers) {
+        return;
+    }
+    for (const auto &[kind, newest] : news) {
+        const auto lag = lags_.find(kind);
+        const bool behind = lag != lags_.end() && lag->second.onPeerNews(newest, now);
+        if (behind && catchingUp_.insert(kind).second) {
+            logEvent(LogEvent::WatchSilent,
+                     {{"kind", std::string(kindText(kind))}, {"missed", newest.value()}});
+            asio::co_spawn(context_, catchUp(kind), asio::detached);
+        }
+    }
+}
+
+/** Lists beside the silent watch, which is left to its time limit. */
+asio::awaitable<void> StoreSync::catchUp(RecordKind kind)
+{
+    (void)co_await list(kind); // A failure shows as well: the peers' news go on to be ahead.
+    co_await pauseFor(times_.longestPause);
+    catchingUp_.erase(kind);
+}
+
 asio::awaitable<void> StoreSync::run(RecordKind kind)
 {
     std::optional<StoreRevision> at;
@@ -114,6 +140,7 @@
     for (const StoredRecord &record : listing.assume_value().records) {
         take(kind, record);
     }
+    lags_.at(kind).onPosition(listing.assume_value().at);
     co_return listing.assume_value().at;
 }
 
@@ -131,11 +158,13 @@
             take(kind, change.record);
         }
     }
+    lags_.at(kind).onPosition(changes.assume_value().at);
     co_return changes.assume_value().at;
 }
 
 void StoreSync::take(RecordKind kind, const StoredRecord &record)
 {
+    newest_[kind] = std::max(newest_[kind], record.revision);
     if (kind == RecordKind::Configuration) {
         if (record.name != configName_) {
             return;
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -3,9 +3,11 @@
 #pragma once
 
 #include "duty/fleet_view.h"
-#include "port/clock.h"
+#include "duty/news_lag.h"
+#include "port/news_exchange.h"
 
 #include <boost/asio/io_context.hpp>
+#include <set>
 
 namespace wisteriahoist {
 
@@ -33,11 +35,17 @@
      */
     milliseconds longestPause{400};
     milliseconds pausePerMember{6};
+    /**
+     * A working watch is behind by its gap and one answer of the store, 0.4 s each at most; beyond
+     * this a small fleet's node lists. Seen without it: keys refused for 17 s after a connection to
+     * the store had fallen silent.
+     */
+    milliseconds longestLag{1000};
 };
 
 /** One loop for each kind: list, then watch from the listed revision; after a failure list again.
  */
-class StoreSync
+class StoreSync final : public NewsExchange
 {
 public:
     StoreSync(boost::asio::io_context &context, RecordStore &store, FleetView &view,
@@ -45,7 +53,11 @@
 
     void start();
 
+    RecordNews news() const override { return newest_; }
+    void onPeerNews(const RecordNews &news, TimePoint now) override;
+
 private:
+    boost::asio::awaitable<void> catchUp(RecordKind kind);
     boost::asio::awaitable<void> run(RecordKind kind);
     boost::asio::awaitable<Result<StoreRevision>> list(RecordKind kind);
     boost::asio::awaitable<Result<StoreRevision>> watch(RecordKind kind, StoreRevision since);
@@ -66,6 +78,9 @@
         milliseconds gap{0}; ///< After it.
     };
     std::map<RecordKind, Recent> recent_;
+    RecordNews newest_;
+    std::map<RecordKind, NewsLag> lags_;
+    std::set<RecordKind> catchingUp_; ///< Kinds that are listed beside their watch.
     bool lost_ = false;
 };
 
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -117,6 +117,7 @@
     });
     gate_.onMonitorChange([this]() { onBackendChange(); });
     gate_.onSuspicion([this]() { watch_.suspect(); });
+    router_.exchangeNews(sync_);
     ranges_.probeWith([this](const MemberRecord &member) { return router_.probe(member); });
     registerMetrics();
 }
--- a/test/unit/store/store_sync_test.cpp
+++ b/test/unit/store/store_sync_test.cpp
@@ -72,6 +72,37 @@
     cr_assert(fixture.reaches(7));
 }
 
+// Callers are refused for keys that have moved: the connection of this node's watch has fallen
+// silent without a reset, so it hears nothing until the watch's time limit, 22 s. Other nodes,
+// whose watches work, know of the change and say so in every answer between nodes.
+Test(store_sync, a_silent_watch_is_found_out_by_what_others_have_heard)
+{
+    Fixture fixture;
+    fixture.store.put(RecordKind::Configuration, "main", "4");
+    fixture.sync.start();
+    cr_assert(fixture.reaches(4));
+    fixture.store.muteWatches(true);
+    const StoreRevision missed = fixture.store.put(RecordKind::Configuration, "main", "7");
+    const TimePoint begun{milliseconds(100)};
+    const SyncTimes times = makeTimes();
+
+    SECTION("for a short time a watch may be behind")
+    {
+        fixture.sync.onPeerNews({{RecordKind::Configuration, missed}}, begun);
+        fixture.sync.onPeerNews({{RecordKind::Configuration, missed}},
+                                begun + times.longestLag - milliseconds(1));
+        fixture.context.restart();
+        fixture.context.run_for(milliseconds(20));
+        cr_assert_eq(fixture.view.routes().version(), 4U);
+    }
+    SECTION("then the records are listed")
+    {
+        fixture.sync.onPeerNews({{RecordKind::Configuration, missed}}, begun + times.longestLag);
+        cr_assert(fixture.reaches(7));
+        cr_assert(fixture.sync.news().at(RecordKind::Configuration) == missed);
+    }
+}
+
 Test(store_sync, a_malformed_record_changes_nothing)
 {
     Fixture fixture;
