Change: [Ownership] A refused write goes on with the record that its answer holds

The store's refusal holds the object as it stands: it is taken over at once, and the write is repeated within 100 ms drawn at random.

--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -36,6 +36,12 @@
  * refused, and each cost a read besides.
  */
 constexpr milliseconds AwaitNews{500};
+/**
+ * The answer to a refused write holds the record as it stands, so it could be written again at
+ * once; but all whose writes were refused together would collide again. Ten holders of one block
+ * write within 10 ms each.
+ */
+constexpr milliseconds CollisionSpread{100};
 /** A node that has not been reached for so long may be lost; its witnesses and its lease decide. */
 constexpr milliseconds SuspectAfter{500};
 
@@ -542,7 +548,10 @@
         // It may have been written all the same, or somebody else was first: read before planning.
         const FailureCode code = written.assume_error().code;
         const bool conflict = code == FailureCode::VersionConflict;
-        unread_[name] = {over, clock_.now() + (conflict ? AwaitNews : milliseconds(0))};
+        const TimePoint now = clock_.now();
+        auto spread = std::uniform_int_distribution<int64_t>(0, CollisionSpread.count());
+        unread_[name] = {over, now + (conflict ? AwaitNews : milliseconds(0)),
+                         now + milliseconds(conflict ? spread(random_) : 0)};
         logEvent(LogEvent::RangesNotWritten, {{"record", name},
                                               {"over", over.value()},
                                               {"cause", std::string(failureName(code))}});
@@ -573,8 +582,8 @@
 
 asio::awaitable<void> RangeDuty::refreshTable()
 {
-    std::erase_if(unread_, [this](const auto &entry) {
-        return knownRevision(entry.first) > entry.second.over;
+    std::erase_if(unread_, [this, now = clock_.now()](const auto &entry) {
+        return now >= entry.second.writeAt && knownRevision(entry.first) > entry.second.over;
     });
     const std::map<std::string, Unread> unread = unread_;
     for (const auto &[name, entry] : unread) {
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -134,6 +134,7 @@
     struct Unread {
         StoreRevision over; ///< The newest revision that was known at the write.
         TimePoint readAt;   ///< It is read then, if no news of it have come.
+        TimePoint writeAt;  ///< It is not written again before.
     };
     std::map<std::string, Unread> unread_;
 };
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -74,6 +74,13 @@
     }
 }
 
+void StoreSync::onRecord(RecordKind kind, const StoredRecord &record)
+{
+    if (kind == RecordKind::Members || kind == RecordKind::Ranges) {
+        take(kind, record);
+    }
+}
+
 /** Lists beside the silent watch, which is left to its time limit. */
 asio::awaitable<void> StoreSync::catchUp(RecordKind kind)
 {
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -53,6 +53,9 @@
 
     void start();
 
+    /** Takes over a record that the store told beside its watches. */
+    void onRecord(RecordKind kind, const StoredRecord &record);
+
     RecordNews news() const override { return newest_; }
     void onPeerNews(const RecordNews &news, TimePoint now) override;
 
--- a/src/port/record_store.h
+++ b/src/port/record_store.h
@@ -7,6 +7,7 @@
 #include "core/time_type.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,12 @@
                                            StoreRevision expected, std::string content)
             = 0;
 
+    /** Told of the record that stands in the way of a refused write. */
+    using StandingListener = std::function<void(RecordKind, const StoredRecord &)>;
+
+    /** @param listener Hears what a refused write's answer holds; a store may never tell it. */
+    virtual void onStanding(StandingListener) { }
+
     /** Creates the record if @p expected is 0, else replaces that revision. */
     Pending<StoreRevision> write(RecordKind kind, std::string name, StoreRevision expected,
                                  std::string content)
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -118,6 +118,8 @@
     gate_.onMonitorChange([this]() { onBackendChange(); });
     gate_.onSuspicion([this]() { watch_.suspect(); });
     router_.exchangeNews(sync_);
+    ports_.store.onStanding(
+            [this](RecordKind kind, const StoredRecord &record) { sync_.onRecord(kind, record); });
     ranges_.probeWith([this](const MemberRecord &member) { return router_.probe(member); });
     registerMetrics();
 }
--- /dev/null
+++ b/test/unit/soak/soak_audit_test.cpp
@@ -0,0 +1,256 @@
+/** @file soak_audit_test.cpp Each promise of the soak's audit is found broken when it is, and only
+ * then.
+ */
+
+#include "soak/soak_audit.h"
+#include "support/story.h"
+
+using namespace wisteriahoist;
+using namespace wisteriahoist::soak;
+
+namespace {
+
+const KeySpan All{ShardKey(0), LastShardKey};
+constexpr TimePoint Begin{std::chrono::seconds(100)};
+
+TimePoint at(int64_t count)
+{
+    return Begin + milliseconds(count);
+}
+
+/** Two nodes: 0 beside "a", 1 beside "b". */
+struct Fixture {
+    Fixture()
+    {
+        audit.onBackendStarted("a", 0);
+        audit.onBackendStarted("b", 1);
+        audit.onRouted("/x/", "one", Begin);
+    }
+
+    void send(const std::string &attempt, bool mayRepeat, TimePoint now)
+    {
+        SentRequest sent;
+        sent.attempt = attempt;
+        sent.callerService = "one";
+        sent.method = mayRepeat ? "GET" : "POST";
+        sent.path = "/x/" + attempt;
+        sent.mayRepeat = mayRepeat;
+        sent.maxAttempts = 2;
+        sent.timeLimit = milliseconds(2000);
+        sent.at = now;
+        audit.onSent(sent);
+    }
+
+    void run(const std::string &attempt, bool mayRepeat, TimePoint now,
+             const std::string &service = "one")
+    {
+        platform::ArrivedRequest arrived;
+        arrived.attempt = attempt;
+        arrived.callerService = "one";
+        arrived.method = mayRepeat ? "GET" : "POST";
+        arrived.target = "/x/" + attempt;
+        arrived.timeLeft = milliseconds(1000);
+        audit.onRunBegun("a", service, arrived, now);
+    }
+
+    void answer(const std::string &attempt, unsigned status, TimePoint now)
+    {
+        platform::CallerAnswer answer;
+        answer.status = status;
+        answer.sent = true;
+        if (status == 200) {
+            answer.answeredFor = attempt;
+            answer.proof = "a";
+            answer.body = "ran " + attempt + " at one";
+        }
+        audit.onAnswered(attempt, answer, now);
+    }
+
+    /** @return Whether @p promise is the only one that was broken, once. */
+    bool broke(Promise promise)
+    {
+        audit.finish(at(60000));
+        return audit.violations().size() == 1 && audit.violations().front().promise == promise;
+    }
+
+    bool brokeNothing()
+    {
+        audit.finish(at(60000));
+        return audit.violations().empty();
+    }
+
+    SoakAudit audit{{"one", "two"}};
+};
+
+} // namespace
+
+Test(soak_audit, a_clean_request_breaks_nothing)
+{
+    Fixture fixture;
+    fixture.send("r", false, at(0));
+    fixture.run("r", false, at(10));
+    fixture.answer("r", 200, at(50));
+    cr_assert(fixture.brokeNothing());
+}
+
+Test(soak_audit, two_holders_of_one_key)
+{
+    SECTION("at the same time")
+    {
+        Fixture fixture;
+        fixture.audit.onGranted("a", All, Epoch(1), at(0), at(2500));
+        fixture.audit.onGranted("b", All, Epoch(2), at(2400), at(5000));
+        cr_assert(fixture.broke(Promise::SoleOwner));
+    }
+    SECTION("one after the other, by time, by release or by the end of the first")
+    {
+        Fixture fixture;
+        fixture.audit.onGranted("a", All, Epoch(1), at(0), at(2500));
+        fixture.audit.onGranted("b", All, Epoch(2), at(2500), at(5000));
+        fixture.audit.onReleased("b", All);
+        fixture.audit.onGranted("a", All, Epoch(3), at(3000), at(6000));
+        fixture.audit.onEnded("a");
+        fixture.audit.onGranted("b", All, Epoch(4), at(3100), at(6000));
+        cr_assert(fixture.brokeNothing());
+    }
+    SECTION("with a fence that does not rise")
+    {
+        Fixture fixture;
+        fixture.audit.onGranted("a", All, Epoch(2), at(0), at(2500));
+        fixture.audit.onGranted("b", All, Epoch(2), at(3000), at(5000));
+        cr_assert(fixture.broke(Promise::RisingFence));
+    }
+    SECTION("an order that was on its way while its sender was stopped")
+    {
+        Fixture fixture;
+        fixture.audit.onGranted("a", All, Epoch(1), at(0), at(2500));
+        fixture.audit.onNodeThawed(1, at(1000));
+        fixture.audit.onGranted("b", All, Epoch(2), at(1100), at(3000));
+        cr_assert(fixture.brokeNothing());
+    }
+}
+
+Test(soak_audit, runs_of_one_request)
+{
+    SECTION("twice where it may not be repeated")
+    {
+        Fixture fixture;
+        fixture.send("r", false, at(0));
+        fixture.run("r", false, at(10));
+        fixture.run("r", false, at(20));
+        fixture.answer("r", 200, at(50));
+        cr_assert(fixture.broke(Promise::AtMostOnce));
+    }
+    SECTION("thrice where two are allowed")
+    {
+        Fixture fixture;
+        fixture.send("r", true, at(0));
+        fixture.run("r", true, at(10));
+        fixture.run("r", true, at(20));
+        fixture.run("r", true, at(30));
+        fixture.answer("r", 200, at(50));
+        cr_assert(fixture.broke(Promise::AttemptLimit));
+    }
+    SECTION("after it was refused")
+    {
+        Fixture fixture;
+        fixture.send("r", false, at(0));
+        fixture.answer("r", 503, at(50));
+        fixture.run("r", false, at(900));
+        cr_assert(fixture.broke(Promise::NotRunIsTrue));
+    }
+    SECTION("that nobody sent")
+    {
+        Fixture fixture;
+        fixture.run("r", false, at(10));
+        cr_assert(fixture.broke(Promise::KnownRequest));
+    }
+}
+
+Test(soak_audit, answers)
+{
+    Fixture fixture;
+    fixture.send("r", true, at(0));
+    fixture.run("r", true, at(10));
+    SECTION("of another request")
+    {
+        platform::CallerAnswer answer;
+        answer.status = 200;
+        answer.sent = true;
+        answer.answeredFor = "q";
+        answer.proof = "a";
+        answer.body = "ran q at one";
+        fixture.audit.onAnswered("r", answer, at(50));
+        cr_assert(fixture.broke(Promise::OwnAnswer));
+    }
+}
+
+Test(soak_audit, requests_cut_by_planned_work)
+{
+    SECTION("are found")
+    {
+        Fixture fixture;
+        fixture.send("r", true, at(0));
+        fixture.run("r", true, at(10));
+        fixture.answer("r", 0, at(50));
+        cr_assert(fixture.broke(Promise::PlannedWork));
+    }
+    SECTION("are excused by another fault at the time")
+    {
+        Fixture fixture;
+        fixture.audit.onDisturbance(1, at(-500), at(-100));
+        fixture.send("r", true, at(0));
+        fixture.run("r", true, at(10));
+        fixture.answer("r", 0, at(50));
+        cr_assert(fixture.brokeNothing());
+    }
+    SECTION("that crossed the node's close without being read are none")
+    {
+        Fixture fixture;
+        fixture.send("r", true, at(0));
+        fixture.answer("r", 0, at(50));
+        cr_assert(fixture.brokeNothing());
+    }
+}
+
+Test(soak_audit, configurations)
+{
+    SECTION("an old one after its time")
+    {
+        Fixture fixture;
+        fixture.audit.onRouted("/x/", "two", at(1000));
+        fixture.send("r", true, at(3100));
+        fixture.run("r", true, at(3110), "one");
+        fixture.answer("r", 200, at(3150));
+        cr_assert(fixture.broke(Promise::ConfigInForce));
+    }
+    SECTION("an old one within it")
+    {
+        Fixture fixture;
+        fixture.audit.onRouted("/x/", "two", at(1000));
+        fixture.send("r", true, at(2900));
+        fixture.run("r", true, at(2910), "one");
+        fixture.answer("r", 200, at(2950));
+        cr_assert(fixture.brokeNothing());
+    }
+    SECTION("a route that a node has served and knows no more")
+    {
+        Fixture fixture;
+        fixture.send("r", true, at(0));
+        fixture.run("r", true, at(10));
+        fixture.answer("r", 200, at(50));
+        fixture.send("q", true, at(400));
+        fixture.answer("q", 404, at(410));
+        cr_assert(fixture.broke(Promise::ConfigNotBack));
+    }
+}
+
+Test(soak_audit, requests_after_a_leaving)
+{
+    Fixture fixture;
+    fixture.audit.onLeavingAcknowledged("a", at(0));
+    fixture.send("r", true, at(2000));
+    fixture.run("r", true, at(2100));
+    fixture.answer("r", 200, at(2150));
+    cr_assert(fixture.broke(Promise::Leaving));
+}
