--- a/src/duty/fleet_view.cpp
+++ b/src/duty/fleet_view.cpp
@@ -2,8 +2,17 @@
 
 #include "duty/fleet_view.h"
 
+#include "adapter/log/event_log.h"
+
 namespace wisteriahoist {
 
+void logMalformedRecord(RecordKind kind, const std::string &name, const Failure &failure)
+{
+    logEvent(LogEvent::ObjectMalformed, {{"kind", std::string(recordKindName(kind))},
+                                         {"name", name},
+                                         {"cause", failure.context}});
+}
+
 std::string memberRecordName(NodeId node)
 {
     return "node-" + std::to_string(node.value());
@@ -60,6 +69,16 @@
     return found == blocks.end() ? StoreRevision(0) : found->second;
 }
 
+void FleetView::onRangeRecord(const StoredRecord &record)
+{
+    Result<RangeRecord> ranges = decodeRangeRecord(record.content);
+    if (ranges) {
+        onRanges(record.name, std::move(ranges.assume_value()), record.revision);
+    } else {
+        logMalformedRecord(RecordKind::Ranges, record.name, ranges.assume_error());
+    }
+}
+
 void FleetView::onRanges(const std::string &name, RangeRecord record, StoreRevision revision)
 {
     RangeRecords &records = tables_[record.isBlock() ? record.service : name];
@@ -85,6 +104,10 @@
         records.early[record.block] = std::move(record.table);
     } else if (record.layout == records.joined.layout) {
         table = replaceBlock(std::move(table), record.layout.spanOf(record.block), record.table);
+    } else {
+        logMalformedRecord(RecordKind::Ranges, name,
+                           {FailureCode::Malformed, "a block of another division"});
+        return;
     }
     notify();
 }
--- a/src/duty/fleet_view.h
+++ b/src/duty/fleet_view.h
@@ -35,6 +35,8 @@
     bool onConfig(RouteConfig config);
     void onMember(const MemberRecord &member, StoreRevision revision);
     void onMemberRemoved(const std::string &name);
+    /** Decodes a record of ranges and takes it over; what can't be read is logged and left out. */
+    void onRangeRecord(const StoredRecord &record);
     /** @param name The record's name. */
     void onRanges(const std::string &name, RangeRecord record, StoreRevision revision);
 
@@ -73,6 +75,9 @@
     uint64_t changes_ = 0;
 };
 
+/** Logs a record of the store that can't be used; what was known before stays in force. */
+void logMalformedRecord(RecordKind kind, const std::string &name, const Failure &failure);
+
 /** @return The name of a member's records in the store. */
 std::string memberRecordName(NodeId node);
 
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -232,20 +232,27 @@
     const OrderAnswer answer = co_await backend_.grant(order, GrantTimeout);
     keeper_.onGrantEnd(order, answer.result);
     if (answer.result != OrderResult::Unanswered) {
-        (void)monitor_.onAnswer(clock_.now());
+        noteMonitorChange(monitor_.onAnswer(clock_.now()));
     }
     if (answer.result == OrderResult::HigherFence) {
         logEvent(LogEvent::GrantRefused, {{"first", order.span.first.value()},
                                           {"last", order.span.last.value()},
                                           {"fence", order.fence.value()}});
     }
-    if (answer.refusedConnection && monitor_.onRefusedConnection()) {
-        logEvent(LogEvent::BackendSilent,
-                 {{"backend", monitor_.backend()}, {"cause", "connection refused"}});
+    if (answer.refusedConnection) {
+        noteMonitorChange(monitor_.onRefusedConnection());
     }
     wake();
 }
 
+/** Gate and member record follow at once, as when a request finds the change out. */
+void RangeDuty::noteMonitorChange(bool changed)
+{
+    if (changed && monitorChanged_) {
+        monitorChanged_();
+    }
+}
+
 asio::awaitable<void> RangeDuty::sendRelease(ReleaseOrder order)
 {
     const OrderAnswer answer = co_await backend_.release(order, ReleaseTimeout);
@@ -369,12 +376,14 @@
 
 void RangeDuty::beginMove(const RangeMove &move, std::string_view cause, TimePoint now)
 {
+    const double before = load_.total(now);
     targets_.push_back(move);
     keeper_.beginRelease(move.span);
+    load_.forget(move.span);
     logEvent(LogEvent::RangeLeaving, {{"first", move.span.first.value()},
                                       {"last", move.span.last.value()},
                                       {"to", holderText(move.holder)},
-                                      {"busy_slots", load_.total(now)},
+                                      {"busy_slots", before},
                                       {"cause", std::string(cause)}});
 }
 
@@ -595,12 +604,8 @@
             co_return;
         }
         unread_.erase(name);
-        if (!stored) {
-            continue;
-        }
-        Result<RangeRecord> ranges = decodeRangeRecord(stored.assume_value().content);
-        if (ranges) {
-            view_.onRanges(name, std::move(ranges.assume_value()), stored.assume_value().revision);
+        if (stored) {
+            view_.onRangeRecord(stored.assume_value());
         }
     }
 }
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -50,6 +50,9 @@
     /** Ends the duty's loop; nothing is granted or renewed any more. */
     void halt();
 
+    /** @param action Runs when an order shows that the backend server's state has changed. */
+    void onMonitorChange(std::function<void()> action) { monitorChanged_ = std::move(action); }
+
     void probeWith(PeerProbe probe) { probe_ = std::move(probe); }
 
     RequestEnd check(ShardKey key, TimePoint now) const override;
@@ -96,6 +99,8 @@
     void beginMove(const RangeMove &move, std::string_view cause, TimePoint now);
     RangeHolder targetOf(const KeySpan &span, TimePoint now) const;
     void lostLease();
+    void noteMonitorChange(bool changed);
+    std::function<void()> monitorChanged_;
 
     asio::io_context &context_;
     const Clock &clock_;
--- a/src/duty/store_relay.cpp
+++ b/src/duty/store_relay.cpp
@@ -13,7 +13,7 @@
 constexpr std::string_view StorePath = "/store";
 constexpr size_t MostHelpers = 3; ///< Asked in turn before the store counts as away for everyone.
 
-enum class StoreCall : uint32_t { List = 1, Read, Create, Replace };
+enum class RelayCall : uint32_t { List = 1, Read, Create, Replace };
 
 /** @return Whether the failure is of the way to the store, not the store's own answer. */
 bool isLost(const Failure &failure)
@@ -23,7 +23,7 @@
            || failure.code == FailureCode::RateLimited;
 }
 
-v1::StoreRequest makeRequest(StoreCall call, RecordKind kind, const std::string &name = {},
+v1::StoreRequest makeRequest(RelayCall call, RecordKind kind, const std::string &name = {},
                              StoreRevision revision = {}, const std::string &content = {})
 {
     v1::StoreRequest request;
@@ -143,7 +143,7 @@
             co_return listing;
         }
     }
-    v1::StoreRequest request = makeRequest(StoreCall::List, kind);
+    v1::StoreRequest request = makeRequest(RelayCall::List, kind);
     Result<v1::StoreReply> reply = co_await relay(std::move(request));
     if (!reply) {
         co_return std::move(reply).as_failure();
@@ -164,7 +164,7 @@
             co_return record;
         }
     }
-    v1::StoreRequest request = makeRequest(StoreCall::Read, kind, name);
+    v1::StoreRequest request = makeRequest(RelayCall::Read, kind, name);
     Result<v1::StoreReply> reply = co_await relay(std::move(request));
     if (!reply) {
         co_return std::move(reply).as_failure();
@@ -193,7 +193,7 @@
             co_return revision;
         }
     }
-    v1::StoreRequest request = makeRequest(StoreCall::Create, kind, name, {}, content);
+    v1::StoreRequest request = makeRequest(RelayCall::Create, kind, name, {}, content);
     co_return co_await relayWrite(std::move(request));
 }
 
@@ -207,7 +207,7 @@
             co_return revision;
         }
     }
-    v1::StoreRequest request = makeRequest(StoreCall::Replace, kind, name, expected, content);
+    v1::StoreRequest request = makeRequest(RelayCall::Replace, kind, name, expected, content);
     co_return co_await relayWrite(std::move(request));
 }
 
@@ -248,8 +248,8 @@
     const auto kind = static_cast<RecordKind>(request.kind());
     const StoreRevision expected(request.revision());
     Result<StoreRevision> written = Failure{FailureCode::Malformed, "unknown call"};
-    switch (static_cast<StoreCall>(request.call())) {
-    case StoreCall::List: {
+    switch (static_cast<RelayCall>(request.call())) {
+    case RelayCall::List: {
         Result<RecordListing> listing = co_await direct_.list(kind);
         if (listing) {
             reply.set_revision(listing.assume_value().at.value());
@@ -261,7 +261,7 @@
         }
         co_return reply;
     }
-    case StoreCall::Read: {
+    case RelayCall::Read: {
         Result<StoredRecord> record = co_await direct_.read(kind, request.name());
         if (record) {
             addRecord(reply, record.assume_value());
@@ -270,10 +270,10 @@
         }
         co_return reply;
     }
-    case StoreCall::Create:
+    case RelayCall::Create:
         written = co_await direct_.create(kind, request.name(), request.content());
         break;
-    case StoreCall::Replace:
+    case RelayCall::Replace:
         written = co_await direct_.replace(kind, request.name(), expected, request.content());
         break;
     }
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -18,27 +18,6 @@
 /** While the store is away only this loop asks: each call is paid for, also a refused one. */
 constexpr RecordKind ProbingKind = RecordKind::Configuration;
 
-std::string_view kindText(RecordKind kind)
-{
-    switch (kind) {
-    case RecordKind::Configuration:
-        return "configuration";
-    case RecordKind::Members:
-        return "members";
-    case RecordKind::Ranges:
-        return "ranges";
-    case RecordKind::Leases:
-        return "leases";
-    }
-    return "";
-}
-
-void logMalformed(RecordKind kind, const std::string &name, const Failure &failure)
-{
-    logEvent(LogEvent::ObjectMalformed,
-             {{"kind", std::string(kindText(kind))}, {"name", name}, {"cause", failure.context}});
-}
-
 } // namespace
 
 StoreSync::StoreSync(asio::io_context &context, RecordStore &store, FleetView &view,
@@ -68,7 +47,7 @@
         const bool behind = lag != lags_.end() && lag->second.onPeerNews(newest, now);
         if (behind && catchingUp_.insert(kind).second) {
             logEvent(LogEvent::WatchSilent,
-                     {{"kind", std::string(kindText(kind))}, {"missed", newest.value()}});
+                     {{"kind", std::string(recordKindName(kind))}, {"missed", newest.value()}});
             asio::co_spawn(context_, catchUp(kind), asio::detached);
         }
     }
@@ -178,7 +157,7 @@
         }
         Result<RouteConfig> config = decodeConfig_(record.content);
         if (!config) {
-            logMalformed(kind, record.name, config.assume_error());
+            logMalformedRecord(kind, record.name, config.assume_error());
             return;
         }
         const uint64_t version = config.assume_value().version;
@@ -190,18 +169,13 @@
     if (kind == RecordKind::Members) {
         Result<MemberRecord> member = decodeMember(record.content);
         if (!member) {
-            logMalformed(kind, record.name, member.assume_error());
+            logMalformedRecord(kind, record.name, member.assume_error());
             return;
         }
         view_.onMember(member.assume_value(), record.revision);
         return;
     }
-    Result<RangeRecord> ranges = decodeRangeRecord(record.content);
-    if (!ranges) {
-        logMalformed(kind, record.name, ranges.assume_error());
-        return;
-    }
-    view_.onRanges(record.name, std::move(ranges.assume_value()), record.revision);
+    view_.onRangeRecord(record);
 }
 
 void StoreSync::takeRemoved(RecordKind kind, const std::string &name)
@@ -220,9 +194,9 @@
     lost_ = lost;
     if (lost) {
         logEvent(LogEvent::PlatformUnavailable,
-                 {{"kind", std::string(kindText(kind))}, {"cause", failure->context}});
+                 {{"kind", std::string(recordKindName(kind))}, {"cause", failure->context}});
     } else {
-        logEvent(LogEvent::PlatformBack, {{"kind", std::string(kindText(kind))}});
+        logEvent(LogEvent::PlatformBack, {{"kind", std::string(recordKindName(kind))}});
     }
 }
 
--- a/src/port/record_store.h
+++ b/src/port/record_store.h
@@ -6,9 +6,11 @@
 #include "core/strong_id.h"
 #include "core/time_type.h"
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace wisteriahoist {
@@ -24,6 +26,52 @@
     Leases,        ///< One for each node that grants keys. Not watched: it changes all the time.
 };
 
+inline constexpr size_t RecordKindCount = 4;
+
+/** @return Its name in logs and metrics. */
+constexpr std::string_view recordKindName(RecordKind kind)
+{
+    switch (kind) {
+    case RecordKind::Configuration:
+        return "configuration";
+    case RecordKind::Members:
+        return "members";
+    case RecordKind::Ranges:
+        return "ranges";
+    case RecordKind::Leases:
+        return "leases";
+    }
+    return "";
+}
+
+/** What is asked of the store. */
+enum class StoreCall { List, Read, Watch, Create, Replace };
+inline constexpr size_t StoreCallCount = 5;
+
+/** @return Its name in metrics. */
+constexpr std::string_view storeCallName(StoreCall call)
+{
+    constexpr std::array<std::string_view, StoreCallCount> Names{"list", "read", "watch", "create",
+                                                                 "replace"};
+    return Names[static_cast<size_t>(call)];
+}
+
+/** Calls made since the start; each one is paid for. */
+class StoreCallCounts
+{
+public:
+    void add(StoreCall call, RecordKind kind) { ++counts_[indexOf(call, kind)]; }
+    uint64_t of(StoreCall call, RecordKind kind) const { return counts_[indexOf(call, kind)]; }
+
+private:
+    static size_t indexOf(StoreCall call, RecordKind kind)
+    {
+        return static_cast<size_t>(call) * RecordKindCount + static_cast<size_t>(kind);
+    }
+
+    std::array<uint64_t, StoreCallCount * RecordKindCount> counts_{};
+};
+
 /** A record as it is stored. */
 struct StoredRecord {
     std::string name;
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -120,6 +120,7 @@
     router_.exchangeNews(sync_);
     ports_.store.onStanding(
             [this](RecordKind kind, const StoredRecord &record) { sync_.onRecord(kind, record); });
+    ranges_.onMonitorChange([this]() { onBackendChange(); });
     ranges_.probeWith([this](const MemberRecord &member) { return router_.probe(member); });
     registerMetrics();
 }
@@ -234,7 +235,7 @@
             [&counters]() { return counters.repeats; });
     counter("wisteriahoist_callers_gone_total", "Callers that left before their answer.",
             [&counters]() { return counters.callersGone; });
-    counter("wisteriahoist_store_calls_total", "Calls to the platform's store.", ports_.storeCalls);
+    registerStoreCalls();
     counter("wisteriahoist_log_lines_dropped_total", "Lines of requests over the log's budget.",
             [this]() { return router_.droppedLines(); });
     router_.observeWith(metrics_.addHistogram("wisteriahoist_request_seconds",
@@ -252,6 +253,24 @@
           [this]() { return ranges_.demand(clock_.now()); });
 }
 
+void SidecarProgram::registerStoreCalls()
+{
+    for (size_t call = 0; call < StoreCallCount; ++call) {
+        for (size_t kind = 0; kind < RecordKindCount; ++kind) {
+            const auto storeCall = static_cast<StoreCall>(call);
+            const auto recordKind = static_cast<RecordKind>(kind);
+            metrics_.addComputed({"wisteriahoist_store_calls_total",
+                                  "Calls to the platform's store.", MetricKind::Counter},
+                                 {{"call", std::string(storeCallName(storeCall))},
+                                  {"kind", std::string(recordKindName(recordKind))}},
+                                 [this, storeCall, recordKind](TimePoint) {
+                                     return static_cast<double>(
+                                             ports_.storeCalls.of(storeCall, recordKind));
+                                 });
+        }
+    }
+}
+
 void SidecarProgram::onSettings(const SidecarSettings &settings)
 {
     logEvent(LogEvent::SettingsReloaded, {{"changed", isNews(settings)}});
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -32,7 +32,7 @@
     ConfigDecoder decodeConfig;
     std::function<Result<BackendCall>(const HttpRequest &)> decodeReport;
     std::function<HttpResponse()> makeReportAck;
-    std::function<uint64_t()> storeCalls; ///< Made since the start.
+    const StoreCallCounts &storeCalls;
 };
 
 /**
@@ -72,6 +72,7 @@
     asio::awaitable<HttpResponse> onReadiness(HttpRequest request);
     asio::awaitable<HttpResponse> onMetrics(HttpRequest request);
     void registerMetrics();
+    void registerStoreCalls();
 
     asio::io_context &context_;
     BootClockAdapter clock_;
