--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 proto:
 	@scripts/generate-proto.sh
 
-# SEEDS=A..B; a seed takes about 40 s, JOBS of them run at the same time.
+# SEEDS like 3,7..9; a seed takes about 40 s, JOBS of them run at the same time.
 SEEDS ?= 1..4
 JOBS ?= 3
 soak: release
--- a/tool/soak/soak_main.cpp
+++ b/tool/soak/soak_main.cpp
@@ -11,9 +11,11 @@
 #include <filesystem>
 #include <iostream>
 #include <mutex>
+#include <optional>
+#include <string_view>
 #include <thread>
 
-ABSL_FLAG(std::string, seeds, "1..4", "first and last seed, as A..B");
+ABSL_FLAG(std::string, seeds, "1..4", "seeds, like 3,7..9");
 ABSL_FLAG(uint32_t, jobs, 3, "seeds that run at the same time");
 ABSL_FLAG(uint32_t, nodes, 8, "nodes of each fleet, at least 8");
 ABSL_FLAG(uint32_t, slot, 20, "second number of the loopback addresses; each job takes one");
@@ -26,34 +28,46 @@
 
 namespace {
 
-struct SeedRange {
-    uint64_t first = 1;
-    uint64_t last = 0; ///< Below first: the text was none.
-};
+/** @return The number that @p text is; nothing if it is none. */
+std::optional<uint64_t> parseNumber(std::string_view text)
+{
+    uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool whole = error == std::errc() && end == text.data() + text.size();
+    return whole ? std::optional(number) : std::nullopt;
+}
 
-SeedRange parseSeeds(const std::string &text)
+/** @return The seeds of a list like 3,7..9; empty if it can't be read. */
+std::vector<uint64_t> parseSeeds(std::string_view text)
 {
-    SeedRange range;
-    const size_t dots = text.find("..");
-    if (dots == std::string::npos) {
-        return range;
+    std::vector<uint64_t> seeds;
+    while (!text.empty()) {
+        const std::string_view part = text.substr(0, text.find(','));
+        text.remove_prefix(std::min(text.size(), part.size() + 1));
+        const size_t dots = part.find("..");
+        const auto first = parseNumber(part.substr(0, dots));
+        const auto last
+                = dots == std::string_view::npos ? first : parseNumber(part.substr(dots + 2));
+        if (!first || !last || *last < *first) {
+            return {};
+        }
+        for (uint64_t seed = *first; seed <= *last; ++seed) {
+            seeds.push_back(seed);
+        }
     }
-    const char *end = text.data() + text.size();
-    const auto first = std::from_chars(text.data(), text.data() + dots, range.first);
-    const auto last = std::from_chars(text.data() + dots + 2, end, range.last);
-    const bool whole = first.ec == std::errc() && last.ec == std::errc() && last.ptr == end;
-    return whole ? range : SeedRange{};
+    return seeds;
 }
 
 /** Takes seed after seed until none is left; several workers share the counters. */
 class SoakSeries
 {
 public:
-    explicit SoakSeries(SeedRange range) : range_(range), next_(range.first) { }
+    explicit SoakSeries(std::vector<uint64_t> seeds) : wanted_(std::move(seeds)) { }
 
     void work(uint8_t slot)
     {
-        for (uint64_t seed = next_++; seed <= range_.last; seed = next_++) {
+        for (size_t next = next_++; next < wanted_.size(); next = next_++) {
+            const uint64_t seed = wanted_[next];
             SoakSettings settings;
             settings.nodeBinary = absl::GetFlag(FLAGS_node_binary);
             settings.directory = absl::GetFlag(FLAGS_directory) + "/seed-" + std::to_string(seed);
@@ -91,8 +105,8 @@
         }
     }
 
-    SeedRange range_;
-    std::atomic<uint64_t> next_;
+    std::vector<uint64_t> wanted_;
+    std::atomic<size_t> next_{0}; ///< Index of the seed that is taken next.
     std::mutex lock_;
     uint64_t seeds_ = 0;
     uint64_t violations_ = 0;
@@ -104,17 +118,18 @@
 
 int runSoak()
 {
-    const SeedRange range = parseSeeds(absl::GetFlag(FLAGS_seeds));
+    std::vector<uint64_t> seeds = parseSeeds(absl::GetFlag(FLAGS_seeds));
     const uint32_t jobs = absl::GetFlag(FLAGS_jobs);
     const uint32_t slot = absl::GetFlag(FLAGS_slot);
-    if (range.last < range.first || jobs == 0 || slot + jobs > 255 || slot == 0
+    if (seeds.empty() || jobs == 0 || slot + jobs > 255 || slot == 0
         || absl::GetFlag(FLAGS_nodes) < 8) {
-        std::cerr << "soak: --seeds=A..B, --jobs above 0, --nodes from 8, --slot with room for the "
+        std::cerr << "soak: --seeds like 3,7..9, --jobs above 0, --nodes from 8, --slot with room "
+                     "for the "
                      "jobs below 255\n";
         return 2;
     }
     boost::log::core::get()->set_logging_enabled(false);
-    SoakSeries series(range);
+    SoakSeries series(std::move(seeds));
     std::vector<std::thread> workers;
     for (uint32_t job = 0; job < jobs; ++job) {
         workers.emplace_back(
