--- a/src/decision/range/key_load.cpp
+++ b/src/decision/range/key_load.cpp
@@ -58,12 +58,6 @@
     return found;
 }
 
-void KeyLoad::forget(const KeySpan &span)
-{
-    std::erase_if(weights_,
-                  [&span](const auto &entry) { return span.contains(ShardKey(entry.first)); });
-}
-
 double KeyLoad::total(TimePoint now)
 {
     fade(now);
--- a/src/decision/range/key_load.h
+++ b/src/decision/range/key_load.h
@@ -11,8 +11,8 @@
 /** Bounds of what is counted. */
 struct KeyLoadSettings {
     /** Time constant. Hot keys change within seconds on the users' sites, so older load fades fast;
-     *  shorter, and a slice with 10 requests/s is judged by fewer than 20 of them. */
-    milliseconds decay{2000};
+     *  shorter, and a slice with 10 requests/s is judged by fewer than 30 of them. */
+    milliseconds decay{3000};
     size_t keys = 4096;    ///< Counted at once; beyond, those with the least load are dropped.
     double least = 0.0005; ///< Busy slots below which a key is dropped.
 };
@@ -39,9 +39,6 @@
 
     double total(TimePoint now);
 
-    /** The keys of @p span are another holder's: their load is no longer this one's. */
-    void forget(const KeySpan &span);
-
 private:
     void fade(TimePoint now);
 
--- a/src/decision/range/range_planner.cpp
+++ b/src/decision/range/range_planner.cpp
@@ -228,55 +228,6 @@
     return move;
 }
 
-double shareOf(const RangeCandidate &candidate)
-{
-    return candidate.busySlots / candidate.slots;
-}
-
-/** @return How much of @p self's busy slots one of @p other's does. */
-double slownessOf(const RangeCandidate &other, const RangeCandidate &self)
-{
-    constexpr double Most = 3; // Times are measured under load; more is noise.
-    if (other.serviceTime.count() == 0 || self.serviceTime.count() == 0) {
-        return 1;
-    }
-    const double ratio = static_cast<double>(other.serviceTime.count())
-                         / static_cast<double>(self.serviceTime.count());
-    return std::clamp(ratio, 1 / Most, Most);
-}
-
-/** @return What goes to candidates that have room: at most what fits there. */
-std::vector<RangeMove> planRelief(const RangeCandidate &self, const std::vector<KeySpan> &spans,
-                                  const std::vector<KeyRate> &rates,
-                                  std::vector<RangeCandidate> candidates,
-                                  const BalanceLimits &limits)
-{
-    std::sort(candidates.begin(), candidates.end(),
-              [](const auto &left, const auto &right) { return shareOf(left) < shareOf(right); });
-    double excess = self.busySlots - limits.busyShare * self.slots;
-    std::vector<RangeMove> moves;
-    std::vector<KeySpan> left = spans;
-    for (const RangeCandidate &candidate : candidates) {
-        const double room = (limits.busyShare - shareOf(candidate)) * candidate.slots;
-        if (moves.size() >= limits.ranges || room < limits.leastRoom * candidate.slots
-            || excess < limits.leastRoom * self.slots) {
-            break;
-        }
-        double wanted = std::min(excess, room / slownessOf(candidate, self) * limits.roomPart);
-        while (moves.size() < limits.ranges) {
-            const EndPart best = findBestPart(left, rates, wanted);
-            if (best.load < wanted * limits.leastPart || best.load <= 0) {
-                break;
-            }
-            moves.push_back({best.span, candidate.holder});
-            takeOut(left, best.span);
-            wanted -= best.load;
-            excess -= best.load;
-        }
-    }
-    return moves;
-}
-
 } // namespace
 
 std::optional<RangeMove> planFirstShare(const std::vector<KeySpan> &spans,
@@ -297,17 +248,14 @@
                                    const std::vector<RangeCandidate> &candidates,
                                    const BalanceLimits &limits)
 {
-    if (shareOf(self) < limits.busyShare) {
-        return {};
-    }
-    std::vector<RangeMove> relief = planRelief(self, spans, rates, candidates, limits);
-    if (!relief.empty()) {
-        return relief;
-    }
-    const auto idlest = std::min_element(
-            candidates.begin(), candidates.end(),
-            [](const auto &left, const auto &right) { return shareOf(left) < shareOf(right); });
-    if (idlest == candidates.end() || shareOf(self) - shareOf(*idlest) < limits.margin) {
+    const auto shareOf
+            = [](const RangeCandidate &candidate) { return candidate.busySlots / candidate.slots; };
+    const auto idlest = std::min_element(candidates.begin(), candidates.end(),
+                                         [&shareOf](const auto &left, const auto &right) {
+                                             return shareOf(left) < shareOf(right);
+                                         });
+    if (idlest == candidates.end() || shareOf(self) < limits.busyShare
+        || shareOf(self) - shareOf(*idlest) < limits.margin) {
         return {};
     }
     const double gap = shareOf(self) - shareOf(*idlest);
--- a/src/decision/range/range_planner.h
+++ b/src/decision/range/range_planner.h
@@ -39,27 +39,19 @@
     double part = 0.5;
     /** Less load than this share of what should move is not worth the disturbance. */
     double leastPart = 0.25;
-    /** A candidate with less room than this share of its slots is not given anything. */
-    double leastRoom = 0.1;
-    /** Part of a candidate's room that one holder fills: others see the same room. */
-    double roomPart = 0.8;
     /** Ranges that move at once: a holder may have many small ones, none of which weighs much. */
     size_t ranges = 6;
-    /**
-     * Between two moves of one holder. What has moved is taken out of its load at once, so a second
-     * move acts on what is left. With 3 s the load model served 0.72 of all requests 10 s after the
-     * busy keys had changed, with 1 s 0.86.
-     */
-    milliseconds pause{1000};
+    /** Loads are reported a second late and fade over three: a second move sooner would act on the
+     *  load from before the first. */
+    milliseconds pause{3000};
 };
 
 /**
  * How many backend servers are looked at for one balancing move. All holders see the same reports,
  * a second old: with 41 of them, six chose the same idlest one within a second and each other's
- * keys waited there. Several random ones are enough to find room, and rarely everybody's choice:
- * in the load model six served 0.87 after a change of the busy keys where three served 0.82.
+ * keys waited there. The idlest of three random ones is a good one, and rarely everybody's.
  */
-inline constexpr size_t BalanceSample = 6;
+inline constexpr size_t BalanceSample = 3;
 /**
  * How many backend servers get the keys of one that leaves. Cut into a piece for each of 40, they
  * made the table ten times as long, and each piece costs a release, a write and a grant.
@@ -85,10 +77,7 @@
                                         const RangeCandidate &newcomer);
 
 /**
- * Decides whether a busy holder gives a part of its keys away. Candidates with room come first, the
- * one with most of it ahead: each is given what fits there, so that no move only makes another
- * holder refuse instead, and a holder that is asked for five times its slots is relieved by several
- * at once. If none has room, the difference to the least busy one is halved.
+ * Decides whether a busy holder gives a part of its keys to the least busy candidate.
  * Whole ranges go first; a part is cut at an end of a range, so that their number grows little. A
  * key that is busier than the whole difference stays where it is: its neighbours move instead. Only
  * if one key alone keeps a slow backend server busy, and a faster one would be less busy with it,
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -376,14 +376,12 @@
 
 void RangeDuty::beginMove(const RangeMove &move, std::string_view cause, TimePoint now)
 {
-    const double before = load_.total(now);
     targets_.push_back(move);
     keeper_.beginRelease(move.span);
-    load_.forget(move.span);
     logEvent(LogEvent::RangeLeaving, {{"first", move.span.first.value()},
                                       {"last", move.span.last.value()},
                                       {"to", holderText(move.holder)},
-                                      {"busy_slots", before},
+                                      {"busy_slots", load_.total(now)},
                                       {"cause", std::string(cause)}});
 }
 
