--- a/src/decision/request/admission_control.cpp
+++ b/src/decision/request/admission_control.cpp
@@ -111,30 +111,18 @@
     }
 }
 
-void AdmissionControl::learn(uint64_t kind, Duration service)
-{
-    const auto add = [this, service](Duration &mean) {
-        mean = mean == Duration(0) ? service : mean + scale(service - mean, limits_.smoothing);
-    };
-    add(mean_);
-    if (means_.size() < limits_.kinds || means_.count(kind) > 0) {
-        add(means_[kind]);
-    }
-}
-
 void AdmissionControl::onEnd(uint64_t kind, std::optional<Duration> service)
 {
     --running_;
-    if (service) {
-        learn(kind, *service);
+    if (!service) {
+        return;
     }
-}
-
-void AdmissionControl::onCut(uint64_t kind, Duration elapsed)
-{
-    --running_;
-    if (elapsed > meanOf(kind)) {
-        learn(kind, elapsed);
+    const auto learn = [this, service](Duration &mean) {
+        mean = mean == Duration(0) ? *service : mean + scale(*service - mean, limits_.smoothing);
+    };
+    learn(mean_);
+    if (means_.size() < limits_.kinds || means_.count(kind) > 0) {
+        learn(means_[kind]);
     }
 }
 
--- a/src/decision/request/admission_control.h
+++ b/src/decision/request/admission_control.h
@@ -90,15 +90,6 @@
     /** A request that ran has ended. @param service Nothing if it was refused or cut off. */
     void onEnd(uint64_t kind, std::optional<Duration> service);
 
-    /**
-     * A request that ran was cut off at its deadline, or its caller left: it takes longer than
-     * @p elapsed. Were only whole answers counted, a backend server that has become too slow for
-     * every deadline would keep the mean of its good times, and each request would be let in to
-     * wait until it could no longer end: a fleet of 91 that had lost its power served no keyed
-     * request for 2.5 s although all slots were busy.
-     */
-    void onCut(uint64_t kind, Duration elapsed);
-
     uint32_t running() const { return running_; }
     size_t waiting() const { return waiting_.size(); }
     uint32_t slots() const { return slots_; }
@@ -125,7 +116,6 @@
         uint64_t kind = 0;
     };
 
-    void learn(uint64_t kind, Duration service);
     Duration meanOf(uint64_t kind) const;
     Duration waitBehind(const Rank &rank) const;
     Duration allowedWait(const WorkItem &item, bool late, TimePoint now) const;
--- a/src/decision/request/attempt_policy.cpp
+++ b/src/decision/request/attempt_policy.cpp
@@ -57,4 +57,16 @@
     return AttemptStep::RepeatAnother;
 }
 
+FinalAnswer chooseFinalAnswer(const AttemptEnd &end, const AttemptHistory &history)
+{
+    if (end.outcome == Outcome::Done) {
+        return FinalAnswer::LastEnd;
+    }
+    if (history.answered) {
+        return FinalAnswer::EarlierAnswer;
+    }
+    return end.outcome == Outcome::NotRun && history.mayHaveRun ? FinalAnswer::Unknown
+                                                                : FinalAnswer::LastEnd;
+}
+
 } // namespace wisteriahoist
--- a/src/decision/request/attempt_policy.h
+++ b/src/decision/request/attempt_policy.h
@@ -26,6 +26,7 @@
     uint32_t asked = 0;       ///< Nodes asked so far, this one included.
     uint32_t candidates = 0;  ///< Nodes that could be asked in all.
     bool mayHaveRun = false;  ///< An attempt ended with an unknown outcome.
+    bool answered = false;    ///< A backend server has answered an earlier attempt with a failure.
     Duration timeLeft{0};     ///< Until the caller or the route gives up.
     Duration awaitedOwner{0}; ///< Time already spent on waiting for an owner.
     Duration objective{0};    ///< Within which an answer is of full use; 0: none is set.
@@ -39,6 +40,13 @@
     AwaitOwner,    ///< Wait shortly for newer routing, then ask the owner.
 };
 
+/** What the caller gets when no further attempt is made. */
+enum class FinalAnswer {
+    LastEnd,       ///< How the last attempt ended.
+    EarlierAnswer, ///< The failure with which a backend server answered an earlier attempt.
+    Unknown,       ///< That the request may have run.
+};
+
 /** Bounds of the attempts. */
 struct AttemptLimits {
     /**
@@ -71,4 +79,10 @@
 AttemptStep decideNextAttempt(const AttemptEnd &end, const AttemptHistory &history,
                               const AttemptLimits &limits);
 
+/**
+ * @return What the caller is told. "Has not run" is true only if no attempt has run: a caller that
+ *         is told so comes back, and would book twice.
+ */
+FinalAnswer chooseFinalAnswer(const AttemptEnd &end, const AttemptHistory &history);
+
 } // namespace wisteriahoist
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -187,13 +187,7 @@
         }
         fillFromAnswer(request, std::move(answer.assume_value()), reply);
     } else {
-        const bool cut = answer.assume_error().code == FailureCode::DeadlineExceeded
-                         || call.control->isCancelled();
-        if (cut) {
-            admission_.onCut(kindOf(request), now - startedAt);
-        } else {
-            admission_.onEnd(kindOf(request), std::nullopt);
-        }
+        admission_.onEnd(kindOf(request), std::nullopt);
         fillFromFailure(answer.assume_error(), call, reply);
     }
     wakeNext();
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -177,11 +177,11 @@
             step = AttemptStep::Finish;
         }
         if (step == AttemptStep::Finish) {
-            // A later attempt's refusal says nothing about an earlier one that may have run.
-            if (work->history.mayHaveRun && end.outcome == Outcome::NotRun) {
-                reply = makeVerdictReply(RequestStage::HandedOver, RequestEnd::ConnectionLost);
-            }
-            co_return reply;
+            co_return finalReply(*work, std::move(reply), end);
+        }
+        if (end.outcome == Outcome::Done) {
+            work->history.answered = true;
+            work->earlierAnswer = std::move(reply);
         }
         if (step == AttemptStep::AwaitOwner) {
             co_await awaitRouting(work);
@@ -189,6 +189,19 @@
     }
 }
 
+v1::HopReply RequestRouter::finalReply(Work &work, v1::HopReply reply, const AttemptEnd &end)
+{
+    switch (chooseFinalAnswer(end, work.history)) {
+    case FinalAnswer::EarlierAnswer:
+        return std::move(work.earlierAnswer);
+    case FinalAnswer::Unknown:
+        return makeVerdictReply(RequestStage::HandedOver, RequestEnd::ConnectionLost);
+    case FinalAnswer::LastEnd:
+        break;
+    }
+    return reply;
+}
+
 bool RequestRouter::takeRepeat(const Work &work, TimePoint now)
 {
     RepeatBudget &budget
--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -84,6 +84,7 @@
         std::set<NodeId> asked;
         std::optional<RangeEntry> routingSeen; ///< Of its key, when the target was chosen.
         milliseconds retryAfter{0};            ///< The shortest that any node gave.
+        v1::HopReply earlierAnswer;            ///< Set if history.answered.
     };
 
     HttpResponse refuse(http::status status, std::string_view type, const std::string &detail,
@@ -103,6 +104,7 @@
     void wakeWaiters();
     NodeId chooseTarget(Work &work);
     NodeId chooseAny(Work &work);
+    static v1::HopReply finalReply(Work &work, v1::HopReply reply, const AttemptEnd &end);
     bool takeRepeat(const Work &work, TimePoint now);
     HttpResponse makeAnswer(const Work &work, v1::HopReply reply);
     void logEnd(const Work &work, const v1::HopReply &reply, unsigned status);
--- /dev/null
+++ b/test/unit/request/request_router_test.cpp
@@ -0,0 +1,118 @@
+/** @file request_router_test.cpp What callers of the first node are told when attempts fail. */
+
+#include "duty/request_router.h"
+
+#include "adapter/clock/boot_clock_adapter.h"
+#include "platform/request_headers.h"
+#include "support/scripted_backend.h"
+#include "support/story.h"
+
+using namespace wisteriahoist;
+using namespace wisteriahoist::testing;
+
+namespace {
+
+constexpr milliseconds LongTime{20000}; ///< Far above what a test takes.
+
+/** Keys play no part here. */
+class NoKeys final : public KeyHolding
+{
+public:
+    RequestEnd check(ShardKey, TimePoint) const override { return RequestEnd::NoLease; }
+    void onWork(ShardKey, Duration, TimePoint) override { }
+    double demand(TimePoint) override { return 0; }
+};
+
+/** One node beside one backend server that plays a script. */
+struct Fixture {
+    explicit Fixture(std::vector<BackendScript> scripts)
+        : backend(std::make_shared<ScriptedBackend>(context, std::move(scripts)))
+    {
+        backend->start();
+        BackendReport report;
+        report.backend = "b-1";
+        report.service = "one";
+        report.slots = 4;
+        report.sequence = 1;
+        (void)monitor.onReport(report, clock.now());
+        gate.onBackendChange();
+        MemberRecord self;
+        self.node = NodeId(1);
+        self.service = "one";
+        self.backend = "b-1";
+        self.slots = 4;
+        self.state = BackendState::Ready;
+        view.onMember(self, StoreRevision(1));
+        Route route;
+        route.name = "r";
+        route.host = "a.example";
+        route.pathPrefix = "/";
+        route.targets = {{"one", 1}};
+        route.kind = RequestKind::Idempotent;
+        route.timeout = LongTime;
+        route.maxAttempts = 2;
+        RouteConfig config;
+        config.version = 1;
+        config.routes = {route};
+        config.services["one"] = {"one", 0, false};
+        (void)view.onConfig(std::move(config));
+    }
+
+    HttpResponse ask()
+    {
+        HttpRequest request(http::verb::get, "/x", 11);
+        request.set(http::field::host, "a.example");
+        request.set("X-Wisteriahoist-Attempt-Id", "q");
+        return runUntil(context,
+                        router.onRequest(std::move(request), std::make_shared<CallerWatch>()));
+    }
+
+    asio::io_context context;
+    std::shared_ptr<ScriptedBackend> backend;
+    BootClockAdapter clock;
+    platform::RequestHeaders protocol;
+    NoKeys keys;
+    BackendMonitor monitor{MonitorLimits{}};
+    FleetView view;
+    PeerLoads loads;
+    PeerLink peers{context, "127.0.0.1", 0};
+    BackendGate gate{context, clock, protocol, "127.0.0.1", backend->port(), monitor, keys};
+    RequestRouter router{context, clock, protocol, view,
+                         loads,   gate,  peers,    {NodeId(1), "domain", "one", {}}};
+};
+
+std::string answerWith(const std::string &status)
+{
+    return "HTTP/1.1 " + status
+           + "\r\nX-Wisteriahoist-Attempt-Id: q\r\nX-Wisteriahoist-Server-Seal: s\r\n"
+           + "Content-Length: 4\r\n\r\nbody";
+}
+
+} // namespace
+
+Test(request_router, an_answer_is_passed_on)
+{
+    Fixture fixture({{answerWith("200 OK")}});
+    const HttpResponse response = fixture.ask();
+    cr_assert_eq(response.result_int(), 200U);
+    cr_assert(response.body() == "body");
+}
+
+// A caller is told that its request has not run, though it has: the backend server ran it and
+// answered 500, and nobody else was there to be asked a second time. That second attempt's refusal
+// is true of itself only; the answer that is there is given instead.
+Test(request_router, a_failure_that_was_answered_is_not_turned_into_a_refusal)
+{
+    Fixture fixture({{answerWith("500 Internal Server Error")}});
+    const HttpResponse response = fixture.ask();
+    cr_assert_eq(response.result_int(), 500U, "%u", response.result_int());
+    cr_assert(response.body() == "body");
+    cr_assert_eq(fixture.backend->requests().size(), 1U);
+}
+
+// The same where the answer was lost: the request may have run, and no refusal may hide that.
+Test(request_router, a_lost_answer_is_not_turned_into_a_refusal)
+{
+    Fixture fixture({{"", milliseconds(0), true}});
+    cr_assert_eq(fixture.ask().result_int(), 502U);
+}
