Add: [Signals] What the end of a backend server was concluded from, and why ranges change hands

Keys were held twice, and no line told whether their holder had been taken for gone, had released them or had lost its lease. backend-changed says what it was concluded from; ranges-changing, a line for each cause, says why ranges are written to others and how long this node's own grants still run; refused connections are counted. No decision has changed.

--- a/src/decision/member/backend_monitor.cpp
+++ b/src/decision/member/backend_monitor.cpp
@@ -6,6 +6,27 @@
 
 namespace wisteriahoist {
 
+std::string_view backendEvidenceName(BackendEvidence evidence)
+{
+    switch (evidence) {
+    case BackendEvidence::Nothing:
+        return "nothing";
+    case BackendEvidence::Report:
+        return "report";
+    case BackendEvidence::Deregistration:
+        return "deregistration";
+    case BackendEvidence::OtherLife:
+        return "other-life";
+    case BackendEvidence::RefusedConnections:
+        return "refused-connections";
+    case BackendEvidence::Answer:
+        return "answer";
+    case BackendEvidence::Silence:
+        return "silence";
+    }
+    return "unknown";
+}
+
 void BackendMonitor::beginLife(const BackendLife &backend)
 {
     endLife();
@@ -71,6 +92,7 @@
     const BackendState state = leaving_ ? BackendState::Draining : BackendState::Ready;
     const bool changed
             = newLife || state != state_ || slots_ != report.slots || service_ != report.service;
+    evidence_ = BackendEvidence::Report;
     state_ = state;
     slots_ = report.slots;
     service_ = report.service;
@@ -88,6 +110,7 @@
         return false;
     }
     leaving_ = true;
+    evidence_ = BackendEvidence::Deregistration;
     state_ = BackendState::Draining;
     return true;
 }
@@ -99,6 +122,7 @@
         return false;
     }
     beginLife(backend);
+    evidence_ = BackendEvidence::OtherLife;
     // It has not reported yet: until then nothing is known of it but its id.
     state_ = leaving_ ? BackendState::Draining : BackendState::Absent;
     heardAt_ = now;
@@ -107,6 +131,7 @@
 
 bool BackendMonitor::onRefusedConnection()
 {
+    ++refusedConnections_;
     if (backend_.empty() || state_ == BackendState::Down || (isWorking_ && isWorking_())) {
         return false;
     }
@@ -114,6 +139,7 @@
         return false;
     }
     gone_ = true;
+    evidence_ = BackendEvidence::RefusedConnections;
     state_ = BackendState::Down;
     return true;
 }
@@ -126,6 +152,7 @@
         return false;
     }
     gone_ = false;
+    evidence_ = BackendEvidence::Answer;
     state_ = leaving_ ? BackendState::Draining : BackendState::Ready;
     return true;
 }
@@ -135,6 +162,7 @@
     if (state_ != BackendState::Ready) {
         return false;
     }
+    evidence_ = BackendEvidence::Silence;
     state_ = BackendState::Down;
     return true;
 }
--- a/src/decision/member/backend_monitor.h
+++ b/src/decision/member/backend_monitor.h
@@ -7,9 +7,23 @@
 
 #include <deque>
 #include <functional>
+#include <string_view>
 
 namespace wisteriahoist {
 
+/** What the present state of the backend server was concluded from. */
+enum class BackendEvidence {
+    Nothing,
+    Report,
+    Deregistration,
+    OtherLife,          ///< Its address answered for another life.
+    RefusedConnections, ///< In a row.
+    Answer,             ///< To a request or an order, after it was taken for down.
+    Silence,
+};
+
+std::string_view backendEvidenceName(BackendEvidence evidence);
+
 /** Bounds of the monitor. */
 struct MonitorLimits {
     /** Refused connections in a row that end a life; the second rules out a listener that restarts.
@@ -80,6 +94,11 @@
     /** @return Whether the life is known to be over, so that it holds nothing any more. */
     bool isGone() const { return gone_; }
 
+    BackendEvidence evidence() const { return evidence_; }
+
+    /** @return Connections that its address refused, over all lives. */
+    uint64_t refusedConnections() const { return refusedConnections_; }
+
 private:
     void beginLife(const BackendLife &backend);
     void endLife();
@@ -91,9 +110,11 @@
     BackendLife backend_;
     std::string service_;
     BackendState state_ = BackendState::Absent;
+    BackendEvidence evidence_ = BackendEvidence::Nothing; ///< Of the latest change.
     uint32_t slots_ = 0;
     uint64_t sequence_ = 0;
-    uint32_t refusals_ = 0;
+    uint32_t refusals_ = 0; ///< In a row.
+    uint64_t refusedConnections_ = 0;
     bool gone_ = false;
     bool leaving_ = false; ///< Deregistered or draining; only a new life ends that.
     TimePoint heardAt_ = NeverTime;
--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -367,6 +367,15 @@
     return held != nullptr && held->leaving;
 }
 
+TimePoint RangeKeeper::lastLapse() const
+{
+    TimePoint last = earlierUntil_;
+    for (const Held &held : held_) {
+        last = std::max({last, held.lapsesAt, held.unansweredUntil, held.pendingUntil});
+    }
+    return last;
+}
+
 std::vector<KeySpan> RangeKeeper::refusedSpans() const
 {
     std::vector<KeySpan> spans;
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -145,6 +145,9 @@
     /** @return Whether @p key is on its way to another holder. */
     bool isLeaving(ShardKey key) const;
 
+    /** @return When the latest grant ever sent for any key, also before a restart, has run out. */
+    TimePoint lastLapse() const;
+
     /** @return Fences that the backend server refused; the table needs higher ones for them. */
     std::vector<KeySpan> refusedSpans() const;
 
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -546,24 +546,45 @@
     return table;
 }
 
+void RangeDuty::logChange(std::string_view cause, const RangeTable &before, const RangeTable &after,
+                          TimePoint now) const
+{
+    if (after == before) {
+        return;
+    }
+    // Grants that still run while keys go elsewhere without a release are the first thing to look
+    // at when two backend servers have held the same keys.
+    const auto left = std::chrono::duration_cast<milliseconds>(keeper_.lastLapse() - now);
+    logEvent(LogEvent::RangesChanging,
+             {{"cause", std::string(cause)},
+              {"own_keys_before", countKeys(before, self_.node)},
+              {"own_keys_after", countKeys(after, self_.node)},
+              {"fence", after.highestFence.value()},
+              {"own_grants_run_ms", std::max(left, milliseconds(0)).count()}});
+}
+
 std::optional<RangeTable> RangeDuty::planTable(const StoredTable &stored, TimePoint now)
 {
     RangeTable next = stored.table;
+    const auto change = [&](std::string_view cause, RangeTable changed) {
+        logChange(cause, next, changed, now);
+        next = std::move(changed);
+    };
     if (const std::optional<RangeHolder> self = holder()) {
-        next = adoptRanges(std::move(next), *self);
+        change("adopted", adoptRanges(next, *self));
         for (const KeySpan &refused : keeper_.refusedSpans()) {
-            next = giveRange(std::move(next), refused, *self, {});
+            change("fence refused", giveRange(next, refused, *self, {}));
         }
-        next = handReleasedOver(std::move(next), now);
+        change("released", handReleasedOver(next, now));
     } else if (monitor_.isGone()) {
         const auto isOwn = [this](const RangeHolder &held) { return held.node == self_.node; };
-        next = giveAway(std::move(next), isOwn, load_.rates(KeySpan{}, now),
-                        candidates(now, false));
+        change("backend server gone",
+               giveAway(next, isOwn, load_.rates(KeySpan{}, now), candidates(now, false)));
     }
     const MemberRecord *first = firstOfService(now);
     if (first != nullptr && first->node == self_.node) {
         const auto isFree = [this](const RangeHolder &held) { return isFreeForAll(held); };
-        next = giveAway(std::move(next), isFree, {}, candidates(now, true));
+        change("holder lost", giveAway(next, isFree, {}, candidates(now, true)));
     }
     if (next == stored.table) {
         return std::nullopt;
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -115,6 +115,8 @@
     asio::awaitable<void> revoke(NodeId node, StoreRevision revision);
     void sendOrders(TimePoint now);
     std::optional<RangeTable> planTable(const StoredTable &stored, TimePoint now);
+    void logChange(std::string_view cause, const RangeTable &before, const RangeTable &after,
+                   TimePoint now) const;
     RangeTable giveAway(RangeTable table, const std::function<bool(const RangeHolder &)> &isGiven,
                         const std::vector<KeyRate> &rates, std::vector<RangeCandidate> takers);
     RangeTable handReleasedOver(RangeTable table, TimePoint now);
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -174,6 +174,7 @@
     logEvent(LogEvent::BackendChanged, {{"backend", monitor_.backend().text()},
                                         {"state", static_cast<int64_t>(monitor_.state())},
                                         {"gone", monitor_.isGone()},
+                                        {"evidence", backendEvidenceName(monitor_.evidence())},
                                         {"slots", monitor_.slots()}});
     gate_.onBackendChange();
     publisher_.wake();
@@ -288,6 +289,8 @@
           [this]() { return gate_.admission().running(); });
     gauge("wisteriahoist_waiting", "Requests that wait for a slot.",
           [this]() { return gate_.admission().waiting(); });
+    counter("wisteriahoist_backend_refusals_total", "Connections that the backend server refused.",
+            [this]() { return monitor_.refusedConnections(); });
     gauge("wisteriahoist_demand_slots", "Slots that keyed requests asked for.",
           [this]() { return ranges_.demand(clock_.now()); });
 }
