--- a/test/support/ownership_fleet.h
+++ b/test/support/ownership_fleet.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "adapter/clock/boot_clock_adapter.h"
+#include "adapter/clock/pause_func.h"
 #include "duty/range_duty.h"
 #include "support/scripted_backend.h"
 #include "support/scripted_store.h"
@@ -11,14 +12,17 @@
 
 namespace wisteriahoist::testing {
 
-/** A backend server that enforces grants: keys by fence, until released. */
+/** A backend server that enforces grants: keys by fence, until released or run out. */
 class GrantingBackend final : public BackendControl
 {
 public:
+    explicit GrantingBackend(const Clock &clock) : clock_(clock) { }
+
     asio::awaitable<OrderAnswer> grant(GrantOrder order, milliseconds) override
     {
         OrderAnswer answer;
-        if (!alive_) {
+        if (!alive_ || open_ >= connections_) {
+            co_await pauseFor(RefusalTime);
             answer.refusedConnection = true;
             co_return answer;
         }
@@ -27,16 +31,25 @@
             answer.result = OrderResult::HigherFence;
             co_return answer;
         }
+        holds_.emplace_back(order.span, clock_.now() + order.hold);
+        if (orderTime_.count() > 0) {
+            ++open_;
+            co_await pauseFor(orderTime_);
+            --open_;
+        }
         answer.result = OrderResult::Accepted;
         co_return answer;
     }
 
-    asio::awaitable<OrderAnswer> release(ReleaseOrder, milliseconds) override
+    asio::awaitable<OrderAnswer> release(ReleaseOrder order, milliseconds) override
     {
         OrderAnswer answer;
         answer.refusedConnection = !alive_;
         answer.result = alive_ ? OrderResult::Accepted : OrderResult::Unanswered;
         answer.handover = "token";
+        if (alive_) {
+            std::erase_if(holds_, [&](const auto &hold) { return order.span.covers(hold.first); });
+        }
         co_return answer;
     }
 
@@ -48,22 +61,49 @@
         co_return sight;
     }
 
-    void crash() { alive_ = false; }
+    void crash()
+    {
+        alive_ = false;
+        holds_.clear();
+    }
     void revive() { alive_ = true; }
+
+    /** From now on it takes so many connections at once, and each grant needs one for @p time. */
+    void limitConnections(size_t connections, milliseconds time)
+    {
+        connections_ = connections;
+        orderTime_ = time;
+    }
+
+    /** @return Whether it counts @p key as held by itself. */
+    bool holds(ShardKey key) const
+    {
+        return std::any_of(holds_.begin(), holds_.end(), [&](const auto &hold) {
+            return hold.first.contains(key) && clock_.now() < hold.second;
+        });
+    }
+
     void seeFence(Epoch fence) { highestFence_ = fence; }
     uint64_t grants() const { return grants_; }
 
 private:
+    static constexpr milliseconds RefusalTime{1}; ///< Until a connection is known to be refused.
+
+    const Clock &clock_;
     bool alive_ = true;
     Epoch highestFence_;
     uint64_t grants_ = 0;
+    size_t open_ = 0;
+    size_t connections_ = SIZE_MAX;
+    milliseconds orderTime_{0};
+    std::vector<std::pair<KeySpan, TimePoint>> holds_; ///< And until when.
 };
 
 /** One node of the fleet. */
 struct OwnershipNode {
     OwnershipNode(asio::io_context &context, const Clock &clock, RecordStore &store, uint64_t id,
                   const std::string &backendId)
-        : peers(context, "127.0.0.1", 0), record(makeRecord(id)),
+        : backend(clock), peers(context, "127.0.0.1", 0), record(makeRecord(id)),
           duty(context, clock, store, backend, view, monitor, loads, peers, record, GrantTimes{})
     {
         BackendReport report;
@@ -172,6 +212,18 @@
         return found;
     }
 
+    /** @return Nodes whose backend servers count @p key as held by themselves now. */
+    std::vector<uint64_t> holding(ShardKey key) const
+    {
+        std::vector<uint64_t> found;
+        for (const auto &node : nodes_) {
+            if (node->backend.holds(key)) {
+                found.push_back(node->record.node.value());
+            }
+        }
+        return found;
+    }
+
     /** The node falls silent: nothing of it runs or is heard any more. */
     void silence(OwnershipNode &node)
     {
--- a/test/unit/range/range_duty_test.cpp
+++ b/test/unit/range/range_duty_test.cpp
@@ -13,6 +13,19 @@
 const ShardKey Low{5};
 const ShardKey High{65000};
 
+/** The keys in @p count ranges, held in turns by earlier lives of the nodes 1 and 2. */
+RangeTable makeEarlierTable(uint32_t count)
+{
+    RangeTable table;
+    const uint32_t width = (LastShardKey.value() + 1) / count;
+    for (uint32_t index = 0; index < count; ++index) {
+        const ShardKey last(index + 1 < count ? (index + 1) * width - 1 : LastShardKey.value());
+        const RangeHolder holder{NodeId(1 + index % 2), Incarnation(99), "earlier"};
+        table = giveRange(std::move(table), {ShardKey(index * width), last}, holder, {});
+    }
+    return table;
+}
+
 bool isServedByOne(const OwnershipFleet &fleet, ShardKey key)
 {
     return fleet.admitting(key).size() == 1;
@@ -336,3 +349,27 @@
         cr_assert(after->rows.front().fence > before->rows.front().fence);
     }
 }
+
+// Two backend servers hold the same keys for two seconds. All VMs have restarted, and a node grants
+// its many ranges to its backend server at the same time; that has room for only so many
+// connections, accepts some of the grants and refuses the others.
+Test(range_duty, a_backend_server_that_refuses_connections_still_holds_what_it_was_granted)
+{
+    constexpr uint32_t Ranges = 64;
+    OwnershipFleet fleet;
+    fleet.store().put(RecordKind::Ranges, "s",
+                      encodeRangeRecord({makeEarlierTable(Ranges), {}, {}, 0}));
+    fleet.add(1, "b-1").backend.limitConnections(8, milliseconds(20));
+    fleet.add(2, "b-2");
+    const auto isHeldTwice = [&]() {
+        for (uint32_t key = 5; key <= LastShardKey.value(); key += 500) {
+            if (fleet.holding(ShardKey(key)).size() > 1) {
+                return true;
+            }
+        }
+        return false;
+    };
+    cr_assert(!fleet.reaches(isHeldTwice, std::chrono::seconds(6)));
+    cr_assert(fleet.reaches(
+            [&]() { return isServedByOne(fleet, Low) && isServedByOne(fleet, High); }, Patience));
+}
