Fix: [Ownership] A backend server that refuses connections is not taken for ended

Callers saw keys served by two backend servers for up to 2.4 s after all VMs had restarted, 2.65 s being a grant's longest life. Cause: two refused connections in a row counted as the end of a life, and the ranges of a life that had ended went to others at once, whatever grants ran. A backend server that lives refuses connections as well: beyond its bound, as when its node grants 42 ranges at the same time. Change: refused connections prove nothing any more. Keys of a backend server that is down, refusing or silent, leave as all others do: they are marked as leaving, are not granted anew, and go on when released or when every grant sent for them has run out. One that was not heard of for 1.2 s counts as lost; a new life still gets its predecessor's ranges at once. This also closes a second way: between the write that gave keys away and its answer, or after a write whose answer was lost, the node granted them again to a backend server that had answered meanwhile. The price: after a crash keys wait for the grants' end, up to 2.65 s from the last one. a_plan_ends_when_the_backend_server_turns_out_to_live asked that a plan be broken off, which a range marked as leaving has no need of; its story stays, and the check is that no key is held twice, as the backend servers count it, until each is served by one again. The test double now counts holds key by key (a release of a part of a grant was not counted).

--- a/src/decision/member/backend_monitor.cpp
+++ b/src/decision/member/backend_monitor.cpp
@@ -33,7 +33,7 @@
     backend_ = backend;
     sequence_ = 0;
     refusals_ = 0;
-    gone_ = false;
+    refusing_ = false;
     // A deregistration without the time of the start is taken for this life's: sent on to a backend
     // server that has left, requests would be lost; kept from one that has not, they go elsewhere.
     leaving_ = isDeparting(backend);
@@ -87,7 +87,7 @@
     sequence_ = report.sequence;
     heardAt_ = now;
     refusals_ = 0;
-    gone_ = false;
+    refusing_ = false;
     leaving_ |= report.state == BackendState::Draining;
     const BackendState state = leaving_ ? BackendState::Draining : BackendState::Ready;
     const bool changed
@@ -138,7 +138,7 @@
     if (++refusals_ < limits_.refusals) {
         return false;
     }
-    gone_ = true;
+    refusing_ = true;
     evidence_ = BackendEvidence::RefusedConnections;
     state_ = BackendState::Down;
     return true;
@@ -151,7 +151,7 @@
     if (state_ != BackendState::Down) {
         return false;
     }
-    gone_ = false;
+    refusing_ = false;
     evidence_ = BackendEvidence::Answer;
     state_ = leaving_ ? BackendState::Draining : BackendState::Ready;
     return true;
--- a/src/decision/member/backend_monitor.h
+++ b/src/decision/member/backend_monitor.h
@@ -26,8 +26,8 @@
 
 /** Bounds of the monitor. */
 struct MonitorLimits {
-    /** Refused connections in a row that end a life; the second rules out a listener that restarts.
-     */
+    /** Refused connections in a row after which it counts as down; the second rules out a listener
+     *  that restarts. */
     uint32_t refusals = 2;
     /** Lives that are remembered as ended; late reports of older ones have long arrived. */
     size_t endedLives = 16;
@@ -60,10 +60,10 @@
     bool onOtherLife(const std::string &backend, TimePoint now);
 
     /**
-     * A connection to its address was refused. A backend server that has ended also breaks off what
-     * it was working on; one that still works has refused only because it has too many connections.
-     * Taken for gone, its keys were given on while it held them and worked on them.
-     * @return Whether the life has ended by it.
+     * A connection to its address was refused: it has ended, or lives and has too many of them. One
+     * that still works lives. Nothing is known of its keys by that; only their grants' end tells
+     * that it holds them no more.
+     * @return Whether it counts as down by it.
      */
     bool onRefusedConnection();
 
@@ -91,8 +91,8 @@
     const std::string &service() const { return service_; }
     TimePoint heardAt() const { return heardAt_; }
 
-    /** @return Whether the life is known to be over, so that it holds nothing any more. */
-    bool isGone() const { return gone_; }
+    /** @return Whether it is down since its address refuses connections. */
+    bool isRefusing() const { return refusing_; }
 
     BackendEvidence evidence() const { return evidence_; }
 
@@ -115,7 +115,7 @@
     uint64_t sequence_ = 0;
     uint32_t refusals_ = 0; ///< In a row.
     uint64_t refusedConnections_ = 0;
-    bool gone_ = false;
+    bool refusing_ = false;
     bool leaving_ = false; ///< Deregistered or draining; only a new life ends that.
     TimePoint heardAt_ = NeverTime;
     std::function<bool()> isWorking_; ///< Empty: nobody can tell.
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -47,6 +47,9 @@
  * write within 10 ms each.
  */
 constexpr milliseconds CollisionSpread{100};
+/** A backend server that lives sends a heartbeat about every 0.9 s; one that refuses connections
+ * for a moment is not down. */
+constexpr milliseconds SignOfLifeWithin{1200};
 /** A node that has not been reached for so long may be lost; its witnesses and its lease decide. */
 constexpr milliseconds SuspectAfter{500};
 
@@ -187,13 +190,13 @@
 bool RangeDuty::hasKeysToGive(TimePoint now) const
 {
     const StoredTable *stored = view_.findTable(self_.service);
-    return stored != nullptr && (isStoreNear(now) || monitor_.isGone())
-           && countKeys(stored->table, self_.node) > 0 && !candidates(now, false).empty();
+    return stored != nullptr && isStoreNear(now) && countKeys(stored->table, self_.node) > 0
+           && !candidates(now, false).empty();
 }
 
 std::optional<RangeHolder> RangeDuty::holder() const
 {
-    if (monitor_.backend().empty() || monitor_.isGone()) {
+    if (monitor_.backend().empty()) {
         return std::nullopt;
     }
     // Granted in an answer to its heartbeat only; the heartbeat also tells which life it is.
@@ -315,7 +318,7 @@
         watchOthers();
         probeQuiet(now);
     }
-    if (grantsByHeartbeat()) {
+    if (grantsByHeartbeat() || monitor_.isRefusing()) {
         return;
     }
     for (GrantOrder &order : keeper_.takeDueGrants(authority_.validUntil(), now)) {
@@ -416,9 +419,10 @@
 {
     // Without the store nobody could take the keys; released, they would be served by nobody, while
     // a node that keeps them has them again right after its restart.
-    const bool leaving = (stopping_ && isStoreNear(now))
-                         || monitor_.state() == BackendState::Draining
-                         || (monitor_.state() == BackendState::Down && !monitor_.isGone());
+    const bool lost = monitor_.state() == BackendState::Down
+                      && now - monitor_.heardAt() >= SignOfLifeWithin;
+    const bool leaving
+            = (stopping_ && isStoreNear(now)) || monitor_.state() == BackendState::Draining || lost;
     const std::vector<KeySpan> held = keeper_.heldSpans();
     if (!leaving || held.empty()) {
         return;
@@ -426,8 +430,9 @@
     const std::vector<RangeMove> moves
             = planGiveAway(held, load_.rates(KeySpan{}, now),
                            drawCandidates(candidates(now, false), GiveAwaySample, random_));
+    const std::string_view other = lost ? "backend server down" : "backend server leaves";
     for (const RangeMove &move : moves) {
-        beginMove(move, stopping_ ? "node stops" : "backend server leaves", now);
+        beginMove(move, stopping_ ? "node stops" : other, now);
     }
 }
 
@@ -525,22 +530,20 @@
     return revoked != revoked_.end() && revoked->second.count(holder.life) > 0;
 }
 
-RangeTable RangeDuty::giveAway(RangeTable table,
-                               const std::function<bool(const RangeHolder &)> &isGiven,
-                               const std::vector<KeyRate> &rates,
-                               std::vector<RangeCandidate> takers)
+RangeTable RangeDuty::giveFreeRanges(RangeTable table, TimePoint now)
 {
     std::vector<KeySpan> spans;
     for (size_t index = 0; index < table.entries.size(); ++index) {
-        if (isGiven(table.entries[index].holder)) {
+        if (isFreeForAll(table.entries[index].holder)) {
             spans.push_back(table.spanOf(index));
         }
     }
     if (spans.empty()) {
         return table;
     }
-    takers = drawCandidates(std::move(takers), GiveAwaySample, random_);
-    for (const RangeMove &move : planGiveAway(spans, rates, takers)) {
+    const std::vector<RangeCandidate> takers
+            = drawCandidates(candidates(now, true), GiveAwaySample, random_);
+    for (const RangeMove &move : planGiveAway(spans, {}, takers)) {
         table = giveRange(std::move(table), move.span, move.holder, {});
     }
     return table;
@@ -576,15 +579,10 @@
             change("fence refused", giveRange(next, refused, *self, {}));
         }
         change("released", handReleasedOver(next, now));
-    } else if (monitor_.isGone()) {
-        const auto isOwn = [this](const RangeHolder &held) { return held.node == self_.node; };
-        change("backend server gone",
-               giveAway(next, isOwn, load_.rates(KeySpan{}, now), candidates(now, false)));
     }
     const MemberRecord *first = firstOfService(now);
     if (first != nullptr && first->node == self_.node) {
-        const auto isFree = [this](const RangeHolder &held) { return isFreeForAll(held); };
-        change("holder lost", giveAway(next, isFree, {}, candidates(now, true)));
+        change("holder lost", giveFreeRanges(next, now));
     }
     if (next == stored.table) {
         return std::nullopt;
@@ -635,9 +633,9 @@
     const BlockLayout layout = stored.layout;
     const std::optional<RangeHolder> planned = holder();
     for (uint32_t block = 0; block < layout.count; ++block) {
-        // A backend server that was taken for gone may answer again between two writes, and is then
-        // granted what the table still says is its own; the rest of the plan would give those very
-        // keys to others.
+        // Another life may begin between two writes, of the backend server or of the lease. It is
+        // granted what the table still says is its own; the rest of the plan knows of the one
+        // before.
         if (holder() != planned) {
             co_return;
         }
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -27,8 +27,11 @@
  * Carries out what the range decisions say for the sharded service beside this node.
  *
  * Every change of the table is one conditional write, and takes a range only from a holder that
- * provably holds it no more: it released it, its life is over, or its lease was revoked after it
- * had run out. So a write that is done late, after its answer was lost, is as safe as in time.
+ * provably holds it no more: it released it, all its grants have run out, another life of it has
+ * begun, or its node's lease was revoked after it had run out. A backend server that refuses
+ * connections may live and hold what it was granted, so that is no proof: its keys leave as those
+ * of any other that is down, by their grants' end, and are not granted anew meanwhile. So a write
+ * that is done late, after its answer was lost, is as safe as in time.
  */
 class RangeDuty final : public KeyHolding
 {
@@ -117,8 +120,7 @@
     std::optional<RangeTable> planTable(const StoredTable &stored, TimePoint now);
     void logChange(std::string_view cause, const RangeTable &before, const RangeTable &after,
                    TimePoint now) const;
-    RangeTable giveAway(RangeTable table, const std::function<bool(const RangeHolder &)> &isGiven,
-                        const std::vector<KeyRate> &rates, std::vector<RangeCandidate> takers);
+    RangeTable giveFreeRanges(RangeTable table, TimePoint now);
     RangeTable handReleasedOver(RangeTable table, TimePoint now);
     bool isFreeForAll(const RangeHolder &holder) const;
     asio::awaitable<void> createTable();
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -173,7 +173,7 @@
 {
     logEvent(LogEvent::BackendChanged, {{"backend", monitor_.backend().text()},
                                         {"state", static_cast<int64_t>(monitor_.state())},
-                                        {"gone", monitor_.isGone()},
+                                        {"refusing", monitor_.isRefusing()},
                                         {"evidence", backendEvidenceName(monitor_.evidence())},
                                         {"slots", monitor_.slots()}});
     gate_.onBackendChange();
--- a/test/support/ownership_fleet.h
+++ b/test/support/ownership_fleet.h
@@ -31,7 +31,7 @@
             answer.result = OrderResult::HigherFence;
             co_return answer;
         }
-        holds_.emplace_back(order.span, clock_.now() + order.hold);
+        setHeld(order.span, clock_.now() + order.hold);
         if (orderTime_.count() > 0) {
             ++open_;
             co_await pauseFor(orderTime_);
@@ -48,7 +48,7 @@
         answer.result = alive_ ? OrderResult::Accepted : OrderResult::Unanswered;
         answer.handover = "token";
         if (alive_) {
-            std::erase_if(holds_, [&](const auto &hold) { return order.span.covers(hold.first); });
+            setHeld(order.span, NeverTime);
         }
         co_return answer;
     }
@@ -64,7 +64,7 @@
     void crash()
     {
         alive_ = false;
-        holds_.clear();
+        setHeld(KeySpan{}, NeverTime);
     }
     void revive() { alive_ = true; }
 
@@ -76,17 +76,17 @@
     }
 
     /** @return Whether it counts @p key as held by itself. */
-    bool holds(ShardKey key) const
-    {
-        return std::any_of(holds_.begin(), holds_.end(), [&](const auto &hold) {
-            return hold.first.contains(key) && clock_.now() < hold.second;
-        });
-    }
+    bool holds(ShardKey key) const { return clock_.now() < heldUntil_[key.value()]; }
 
     void seeFence(Epoch fence) { highestFence_ = fence; }
     uint64_t grants() const { return grants_; }
 
 private:
+    void setHeld(const KeySpan &span, TimePoint until)
+    {
+        std::fill_n(heldUntil_.begin() + span.first.value(), span.size(), until);
+    }
+
     static constexpr milliseconds RefusalTime{1}; ///< Until a connection is known to be refused.
 
     const Clock &clock_;
@@ -96,7 +96,8 @@
     size_t open_ = 0;
     size_t connections_ = SIZE_MAX;
     milliseconds orderTime_{0};
-    std::vector<std::pair<KeySpan, TimePoint>> holds_; ///< And until when.
+    /// Of each key, on its own count.
+    std::vector<TimePoint> heldUntil_ = std::vector<TimePoint>(LastShardKey.value() + 1, NeverTime);
 };
 
 /** One node of the fleet. */
--- a/test/unit/member/backend_monitor_test.cpp
+++ b/test/unit/member/backend_monitor_test.cpp
@@ -81,20 +81,20 @@
 {
     BackendMonitor monitor{MonitorLimits{}};
     (void)monitor.onReport(makeReport("i-1", 1), Start);
-    SECTION("one refused connection may be a chance, two in a row are an end")
+    SECTION("one refused connection may be a chance, two in a row are none")
     {
         cr_assert(!monitor.onRefusedConnection());
         cr_assert(monitor.onRefusedConnection());
-        cr_assert(monitor.isGone() && monitor.state() == BackendState::Down);
+        cr_assert(monitor.isRefusing() && monitor.state() == BackendState::Down);
     }
-    SECTION("none is, while it works on requests: it has too many connections")
+    SECTION("none counts while it works on requests: it has too many connections")
     {
         BackendMonitor busy{MonitorLimits{}};
         bool working = true;
         busy.askWork([&working]() { return working; });
         (void)busy.onReport(makeReport("i-1", 1), Start);
         cr_assert(!busy.onRefusedConnection() && !busy.onRefusedConnection());
-        cr_assert(!busy.isGone() && busy.state() == BackendState::Ready);
+        cr_assert(!busy.isRefusing() && busy.state() == BackendState::Ready);
         working = false;
         cr_assert(!busy.onRefusedConnection());
         cr_assert(busy.onRefusedConnection());
@@ -104,7 +104,7 @@
         BackendMonitor silent{MonitorLimits{}};
         (void)silent.onReport(makeReport("i-1", 1), Start);
         cr_assert(silent.onSilence());
-        cr_assert(silent.state() == BackendState::Down && !silent.isGone());
+        cr_assert(silent.state() == BackendState::Down && !silent.isRefusing());
         cr_assert(silent.onAnswer(Start));
         cr_assert(silent.state() == BackendState::Ready);
     }
--- a/test/unit/range/range_duty_test.cpp
+++ b/test/unit/range/range_duty_test.cpp
@@ -26,6 +26,29 @@
     return table;
 }
 
+/** Every so many keys one is looked at: several in each range of these tests. */
+constexpr uint32_t SampleEvery = 500;
+
+bool isAnyHeldTwice(const OwnershipFleet &fleet)
+{
+    for (uint32_t key = Low.value(); key <= LastShardKey.value(); key += SampleEvery) {
+        if (fleet.holding(ShardKey(key)).size() > 1) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool isEachServedByOne(const OwnershipFleet &fleet)
+{
+    for (uint32_t key = Low.value(); key <= LastShardKey.value(); key += SampleEvery) {
+        if (fleet.admitting(ShardKey(key)).size() != 1) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool isServedByOne(const OwnershipFleet &fleet, ShardKey key)
 {
     return fleet.admitting(key).size() == 1;
@@ -44,8 +67,9 @@
     cr_assert(fleet.admitting(Low) != fleet.admitting(High));
 }
 
-// Callers of a third of the keys are refused: their backend server has crashed, its node lives. The
-// refused connection proves that nothing is held any more, so the node gives the keys away at once.
+// Callers of half of the keys are refused: their backend server has crashed, its node lives. It
+// can't tell that from one that has too many connections, so the others get the keys when its
+// grants have run out.
 Test(range_duty, a_crashed_backend_servers_keys_go_to_the_others)
 {
     OwnershipFleet fleet;
@@ -272,11 +296,10 @@
     cr_assert_eq(fleet.store().reads(RecordKind::Ranges), reads);
 }
 
-// Two connections to a backend server are refused while it lives, and its node gives its keys away,
-// block by block. After the first write a heartbeat of the same life comes: from now on the node
-// grants again what the table says is its own. The rest of the old plan would give those keys to
-// others, and two backend servers would hold them.
-Test(range_duty, a_plan_ends_when_the_backend_server_turns_out_to_live)
+// A backend server refuses connections and is not heard of for a while, so its node gives its keys
+// away, block by block. After the first write a heartbeat of the same life comes. Granted again
+// from then on, the keys of the blocks that are still to be written would be held twice.
+Test(range_duty, a_backend_server_that_is_back_amid_its_hand_over_is_not_granted_its_keys_again)
 {
     OwnershipFleet fleet;
     OwnershipNode &node = fleet.add(1, "b-1");
@@ -290,14 +313,12 @@
     const uint32_t before = keys();
     const auto records = [&]() { return fleet.store().records(RecordKind::Ranges).size(); };
     const size_t recordsBefore = records();
-    node.backend.crash();
-    (void)node.monitor.onRefusedConnection();
-    (void)node.monitor.onRefusedConnection();
+    node.backend.limitConnections(0, milliseconds(1));
     bool lives = false;
     fleet.store().onWrite([&]() {
         if (!lives && records() > recordsBefore) { // Not a renewal of a lease.
             lives = true;
-            node.backend.revive();
+            node.backend.limitConnections(SIZE_MAX, milliseconds(0));
             BackendReport report;
             report.backend = "b-1";
             report.service = "s";
@@ -306,10 +327,18 @@
             (void)node.monitor.onReport(report, fleet.clock().now());
         }
     });
-    node.duty.wake();
-    cr_assert(fleet.reaches([&]() { return lives && keys() < before; }, Patience));
-    cr_assert(fleet.reaches(all, Patience));
-    cr_assert_gt(keys(), before / 2);
+    bool twice = false;
+    const auto runsUntil = [&](const std::function<bool()> &holds) {
+        return fleet.reaches(
+                [&]() {
+                    twice |= isAnyHeldTwice(fleet);
+                    return holds();
+                },
+                Patience);
+    };
+    cr_assert(runsUntil([&]() { return lives && keys() < before; }));
+    cr_assert(runsUntil([&]() { return isEachServedByOne(fleet); }));
+    cr_assert(!twice);
 }
 
 // A backend server crashes and starts again under its id before anybody has noticed. Its first
@@ -352,7 +381,9 @@
 
 // Two backend servers hold the same keys for two seconds. All VMs have restarted, and a node grants
 // its many ranges to its backend server at the same time; that has room for only so many
-// connections, accepts some of the grants and refuses the others.
+// connections, accepts some of the grants and refuses the others. Two refused connections counted
+// as its end, and the keys of a life that had ended went to others at once, while the grants that
+// it had accepted ran. The node's log showed both within 20 ms, and no release.
 Test(range_duty, a_backend_server_that_refuses_connections_still_holds_what_it_was_granted)
 {
     constexpr uint32_t Ranges = 64;
@@ -361,15 +392,7 @@
                       encodeRangeRecord({makeEarlierTable(Ranges), {}, {}, 0}));
     fleet.add(1, "b-1").backend.limitConnections(8, milliseconds(20));
     fleet.add(2, "b-2");
-    const auto isHeldTwice = [&]() {
-        for (uint32_t key = 5; key <= LastShardKey.value(); key += 500) {
-            if (fleet.holding(ShardKey(key)).size() > 1) {
-                return true;
-            }
-        }
-        return false;
-    };
-    cr_assert(!fleet.reaches(isHeldTwice, std::chrono::seconds(6)));
+    cr_assert(!fleet.reaches([&]() { return isAnyHeldTwice(fleet); }, std::chrono::seconds(6)));
     cr_assert(fleet.reaches(
             [&]() { return isServedByOne(fleet, Low) && isServedByOne(fleet, High); }, Patience));
 }
