Fix: [Ownership] Many ranges are granted a few at a time

Change: at most 8 grants are on their way; those that lapse first go first, so grants without an answer don't keep the others waiting. One whose connection was refused is told apart (it takes no effect) and pauses for 100 ms. range_keeper/many_ranges_are_granted_a_few_at_a_time has the three cases. The test of refused connections now allows 4 connections instead of 8, half of what a node uses: with 8 nothing would be refused any more, and the check would not see the fault.

--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 constexpr milliseconds ReleaseRetry{100}; ///< Between two tries of a release without an answer.
+/** After a refused connection: tried again at once, the grants would take the connections whose
+ *  lack they were refused for. */
+constexpr milliseconds RefusalPause{100};
 
 /** @return Whether @p rows, in order of their keys, show all of @p span under @p fence. */
 bool areShown(const std::vector<HeldKeys> &rows, const KeySpan &span, Epoch fence)
@@ -107,10 +110,8 @@
     if (hold < times_.least) {
         return orders;
     }
-    for (Held &held : held_) {
-        if (held.granting || held.refused || held.leaving || now < held.dueAt) {
-            continue;
-        }
+    for (Held *due : dueForGrant(now)) {
+        Held &held = *due;
         held.granting = true;
         // One that was cut short by a split counts as unanswered.
         held.unansweredUntil = std::max(held.unansweredUntil, held.pendingUntil);
@@ -121,6 +122,23 @@
     return orders;
 }
 
+std::vector<RangeKeeper::Held *> RangeKeeper::dueForGrant(TimePoint now)
+{
+    std::vector<Held *> due;
+    size_t open = 0;
+    for (Held &held : held_) {
+        open += held.granting ? 1 : 0;
+        if (!held.granting && held.isWanted() && held.dueAt <= now) {
+            due.push_back(&held);
+        }
+    }
+    std::stable_sort(due.begin(), due.end(), [](const Held *left, const Held *right) {
+        return left->lapsesAt < right->lapsesAt;
+    });
+    due.resize(std::min(due.size(), times_.openGrants - std::min(open, times_.openGrants)));
+    return due;
+}
+
 void RangeKeeper::onGrantEnd(const GrantOrder &order, OrderResult result)
 {
     // A range may have been cut since the order was sent; the grant covers each part.
@@ -152,6 +170,9 @@
         held.unansweredUntil = std::max(held.unansweredUntil, lapse);
         held.dueAt = order.sentAt; // At once: the same call again renews the grant.
         break;
+    case OrderResult::NotSent:
+        held.dueAt = order.sentAt + RefusalPause;
+        break;
     }
 }
 
@@ -210,7 +231,7 @@
         return;
     }
     held->releasing = false;
-    if (result == OrderResult::Unanswered) {
+    if (result == OrderResult::Unanswered || result == OrderResult::NotSent) {
         held->releaseDueAt = now + ReleaseRetry;
         return;
     }
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -19,6 +19,12 @@
     milliseconds hold{2500};
     /** Three renewals may be lost before a grant lapses. */
     milliseconds renewEvery{600};
+    /**
+     * Grants on their way at the same time. Each takes a connection, and a backend server refuses
+     * those beyond its bound, requests among them. A grant is answered in a millisecond or two, so
+     * these few renew some thousand ranges between two renewals.
+     */
+    size_t openGrants = 8;
     /** No grant is sent for less: it would lapse about when it arrives. */
     milliseconds least{300};
     /** A backend server's clock may run 2% slow: its hold lasts so much longer than ours. */
@@ -65,6 +71,7 @@
     Accepted,
     HigherFence, ///< The backend server has seen a higher fence on one of the keys.
     Unanswered,  ///< It may take effect, also seconds later.
+    NotSent,     ///< Its connection was refused: it takes no effect.
 };
 
 /** A range that the backend server holds no more and that may be given to another one. */
@@ -106,8 +113,8 @@
     /** Takes over the stored table, and who this node and its backend server are at present. */
     void onTable(const RangeTable &table, const std::optional<RangeHolder> &self, TimePoint now);
 
-    /** @return The grants to send now; each counts as sent. @param leaseUntil No grant outlasts it.
-     */
+    /** @return The grants to send now, those that lapse first first; each counts as sent.
+     *  @param leaseUntil No grant outlasts it. */
     std::vector<GrantOrder> takeDueGrants(TimePoint leaseUntil, TimePoint now);
 
     void onGrantEnd(const GrantOrder &order, OrderResult result);
@@ -185,6 +192,7 @@
         bool isWanted() const { return !leaving && !refused; }
     };
 
+    std::vector<Held *> dueForGrant(TimePoint now);
     void rememberDropped(const std::vector<Held> &next);
     void takeEntry(const KeySpan &span, const RangeEntry &entry, TimePoint now,
                    std::vector<Held> &next) const;
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -333,7 +333,7 @@
 {
     const OrderAnswer answer = co_await backend_.grant(order, GrantTimeout);
     keeper_.onGrantEnd(order, answer.result);
-    if (answer.result != OrderResult::Unanswered) {
+    if (answer.result == OrderResult::Accepted || answer.result == OrderResult::HigherFence) {
         noteMonitorChange(monitor_.onAnswer(clock_.now()));
     }
     if (answer.result == OrderResult::HigherFence) {
@@ -341,7 +341,7 @@
                                           {"last", order.span.last.value()},
                                           {"fence", order.fence.value()}});
     }
-    if (answer.refusedConnection) {
+    if (answer.result == OrderResult::NotSent) {
         noteMonitorChange(monitor_.onRefusedConnection());
     }
     wake();
--- a/src/port/backend_control.h
+++ b/src/port/backend_control.h
@@ -12,7 +12,6 @@
 struct OrderAnswer {
     OrderResult result = OrderResult::Unanswered;
     std::string handover; ///< Of a release.
-    bool refusedConnection = false;
 };
 
 /** What a look at the backend server showed. */
--- a/test/support/ownership_fleet.h
+++ b/test/support/ownership_fleet.h
@@ -23,7 +23,7 @@
         OrderAnswer answer;
         if (!alive_ || open_ >= connections_) {
             co_await pauseFor(RefusalTime);
-            answer.refusedConnection = true;
+            answer.result = OrderResult::NotSent;
             co_return answer;
         }
         ++grants_;
@@ -44,8 +44,7 @@
     asio::awaitable<OrderAnswer> release(ReleaseOrder order, milliseconds) override
     {
         OrderAnswer answer;
-        answer.refusedConnection = !alive_;
-        answer.result = alive_ ? OrderResult::Accepted : OrderResult::Unanswered;
+        answer.result = alive_ ? OrderResult::Accepted : OrderResult::NotSent;
         answer.handover = "token";
         if (alive_) {
             setHeld(order.span, NeverTime);
--- a/test/unit/range/range_duty_test.cpp
+++ b/test/unit/range/range_duty_test.cpp
@@ -390,7 +390,7 @@
     OwnershipFleet fleet;
     fleet.store().put(RecordKind::Ranges, "s",
                       encodeRangeRecord({makeEarlierTable(Ranges), {}, {}, 0}));
-    fleet.add(1, "b-1").backend.limitConnections(8, milliseconds(20));
+    fleet.add(1, "b-1").backend.limitConnections(GrantTimes{}.openGrants / 2, milliseconds(20));
     fleet.add(2, "b-2");
     cr_assert(!fleet.reaches([&]() { return isAnyHeldTwice(fleet); }, std::chrono::seconds(6)));
     cr_assert(fleet.reaches(
--- a/test/unit/range/range_keeper_test.cpp
+++ b/test/unit/range/range_keeper_test.cpp
@@ -4,6 +4,8 @@
 #include "decision/range/range_keeper.h"
 #include "support/story.h"
 
+#include <set>
+
 using namespace wisteriahoist;
 
 namespace {
@@ -232,3 +234,68 @@
         cr_assert(other.releasedRanges(lost).empty());
     }
 }
+
+// Callers are refused by a backend server that has room: its node grants its many ranges all at the
+// same time, and the connections of these grants leave none for the requests.
+Test(range_keeper, many_ranges_are_granted_a_few_at_a_time)
+{
+    constexpr size_t Ranges = 30;
+    RangeTable table;
+    for (uint32_t index = 0; index < Ranges; ++index) {
+        table = giveRange(std::move(table), {ShardKey(index * 100)}, Self, {});
+    }
+    const GrantTimes times;
+    const auto makeListing = [&]() {
+        RangeKeeper keeper(times, NeverTime);
+        keeper.onTable(table, Self, Start);
+        return keeper;
+    };
+    SECTION("each answer makes room for the next")
+    {
+        RangeKeeper keeper = makeListing();
+        const std::vector<GrantOrder> first = keeper.takeDueGrants(Forever, Start);
+        cr_assert_eq(first.size(), times.openGrants);
+        cr_assert(keeper.takeDueGrants(Forever, Start).empty());
+        keeper.onGrantEnd(first.front(), OrderResult::Accepted);
+        const std::vector<GrantOrder> next = keeper.takeDueGrants(Forever, Start);
+        cr_assert_eq(next.size(), 1U);
+        cr_assert(next.front().span.first > first.back().span.first);
+    }
+    SECTION("grants that stay without an answer do not keep the others from their turn")
+    {
+        RangeKeeper keeper = makeListing();
+        std::set<KeySpan> granted;
+        for (int turn = 0; turn < 4; ++turn) {
+            const TimePoint now = Start + turn * milliseconds(400);
+            for (const GrantOrder &order : keeper.takeDueGrants(Forever, now)) {
+                granted.insert(order.span);
+                keeper.onGrantEnd(order, OrderResult::Unanswered);
+            }
+        }
+        cr_assert_eq(granted.size(), Ranges);
+    }
+    SECTION("one whose connection was refused waits a moment: at once it would be refused as well")
+    {
+        RangeKeeper keeper = makeListing();
+        const std::vector<GrantOrder> open = keeper.takeDueGrants(Forever, Start);
+        const GrantOrder &first = open.front();
+        for (const GrantOrder &order : open) {
+            const bool refused = order.span == first.span;
+            keeper.onGrantEnd(order, refused ? OrderResult::NotSent : OrderResult::Accepted);
+        }
+        const auto takesAgain = [&](TimePoint now) {
+            const std::vector<GrantOrder> orders = keeper.takeDueGrants(Forever, now);
+            for (const GrantOrder &order : orders) {
+                keeper.onGrantEnd(order, OrderResult::Accepted);
+            }
+            return std::any_of(orders.begin(), orders.end(),
+                               [&](const GrantOrder &order) { return order.span == first.span; });
+        };
+        cr_assert(!takesAgain(Start + milliseconds(50)));
+        bool again = false;
+        for (int turn = 0; turn < 5; ++turn) {
+            again |= takesAgain(Start + milliseconds(100));
+        }
+        cr_assert(again);
+    }
+}
