--- a/test/unit/range/range_keeper_test.cpp
+++ b/test/unit/range/range_keeper_test.cpp
@@ -299,3 +299,37 @@
         cr_assert(again);
     }
 }
+
+// A backend server still holds keys that another one is given. Its release waits for running work;
+// meanwhile the lease is lost and regained, and the same range is listed and granted anew under its
+// fence. The answer to the old release then comes, and says nothing of the new grant.
+Test(range_keeper, the_answer_to_a_release_of_before_the_range_was_listed_anew_counts_no_more)
+{
+    RangeKeeper keeper = makeKeeper();
+    grantAll(keeper, OrderResult::Accepted, Start);
+    const KeySpan own{ShardKey(0), ShardKey(32767)};
+    keeper.beginRelease(own);
+    const std::vector<ReleaseOrder> old = keeper.takeDueReleases(Start);
+    cr_assert_eq(old.size(), 1U);
+    const RangeHolder renewed{Self.node, Incarnation(2), Self.backend};
+    keeper.onTable(makeTable(), renewed, Start);
+    keeper.onTable(adoptRanges(makeTable(), renewed), renewed, Start);
+    // Much later than all grants of before, so that only the new one is left to be waited for.
+    const TimePoint later = Start + std::chrono::seconds(5);
+    grantAll(keeper, OrderResult::Accepted, later);
+    SECTION("neither before it leaves again")
+    {
+        keeper.onReleaseEnd(old.front(), OrderResult::Accepted, "token", later);
+        keeper.beginRelease(own);
+        cr_assert(keeper.releasedRanges(later).empty());
+    }
+    SECTION("nor while its next release is on its way")
+    {
+        const std::vector<ReleaseOrder> next = keeper.takeDueReleases(later);
+        cr_assert_eq(next.size(), 1U);
+        keeper.onReleaseEnd(old.front(), OrderResult::Accepted, "token", later);
+        cr_assert(keeper.releasedRanges(later).empty());
+        keeper.onReleaseEnd(next.front(), OrderResult::Accepted, "token", later);
+        cr_assert_eq(keeper.releasedRanges(later).size(), 1U);
+    }
+}
