Fix: [Ownership] The answer to an older release releases nothing

Cause: a release waits for running work; when the lease is lost and regained meanwhile, its range is listed and granted anew under the same fence and span, and the answer to the old release marked it as released. The next move then sent no release and gave the range on at once. Any refusal of a release by a higher fence counted as its end as well. Change: each release has a number, its answer counts only for the range that still waits for that very release, and only if it was accepted. Found on reading, not seen in a run of the fleet.

--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -87,7 +87,7 @@
         kept.span = {std::max(known.span.first, span.first), std::min(known.span.last, span.last)};
         if (kept.span != known.span) {
             kept.granting = false;
-            kept.releasing = false;
+            kept.release = 0;
         }
         if (begin < kept.span.first.value()) {
             fresh.span = {ShardKey(begin), ShardKey(kept.span.first.value() - 1)};
@@ -214,10 +214,10 @@
         // A grant and a release on two connections may overtake each other: the grant, applied
         // last, would take the keys up again, and its answer looks like any other.
         const bool grantUnderWay = held.pendingUntil != NeverTime;
-        if (held.leaving && !held.releasing && !held.released && held.releaseDueAt <= now
+        if (held.leaving && held.release == 0 && !held.released && held.releaseDueAt <= now
             && !grantUnderWay) {
-            held.releasing = true;
-            orders.push_back({held.span, held.fence});
+            held.release = ++releases_;
+            orders.push_back({held.span, held.fence, held.release});
         }
     }
     return orders;
@@ -226,12 +226,16 @@
 void RangeKeeper::onReleaseEnd(const ReleaseOrder &order, OrderResult result,
                                const std::string &handover, TimePoint now)
 {
-    Held *held = findExact(order.span, order.fence);
-    if (held == nullptr) {
+    // A range that was cut or listed anew since has been granted more than the order releases; its
+    // answer would pass for the end of grants that came after it.
+    const auto held = std::find_if(held_.begin(), held_.end(), [&](const Held &candidate) {
+        return candidate.release != 0 && candidate.release == order.number;
+    });
+    if (held == held_.end()) {
         return;
     }
-    held->releasing = false;
-    if (result == OrderResult::Unanswered || result == OrderResult::NotSent) {
+    held->release = 0;
+    if (result != OrderResult::Accepted) {
         held->releaseDueAt = now + ReleaseRetry;
         return;
     }
@@ -424,14 +428,6 @@
     return spans;
 }
 
-RangeKeeper::Held *RangeKeeper::findExact(const KeySpan &span, Epoch fence)
-{
-    const auto found = std::find_if(held_.begin(), held_.end(), [&](const Held &held) {
-        return held.span == span && held.fence == fence;
-    });
-    return found == held_.end() ? nullptr : &*found;
-}
-
 const RangeKeeper::Held *RangeKeeper::find(ShardKey key) const
 {
     const auto next = std::upper_bound(
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -64,6 +64,7 @@
 struct ReleaseOrder {
     KeySpan span;
     Epoch fence;
+    uint64_t number = 0; ///< Among all releases of this process.
 };
 
 /** How a call ended. */
@@ -179,8 +180,8 @@
         bool granting = false;                 ///< A grant is on its way.
         bool refused = false;                  ///< Its fence is used up.
         bool leaving = false;
-        bool releasing = false; ///< A release is on its way.
-        bool released = false;  ///< The backend server has confirmed.
+        uint64_t release = 0;  ///< Number of the release that is on its way; 0: none.
+        bool released = false; ///< The backend server has confirmed.
         TimePoint releaseDueAt = NeverTime;
         bool releaseTold = false; ///< A heartbeat has told its token; it may still be worked on.
         std::string releaseToken;
@@ -201,7 +202,6 @@
     void offer(Held &held, milliseconds hold, TimePoint receivedAt, TimePoint now) const;
     void cutLeavingAt(uint32_t key);
     void applyGrantEnd(Held &held, const GrantOrder &order, OrderResult result) const;
-    Held *findExact(const KeySpan &span, Epoch fence);
     const Held *find(ShardKey key) const;
 
     GrantTimes times_;
@@ -210,6 +210,7 @@
      * own, while its backend server still holds them. */
     TimePoint earlierUntil_;
     std::vector<Held> held_; ///< Sorted by span; disjoint.
+    uint64_t releases_ = 0;  ///< Releases sent so far.
 };
 
 } // namespace wisteriahoist
