Fix: [Member] A backend server that refused connections is looked at until it answers

Callers were turned away by a node whose backend server lived, until its next heartbeat, which comes after about a second and may be late: looks ended when it counted as down. They go on at the pace of heartbeats while it refuses. It now counts as lost after 2 s without a sign of life instead of 1.2 s, so that one late heartbeat doesn't cost it its keys; grants run for longer, so nobody waits for that. A node whose backend server has crashed for good renews no lease any more once it holds no keys. backend_watch/one_that_refused_connections_is_looked_at_until_it_answers failed without the look and passes with it; range_duty 13 of 13.

--- a/src/duty/backend_watch.cpp
+++ b/src/duty/backend_watch.cpp
@@ -35,7 +35,9 @@
     const bool listening
             = monitor_.state() == BackendState::Ready || monitor_.state() == BackendState::Draining;
     const bool late = listening && now - monitor_.heardAt() > heartbeat_ * times_.missedHeartbeats;
-    return suspected_ || late;
+    // One that refused connections for lack of them is found out by a look sooner than by its next
+    // heartbeat, which may come late; until then callers are turned away.
+    return suspected_ || late || monitor_.isRefusing();
 }
 
 asio::awaitable<void> BackendWatch::run()
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -47,9 +47,10 @@
  * write within 10 ms each.
  */
 constexpr milliseconds CollisionSpread{100};
-/** A backend server that lives sends a heartbeat about every 0.9 s; one that refuses connections
- * for a moment is not down. */
-constexpr milliseconds SignOfLifeWithin{1200};
+/** A backend server that lives sends a heartbeat about every second and answers looks meanwhile;
+ * one that refuses connections for a moment keeps its keys. Grants run for longer, so the keys of
+ * one that has crashed do not wait for this. */
+constexpr milliseconds SignOfLifeWithin{2000};
 /** A node that has not been reached for so long may be lost; its witnesses and its lease decide. */
 constexpr milliseconds SuspectAfter{500};
 
@@ -296,7 +297,8 @@
     const auto spawn = [this](asio::awaitable<void> work) {
         asio::co_spawn(context_, std::move(work), asio::detached);
     };
-    const bool inUse = holder().has_value() || keeper_.size() > 0;
+    // Without keys, a backend server that has crashed for good needs no lease.
+    const bool inUse = keeper_.size() > 0 || (holder().has_value() && !monitor_.isRefusing());
     if (authority_.needsRenewal(now)) {
         authority_.lease().retryNow();
     }
@@ -318,6 +320,8 @@
         watchOthers();
         probeQuiet(now);
     }
+    // One that refuses connections may have crashed, and its next life must not be granted the old
+    // one's fences; if it lives, more orders would take the connections that it lacks.
     if (grantsByHeartbeat() || monitor_.isRefusing()) {
         return;
     }
@@ -417,10 +421,10 @@
 
 void RangeDuty::startLeaving(TimePoint now)
 {
-    // Without the store nobody could take the keys; released, they would be served by nobody, while
-    // a node that keeps them has them again right after its restart.
     const bool lost = monitor_.state() == BackendState::Down
                       && now - monitor_.heardAt() >= SignOfLifeWithin;
+    // Without the store nobody could take the keys; released, they would be served by nobody, while
+    // a node that keeps them has them again right after its restart.
     const bool leaving
             = (stopping_ && isStoreNear(now)) || monitor_.state() == BackendState::Draining || lost;
     const std::vector<KeySpan> held = keeper_.heldSpans();
