Fix: [Ownership] A grant without an answer was forgotten with a released range

Cause: a range that had been released counted as settled when it was no longer listed (lease lost, backend server taken for gone), though a grant without an answer could still be applied after the release. Listed anew it went on at once; and nothing seemed to run any more.

Change: what is without an answer or on its way is outwaited also then. The test fails without it.

--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -60,8 +60,14 @@
         const bool kept = std::any_of(next.begin(), next.end(), [&held](const Held &other) {
             return other.fence == held.fence && other.span.overlaps(held.span);
         });
-        if (!kept && !held.released) {
-            earlierUntil_ = std::max({earlierUntil_, held.lapsesAt, held.unansweredUntil});
+        if (kept) {
+            continue;
+        }
+        // A confirmed release ends what the backend server held, but not a grant that may still be
+        // applied after it.
+        earlierUntil_ = std::max({earlierUntil_, held.unansweredUntil, held.pendingUntil});
+        if (!held.released) {
+            earlierUntil_ = std::max(earlierUntil_, held.lapsesAt);
         }
     }
 }
--- a/test/unit/range/range_keeper_test.cpp
+++ b/test/unit/range/range_keeper_test.cpp
@@ -232,3 +232,32 @@
         cr_assert(other.releasedRanges(lost).empty());
     }
 }
+
+// Two backend servers hold the same keys: a grant without an answer is on its way, the keys are
+// released, and the lease is lost before they are given on. Adopted under the next life they looked
+// as if nothing were on its way, went on at once, and the late grant took them up again.
+Test(range_keeper, an_unanswered_grant_outlasts_a_release_that_is_not_listed_any_more)
+{
+    RangeKeeper keeper = makeKeeper();
+    grantAll(keeper, OrderResult::Accepted, Start);
+    const TimePoint renewed = Start + milliseconds(1000);
+    grantAll(keeper, OrderResult::Unanswered, renewed);
+    keeper.beginRelease(KeySpan{});
+    const TimePoint released = renewed + milliseconds(300);
+    releaseAll(keeper, OrderResult::Accepted, released);
+    const RangeHolder next{Self.node, Incarnation(2), Self.backend};
+    keeper.onTable(makeTable(), next, released);
+    const TimePoint lapse = RangeKeeper::lapseOf(GrantTimes{}, GrantTimes{}.hold, renewed);
+    SECTION("what was ever granted has not run out before it")
+    {
+        cr_assert(keeper.lastLapse() >= lapse);
+    }
+    SECTION("nor are its keys given on before it")
+    {
+        keeper.onTable(adoptRanges(makeTable(), next), next, released);
+        keeper.beginRelease(KeySpan{});
+        releaseAll(keeper, OrderResult::Accepted, released);
+        cr_assert(keeper.releasedRanges(lapse - milliseconds(1)).empty());
+        cr_assert_eq(keeper.releasedRanges(lapse).size(), 1U);
+    }
+}
