Fix: [Ownership] What was granted of a part that is not listed any more was forgotten

Cause: a range counted as listed as long as any part of it was, so grants for the other part were not remembered. Where that part came back under another fence and was to move, it went on while the old grant ran.

Change: a range counts as listed only if all its keys are. The test fails without it. The random sequences move whole ranges in one record, so they do not reach it; no run of nodes has shown it.

--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -54,13 +54,23 @@
     held_ = std::move(next);
 }
 
+uint32_t RangeKeeper::countListed(const Held &held, const std::vector<Held> &next)
+{
+    uint32_t listed = 0;
+    for (const Held &other : next) {
+        if (other.fence == held.fence && other.span.overlaps(held.span)) {
+            const KeySpan both{std::max(other.span.first, held.span.first),
+                               std::min(other.span.last, held.span.last)};
+            listed += both.size();
+        }
+    }
+    return listed;
+}
+
 void RangeKeeper::rememberDropped(const std::vector<Held> &next)
 {
     for (const Held &held : held_) {
-        const bool kept = std::any_of(next.begin(), next.end(), [&held](const Held &other) {
-            return other.fence == held.fence && other.span.overlaps(held.span);
-        });
-        if (kept) {
+        if (countListed(held, next) == held.span.size()) {
             continue;
         }
         // A confirmed release ends what the backend server held, but not a grant that may still be
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -185,6 +185,8 @@
         bool isWanted() const { return !leaving && !refused; }
     };
 
+    /** @return How many keys of @p held are in @p next under its fence. */
+    static uint32_t countListed(const Held &held, const std::vector<Held> &next);
     void rememberDropped(const std::vector<Held> &next);
     void takeEntry(const KeySpan &span, const RangeEntry &entry, TimePoint now,
                    std::vector<Held> &next) const;
--- a/test/unit/range/range_keeper_test.cpp
+++ b/test/unit/range/range_keeper_test.cpp
@@ -261,3 +261,18 @@
         cr_assert_eq(keeper.releasedRanges(lapse).size(), 1U);
     }
 }
+
+// Two backend servers could hold the same keys: a part of a range is listed under another fence, as
+// where a range reaches over two records and one of them is written first. The rest was still
+// listed, so nothing was remembered of the part, and it went on at once while the old grant ran.
+Test(range_keeper, a_part_that_is_not_listed_any_more_is_outwaited)
+{
+    RangeKeeper keeper = makeKeeper();
+    grantAll(keeper, OrderResult::Accepted, Start);
+    const KeySpan part{ShardKey(100), ShardKey(200)};
+    keeper.onTable(giveRange(makeTable(), part, Self, {}), Self, Start);
+    keeper.beginRelease(part);
+    const TimePoint lapse = RangeKeeper::lapseOf(GrantTimes{}, GrantTimes{}.hold, Start);
+    cr_assert(keeper.releasedRanges(lapse - milliseconds(1)).empty());
+    cr_assert_eq(keeper.releasedRanges(lapse).size(), 1U);
+}
