Fix: [Ownership] A range on its way to another holder was granted anew after its holder was unknown

Cause: a backend server that refuses two connections is taken for gone for some milliseconds, and nothing of it is listed. Back again, a range that it had released counted as a new one and was granted, while the write that gave it to another holder was on its way.

Change: what was leaving goes on leaving when it is listed again under its fence. The test fails without it.

--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -27,6 +27,17 @@
                        [&span](const HeldKeys &row) { return row.span.overlaps(span); });
 }
 
+/** @return Whether @p table has any of @p span under @p fence. */
+bool isNamed(const RangeTable &table, const KeySpan &span, Epoch fence)
+{
+    for (size_t index = 0; index < table.entries.size(); ++index) {
+        if (table.entries[index].fence == fence && table.spanOf(index).overlaps(span)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 TimePoint RangeKeeper::lapseOf(const GrantTimes &times, milliseconds hold, TimePoint now)
@@ -38,6 +49,11 @@
 void RangeKeeper::onTable(const RangeTable &table, const std::optional<RangeHolder> &self,
                           TimePoint now)
 {
+    held_.insert(held_.end(), std::make_move_iterator(unlisted_.begin()),
+                 std::make_move_iterator(unlisted_.end()));
+    std::sort(held_.begin(), held_.end(), [](const Held &left, const Held &right) {
+        return left.span.first < right.span.first;
+    });
     std::vector<Held> next;
     for (size_t index = 0; index < table.entries.size(); ++index) {
         const RangeEntry &entry = table.entries[index];
@@ -45,7 +61,7 @@
             takeEntry(table.spanOf(index), entry, now, next);
         }
     }
-    rememberDropped(next);
+    rememberDropped(table, next);
     for (Held &held : next) {
         if (held.lapsesAt == NeverTime) {
             held.unansweredUntil = std::max(held.unansweredUntil, earlierUntil_);
@@ -67,10 +83,12 @@
     return listed;
 }
 
-void RangeKeeper::rememberDropped(const std::vector<Held> &next)
+void RangeKeeper::rememberDropped(const RangeTable &table, const std::vector<Held> &next)
 {
-    for (const Held &held : held_) {
-        if (countListed(held, next) == held.span.size()) {
+    unlisted_.clear();
+    for (Held &held : held_) {
+        const uint32_t listed = countListed(held, next);
+        if (listed == held.span.size()) {
             continue;
         }
         // A confirmed release ends what the backend server held, but not a grant that may still be
@@ -79,6 +97,10 @@
         if (!held.released) {
             earlierUntil_ = std::max(earlierUntil_, held.lapsesAt);
         }
+        if (listed == 0 && held.leaving && isNamed(table, held.span, held.fence)) {
+            held.releasing = false;
+            unlisted_.push_back(std::move(held));
+        }
     }
 }
 
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -187,7 +187,7 @@
 
     /** @return How many keys of @p held are in @p next under its fence. */
     static uint32_t countListed(const Held &held, const std::vector<Held> &next);
-    void rememberDropped(const std::vector<Held> &next);
+    void rememberDropped(const RangeTable &table, const std::vector<Held> &next);
     void takeEntry(const KeySpan &span, const RangeEntry &entry, TimePoint now,
                    std::vector<Held> &next) const;
     void takeReleased(const ReleasedKeys &released);
@@ -204,6 +204,11 @@
      * own, while its backend server still holds them. */
     TimePoint earlierUntil_;
     std::vector<Held> held_; ///< Sorted by span; disjoint.
+    /** Ranges that were leaving when they were no longer listed: the backend server was taken for
+     * gone for a moment, or the lease was lost. A write that gives them to others may still be on
+     * its way, so they go on leaving when they are listed again under their fence; granted anew,
+     * they would be held twice once that write is done. Disjoint from held_. */
+    std::vector<Held> unlisted_;
 };
 
 } // namespace wisteriahoist
--- a/test/unit/range/range_keeper_test.cpp
+++ b/test/unit/range/range_keeper_test.cpp
@@ -276,3 +276,40 @@
     cr_assert(keeper.releasedRanges(lapse - milliseconds(1)).empty());
     cr_assert_eq(keeper.releasedRanges(lapse).size(), 1U);
 }
+
+// Two backend servers hold the same keys: a released range is written to another holder, and before
+// that write is done its own backend server is taken for gone for a moment. Back again, the table
+// as it is known still names it, so it was granted the range anew; then the write was done. What
+// was leaving under a fence goes on leaving under it.
+Test(range_keeper, a_range_goes_on_leaving_after_its_holder_was_unknown)
+{
+    RangeKeeper keeper = makeKeeper();
+    grantAll(keeper, OrderResult::Accepted, Start);
+    const KeySpan part{ShardKey(0), ShardKey(100)};
+    keeper.beginRelease(part);
+    releaseAll(keeper, OrderResult::Accepted, Start);
+    keeper.onTable(makeTable(), std::nullopt, Start);
+    cr_assert_eq(keeper.size(), 0U);
+    const TimePoint back = Start + milliseconds(10);
+    keeper.onTable(makeTable(), Self, back);
+    SECTION("it is not granted, and may be given on with its token as before")
+    {
+        const auto orders = keeper.takeDueGrants(Forever, back);
+        cr_assert(orders.size() == 1 && !orders.front().span.overlaps(part));
+        cr_assert(keeper.isLeaving(ShardKey(5)));
+        const auto released = keeper.releasedRanges(back);
+        cr_assert(released.size() == 1 && released.front().span == part);
+        cr_assert(released.front().handover == "token");
+    }
+    SECTION("nor in the answer to a heartbeat")
+    {
+        const std::optional<HoldOrder> order = keeper.takeHolds(back, Forever, back);
+        cr_assert(order && order->rows.size() == 1 && !order->rows.front().span.overlaps(part));
+    }
+    SECTION("under a later fence it is a new range")
+    {
+        keeper.onTable(giveRange(makeTable(), part, Self, {}), Self, back);
+        cr_assert(!keeper.isLeaving(ShardKey(5)));
+        cr_assert(keeper.releasedRanges(back).empty());
+    }
+}
