Fix: [Ownership] A late heartbeat that did not show a range yet counted as proof that it was not held

Cause: a heartbeat was sent before the answer to the last one was read, and arrived when that answer could not be taken up any more. That it did not show a range was taken for "never taken up", though the answer that granted it had been read in time after its sending. The range went on half a second after that, and its holder was told only with its next answer.

Change: what a heartbeat neither shows nor tells as released waits until its latest grant has run out. The test said the opposite (given on when no answer counts any more) and took for granted that heartbeats wait for answers, which nothing promises; it now asks for the whole time of the grant, and fails without the change.

--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -286,10 +286,12 @@
         if (!held.leaving) {
             noteShown(held, areShown(report.holds, held.span, held.fence));
         } else if (!areAnyShown(report.holds, held.span)) {
-            // Also what has been released is shown for as long as it is worked on. What is not
-            // shown and was not told as released has lapsed, or was never taken up: there is no
-            // token, and no answer that could still grant it.
-            held.released |= held.releaseTold || held.unansweredUntil <= now;
+            // Also what has been released is shown for as long as it is worked on. What is neither
+            // shown nor told as released may still be taken up, or has been since: the heartbeat
+            // may have been sent before the answer that grants it was read, and arrive long after.
+            // So it waits until the latest grant has run out.
+            held.released
+                    |= held.releaseTold || std::max(held.lapsesAt, held.unansweredUntil) <= now;
         }
     }
 }
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -78,9 +78,9 @@
  * A backend server is told what to hold in one of two forms: by calls, one for each range
  * (takeDueGrants() and what follows it), or in the answers to its heartbeats, all at once
  * (onHolds() and takeHolds()). The proofs of sole ownership are the same.
- * In the second form they take for granted that a backend server sends a
- * heartbeat when the one before it has been answered, or a second after it, and takes up no answer
- * that comes later.
+ * In the second form a backend server takes up no answer later than a second after its heartbeat.
+ * A heartbeat may be sent before the last one was answered and may arrive seconds late, so that it
+ * does not show a range proves nothing of an answer that grants it.
  *
  * The only one that grants to its backend server, since nobody else can reach it. It admits a
  * request only for a key whose grant was confirmed and has not lapsed on this node's own clock.
--- a/test/unit/range/heartbeat_grants_test.cpp
+++ b/test/unit/range/heartbeat_grants_test.cpp
@@ -163,8 +163,9 @@
 }
 
 // Two backend servers would hold the same keys: an answer that grants them is still on its way when
-// a heartbeat, sent before that answer arrived, shows them as not held. They are given on only when
-// no answer that granted them can be taken up any more.
+// a heartbeat is sent, which shows them as not held. Then the answer is read, and the heartbeat
+// arrives late, at a time at which no answer could be taken up any more. What was never shown is
+// given on only when its latest grant has run out.
 Test(heartbeat_grants, an_answer_on_its_way_is_outwaited)
 {
     RangeKeeper keeper = makeKeeper();
@@ -175,7 +176,10 @@
     cr_assert(keeper.releasedRanges(early).empty());
     const TimePoint late = Start + GrantTimes{}.answerCounts;
     keeper.onHolds(reportOf({}), late);
-    cr_assert(keeper.releasedRanges(late).size() == 1);
+    cr_assert(keeper.releasedRanges(late).empty());
+    const TimePoint lapse = RangeKeeper::lapseOf(GrantTimes{}, GrantTimes{}.hold, Start);
+    cr_assert(keeper.releasedRanges(lapse - milliseconds(1)).empty());
+    cr_assert(keeper.releasedRanges(lapse).size() == 1);
 }
 
 // A backend server that has started again under its old id holds nothing. The table gets a new
