Fix: [Ownership] The release of keys under an earlier fence counted for a later one

Cause: a heartbeat tells a release until one is acknowledged, without its fence. Keys that came back under another fence and were to move again could be told as released by a heartbeat that was sent before the answer that granted them was read; they were given on while held.

Change: a release counts only for keys that a heartbeat has shown under their present fence. The test fails without it.

--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -279,6 +279,9 @@
 
 void RangeKeeper::onHolds(const HoldReport &report, TimePoint now)
 {
+    for (Held &held : held_) {
+        held.taken |= areShown(report.holds, held.span, held.fence);
+    }
     for (const ReleasedKeys &released : report.released) {
         takeReleased(released);
     }
@@ -296,14 +299,18 @@
     }
 }
 
-/** The token goes to exactly the keys that were released: the rest of a range may still be worked
- *  on. */
+/**
+ * The token goes to exactly the keys that were released: the rest of a range may still be worked
+ * on. A release is told until a heartbeat is acknowledged, so one of keys that came back under
+ * another fence may be that of before, told by a heartbeat that was sent before they were taken up
+ * again. Only what was shown under its present fence can have been released under it.
+ */
 void RangeKeeper::takeReleased(const ReleasedKeys &released)
 {
     cutLeavingAt(released.span.first.value());
     cutLeavingAt(released.span.last.value() + 1);
     for (Held &held : held_) {
-        if (held.leaving && !held.released && released.span.covers(held.span)) {
+        if (held.leaving && held.taken && !held.released && released.span.covers(held.span)) {
             held.releaseTold = true;
             held.releaseToken = released.handover;
         }
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -180,6 +180,7 @@
         TimePoint admittedFrom = NeverTime; ///< The answer that grants it has arrived by then.
         bool offered = false;               ///< An answer to a heartbeat has granted it.
         bool shown = false;                 ///< The latest heartbeat has shown it as held.
+        bool taken = false;                 ///< A heartbeat has shown it as held under its fence.
         uint32_t missing = 0;               ///< Heartbeats in a row that did not, though offered.
 
         bool isWanted() const { return !leaving && !refused; }
--- a/test/unit/range/heartbeat_grants_test.cpp
+++ b/test/unit/range/heartbeat_grants_test.cpp
@@ -182,6 +182,33 @@
     cr_assert(keeper.releasedRanges(lapse).size() == 1);
 }
 
+// Two backend servers hold the same keys: keys come back to the backend server that has released
+// them, under another fence, and are granted by an answer. A heartbeat that was sent before that
+// answer was read tells the release of before once more and does not show them. They are to move
+// again, and were taken for released, though they are held.
+Test(heartbeat_grants, a_release_under_an_earlier_fence_does_not_count)
+{
+    TimePoint now = Start;
+    RangeKeeper keeper = makeHolding(now);
+    const RangeTable back = giveRange(makeTable(), OwnHalf, Self, {});
+    keeper.onTable(back, Self, now);
+    now += milliseconds(2700); // The grants of before have run out.
+    const std::vector<ReleasedKeys> before{{OwnHalf, "before"}};
+    (void)answer(keeper, reportOf({}, before), now);
+    keeper.beginRelease(OwnHalf);
+    now += GrantTimes{}.answerCounts;
+    keeper.onHolds(reportOf({}, before), now);
+    cr_assert(keeper.releasedRanges(now).empty());
+    SECTION("a release of what was shown under its present fence does")
+    {
+        const Epoch fence = back.find(ShardKey(0))->fence;
+        keeper.onHolds(reportOf({{OwnHalf, fence}}), now);
+        keeper.onHolds(reportOf({}, {{OwnHalf, "present"}}), now);
+        const std::vector<ReleasedRange> released = keeper.releasedRanges(now);
+        cr_assert(released.size() == 1 && released.front().handover == "present");
+    }
+}
+
 // A backend server that has started again under its old id holds nothing. The table gets a new
 // holder with a new fence, and the keeper grants anew instead of taking the old grant for shown.
 Test(heartbeat_grants, another_life_under_the_same_id_is_granted_anew)
