Fix: [Ownership] A lease without witnesses counted on while a renewal that names one may have been taken

The next renewal named a witness and its answer was lost; a taker that read it had to wait for the contact term only, so the lease was taken away and the node granted on.

Change: from the sending of such a renewal on the lease counts no longer than contact with its witnesses, until the store has answered. The test fails without it.

--- a/src/decision/range/grant_authority.cpp
+++ b/src/decision/range/grant_authority.cpp
@@ -9,7 +9,15 @@
 void GrantAuthority::onRenewalSent(const std::set<NodeId> &witnesses)
 {
     // Until the store has answered nobody knows which of the two lists a taker would read; only a
-    // witness on both of them would be fenced in either case.
+    // witness on both of them would be fenced in either case. Where the stored list is empty, a
+    // taker that reads the new one waits from the sending on at the earliest.
+    if (namesNobody() && !witnesses.empty() && lease_.isValid(lease_.sentAt())) {
+        counted_ = witnesses;
+        isBound_ = true;
+        contactSince_ = NeverTime;
+        contactUntil_ = lease_.sentAt() + contact_.term;
+        return;
+    }
     std::erase_if(counted_, [&witnesses](NodeId node) { return witnesses.count(node) == 0; });
 }
 
@@ -18,6 +26,7 @@
     lease_.onRenewed(sentAt);
     named_ = witnesses;
     counted_ = witnesses;
+    isBound_ = false;
     renewedAt_ = std::max(renewedAt_, sentAt);
 }
 
@@ -37,18 +46,19 @@
     lease_.onRevoked();
     counted_.clear();
     named_.clear();
+    isBound_ = false;
     contactUntil_ = NeverTime;
     renewedAt_ = NeverTime;
 }
 
 bool GrantAuthority::needsRenewal(TimePoint now) const
 {
-    return !named_.empty() && contactUntil_ > now && renewedAt_ <= contactSince_;
+    return !namesNobody() && contactUntil_ > now && renewedAt_ <= contactSince_;
 }
 
 TimePoint GrantAuthority::validUntil() const
 {
-    if (named_.empty()) {
+    if (namesNobody()) {
         return lease_.validUntil();
     }
     if (renewedAt_ <= contactSince_) {
--- a/src/decision/range/grant_authority.h
+++ b/src/decision/range/grant_authority.h
@@ -72,10 +72,17 @@
     bool needsRenewal(TimePoint now) const;
 
 private:
+    /** @return Whether a taker can only read a lease without witnesses, which it outwaits. */
+    bool namesNobody() const { return named_.empty() && !isBound_; }
+
     StoreLease lease_;
     ContactTimes contact_;
     std::set<NodeId> named_;   ///< By the stored lease.
     std::set<NodeId> counted_; ///< Whose answers count; a part of named_.
+    /** The stored lease names nobody, but a renewal that does was sent and may have been taken. A
+     * taker that reads it fences its witnesses; without contact, the lease alone no longer counts.
+     */
+    bool isBound_ = false;
     TimePoint contactSince_ = NeverTime;
     TimePoint contactUntil_ = NeverTime;
     TimePoint renewedAt_ = NeverTime; ///< Sending of the latest renewal that was taken.
--- a/src/decision/range/store_lease.h
+++ b/src/decision/range/store_lease.h
@@ -48,6 +48,10 @@
     void onRevoked();
 
     TimePoint validUntil() const { return validUntil_; }
+
+    /** @return When the renewal that is on its way was sent. */
+    TimePoint sentAt() const { return sentAt_; }
+
     bool isValid(TimePoint now) const { return now < validUntil_; }
 
 private:
--- a/test/unit/range/grant_authority_test.cpp
+++ b/test/unit/range/grant_authority_test.cpp
@@ -88,6 +88,34 @@
     }
 }
 
+// Two backend servers hold a key: a node that reached nobody has a lease without witnesses, which
+// counts for its whole term. Its next renewal names one and is taken, but the answer is lost. A
+// taker reads that one, fences the witness, waits for the contact term and revokes, while the node
+// still counts on the lease alone.
+Test(grant_authority, a_renewal_that_may_name_witnesses_binds_to_contact)
+{
+    GrantAuthority authority = makeAuthority();
+    cr_assert(authority.lease().beginRenewal(Start));
+    authority.onRenewed({}, Start);
+    const TimePoint sent = Start + StoreLeaseTimes{}.renewEvery;
+    cr_assert(authority.lease().beginRenewal(sent));
+    authority.onRenewalSent(Both);
+    authority.lease().onFailed();
+    cr_assert(authority.validUntil() == sent + ContactTimes{}.term);
+    SECTION("a witness that it may name extends that")
+    {
+        const TimePoint heard = sent + milliseconds(400);
+        authority.onAcknowledged(FirstWitness, heard, heard);
+        cr_assert(authority.validUntil() == heard + ContactTimes{}.term);
+    }
+    SECTION("once the store has taken one without witnesses, the lease counts alone again")
+    {
+        const TimePoint later = sent + milliseconds(500);
+        authority.onRenewed({}, later);
+        cr_assert(authority.validUntil() == later + StoreLeaseTimes{}.term);
+    }
+}
+
 // Two backend servers hold a key: the holder is cut off and fenced at its witness, its contact
 // lapses, and the taker is about to revoke the lease. The witness restarts, has forgotten the fence
 // and answers again. Only a renewal sent after that makes the holder grant again, and the taker's
