--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -30,6 +30,17 @@
                        [&span](const HeldKeys &row) { return row.span.overlaps(span); });
 }
 
+/** @return Whether @p table has any of @p span under @p fence. */
+bool isNamed(const RangeTable &table, const KeySpan &span, Epoch fence)
+{
+    for (size_t index = 0; index < table.entries.size(); ++index) {
+        if (table.entries[index].fence == fence && table.spanOf(index).overlaps(span)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 TimePoint RangeKeeper::lapseOf(const GrantTimes &times, milliseconds hold, TimePoint now)
@@ -41,6 +52,11 @@
 void RangeKeeper::onTable(const RangeTable &table, const std::optional<RangeHolder> &self,
                           TimePoint now)
 {
+    held_.insert(held_.end(), std::make_move_iterator(unlisted_.begin()),
+                 std::make_move_iterator(unlisted_.end()));
+    std::sort(held_.begin(), held_.end(), [](const Held &left, const Held &right) {
+        return left.span.first < right.span.first;
+    });
     std::vector<Held> next;
     for (size_t index = 0; index < table.entries.size(); ++index) {
         const RangeEntry &entry = table.entries[index];
@@ -48,7 +64,7 @@
             takeEntry(table.spanOf(index), entry, now, next);
         }
     }
-    rememberDropped(next);
+    rememberDropped(table, next);
     for (Held &held : next) {
         if (held.lapsesAt == NeverTime) {
             held.unansweredUntil = std::max(held.unansweredUntil, earlierUntil_);
@@ -57,14 +73,36 @@
     held_ = std::move(next);
 }
 
-void RangeKeeper::rememberDropped(const std::vector<Held> &next)
+uint32_t RangeKeeper::countListed(const Held &held, const std::vector<Held> &next)
 {
-    for (const Held &held : held_) {
-        const bool kept = std::any_of(next.begin(), next.end(), [&held](const Held &other) {
-            return other.fence == held.fence && other.span.overlaps(held.span);
-        });
-        if (!kept && !held.released) {
-            earlierUntil_ = std::max({earlierUntil_, held.lapsesAt, held.unansweredUntil});
+    uint32_t listed = 0;
+    for (const Held &other : next) {
+        if (other.fence == held.fence && other.span.overlaps(held.span)) {
+            const KeySpan both{std::max(other.span.first, held.span.first),
+                               std::min(other.span.last, held.span.last)};
+            listed += both.size();
+        }
+    }
+    return listed;
+}
+
+void RangeKeeper::rememberDropped(const RangeTable &table, const std::vector<Held> &next)
+{
+    unlisted_.clear();
+    for (Held &held : held_) {
+        const uint32_t listed = countListed(held, next);
+        if (listed == held.span.size()) {
+            continue;
+        }
+        // A confirmed release ends what the backend server held, but not a grant that may still be
+        // applied after it.
+        earlierUntil_ = std::max({earlierUntil_, held.unansweredUntil, held.pendingUntil});
+        if (!held.released) {
+            earlierUntil_ = std::max(earlierUntil_, held.lapsesAt);
+        }
+        if (listed == 0 && held.leaving && isNamed(table, held.span, held.fence)) {
+            held.release = 0;
+            unlisted_.push_back(std::move(held));
         }
     }
 }
@@ -266,6 +304,9 @@
 
 void RangeKeeper::onHolds(const HoldReport &report, TimePoint now)
 {
+    for (Held &held : held_) {
+        held.taken |= areShown(report.holds, held.span, held.fence);
+    }
     for (const ReleasedKeys &released : report.released) {
         takeReleased(released);
     }
@@ -273,22 +314,28 @@
         if (!held.leaving) {
             noteShown(held, areShown(report.holds, held.span, held.fence));
         } else if (!areAnyShown(report.holds, held.span)) {
-            // Also what has been released is shown for as long as it is worked on. What is not
-            // shown and was not told as released has lapsed, or was never taken up: there is no
-            // token, and no answer that could still grant it.
-            held.released |= held.releaseTold || held.unansweredUntil <= now;
+            // Also what has been released is shown for as long as it is worked on. What is neither
+            // shown nor told as released may still be taken up, or has been since: the heartbeat
+            // may have been sent before the answer that grants it was read, and arrive long after.
+            // So it waits until the latest grant has run out.
+            held.released
+                    |= held.releaseTold || std::max(held.lapsesAt, held.unansweredUntil) <= now;
         }
     }
 }
 
-/** The token goes to exactly the keys that were released: the rest of a range may still be worked
- *  on. */
+/**
+ * The token goes to exactly the keys that were released: the rest of a range may still be worked
+ * on. A release is told until a heartbeat is acknowledged, so one of keys that came back under
+ * another fence may be that of before, told by a heartbeat that was sent before they were taken up
+ * again. Only what was shown under its present fence can have been released under it.
+ */
 void RangeKeeper::takeReleased(const ReleasedKeys &released)
 {
     cutLeavingAt(released.span.first.value());
     cutLeavingAt(released.span.last.value() + 1);
     for (Held &held : held_) {
-        if (held.leaving && !held.released && released.span.covers(held.span)) {
+        if (held.leaving && held.taken && !held.released && released.span.covers(held.span)) {
             held.releaseTold = true;
             held.releaseToken = released.handover;
         }
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -86,9 +86,9 @@
  * A backend server is told what to hold in one of two forms: by calls, one for each range
  * (takeDueGrants() and what follows it), or in the answers to its heartbeats, all at once
  * (onHolds() and takeHolds()). The proofs of sole ownership are the same.
- * In the second form they take for granted that a backend server sends a
- * heartbeat when the one before it has been answered, or a second after it, and takes up no answer
- * that comes later.
+ * In the second form a backend server takes up no answer later than a second after its heartbeat.
+ * A heartbeat may be sent before the last one was answered and may arrive seconds late, so that it
+ * does not show a range proves nothing of an answer that grants it.
  *
  * The only one that grants to its backend server, since nobody else can reach it. It admits a
  * request only for a key whose grant was confirmed and has not lapsed on this node's own clock.
@@ -188,13 +188,16 @@
         TimePoint admittedFrom = NeverTime; ///< The answer that grants it has arrived by then.
         bool offered = false;               ///< An answer to a heartbeat has granted it.
         bool shown = false;                 ///< The latest heartbeat has shown it as held.
+        bool taken = false;                 ///< A heartbeat has shown it as held under its fence.
         uint32_t missing = 0;               ///< Heartbeats in a row that did not, though offered.
 
         bool isWanted() const { return !leaving && !refused; }
     };
 
     std::vector<Held *> dueForGrant(TimePoint now);
-    void rememberDropped(const std::vector<Held> &next);
+    /** @return How many keys of @p held are in @p next under its fence. */
+    static uint32_t countListed(const Held &held, const std::vector<Held> &next);
+    void rememberDropped(const RangeTable &table, const std::vector<Held> &next);
     void takeEntry(const KeySpan &span, const RangeEntry &entry, TimePoint now,
                    std::vector<Held> &next) const;
     void takeReleased(const ReleasedKeys &released);
@@ -211,6 +214,11 @@
     TimePoint earlierUntil_;
     std::vector<Held> held_; ///< Sorted by span; disjoint.
     uint64_t releases_ = 0;  ///< Releases sent so far.
+    /** Ranges that were leaving when they were no longer listed: the holder was unknown for
+     * a moment, or the lease was lost. A write that gives them to others may still be on
+     * its way, so they go on leaving when they are listed again under their fence; granted anew,
+     * they would be held twice once that write is done. Disjoint from held_. */
+    std::vector<Held> unlisted_;
 };
 
 } // namespace wisteriahoist
