Codechange: [Requests] One list of the statuses that promise "has not run"

The four statuses stood as numbers in the gate and again in the stand-in for callers, and nothing held the two lists together.

--- a/src/adapter/http/request_protocol.h
+++ b/src/adapter/http/request_protocol.h
@@ -1,4 +1,6 @@
-/** @file request_protocol.h What callers and backend servers say in the headers of a request. */
+/** @file request_protocol.h What callers, nodes and backend servers tell each other of a request in
+ * status and headers.
+ */
 
 #pragma once
 
@@ -33,6 +35,23 @@
     Unproven,    ///< A success without the mark that proves it.
 };
 
+/**
+ * @return Whether callers read @p status as a promise that the request has not run and never will.
+ *         A caller that has been promised so may repeat even a request that is not idempotent.
+ */
+inline bool promisesNotRun(unsigned status)
+{
+    switch (http::int_to_status(status)) {
+    case http::status::request_timeout:
+    case http::status::misdirected_request:
+    case http::status::too_many_requests:
+    case http::status::service_unavailable:
+        return true;
+    default:
+        return false;
+    }
+}
+
 /** Reads and writes the headers that callers and backend servers understand. */
 class RequestProtocol
 {
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -31,12 +31,6 @@
     return limits;
 }
 
-/** @return Whether callers read @p status as a promise that the request has not run. */
-bool promisesNotRun(unsigned status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 uint64_t kindOf(const v1::HopRequest &request)
 {
     return hashKey(request.route(), 0).value();
--- a/tool/soak/soak_audit.cpp
+++ b/tool/soak/soak_audit.cpp
@@ -2,6 +2,8 @@
 
 #include "soak/soak_audit.h"
 
+#include "adapter/http/request_protocol.h"
+
 #include <algorithm>
 #include <array>
 
@@ -262,7 +264,7 @@
         if (!request.answer) {
             continue;
         }
-        if (request.runs > 0 && platform::promisesNotRun(request.answer->status)) {
+        if (request.runs > 0 && promisesNotRun(request.answer->status)) {
             report(Promise::NotRunIsTrue, request.endedAt,
                    attempt + " got " + std::to_string(request.answer->status) + " and ran "
                            + std::to_string(request.runs) + " times");
