Codechange: [Member] Refusing a heartbeat is a pure decision

Which heartbeats of a foreign writer are refused stood inside the program that joins the duties, where no test reached it: an unknown service, and a start that is missing after one was told.

--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -5,6 +5,7 @@
 #include "adapter/clock/pause_func.h"
 #include "adapter/log/event_log.h"
 #include "core/hash_func.h"
+#include "decision/member/report_check.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -210,16 +211,10 @@
     if (!call || call.assume_value().deregisters) {
         return call;
     }
-    const BackendReport &report = call.assume_value().report;
-    const bool known = report.backend == monitor_.backend();
-    // Reports may come from a foreign writer. One of a service that nobody has configured would end
-    // the life that is there, and its keys and requests with it.
-    if (!known && view_.routes().version() > 0
-        && view_.routes().findService(report.service) == nullptr) {
-        return Failure{FailureCode::Malformed, "heartbeat.service: not in the configuration"};
-    }
-    if (report.backend.born == 0 && monitor_.backend().born != 0) {
-        return Failure{FailureCode::Malformed, "heartbeat.born: missing, earlier ones had it"};
+    const std::optional<Failure> refusal
+            = refuseReport(call.assume_value().report, monitor_.backend(), view_.routes());
+    if (refusal) {
+        return *refusal;
     }
     return call;
 }
