Codechange: [Test] Holders, keeper and silent sessions are set up in one place

Two tests of the range keeper built the same two holders, table and keeper line by line, and two tests of silent connections the same session. They share builders now; no assertion has changed. grant_authority_test keeps its own: it shares no more than the constant of its start.

--- a/test/unit/http2/silent_session_test.cpp
+++ b/test/unit/http2/silent_session_test.cpp
@@ -17,6 +17,20 @@
     co_return body;
 }
 
+/** @return A session as client to @p server that asks every @p interval whether it is there. */
+std::shared_ptr<Http2Session> openSession(asio::io_context &context, const tcp::endpoint &server,
+                                          milliseconds interval)
+{
+    tcp::socket socket(context);
+    socket.connect(server);
+    SilenceLimits limits;
+    limits.interval = interval;
+    auto session = std::make_shared<Http2Session>(std::move(socket), Http2Session::Role::Client,
+                                                  nullptr, limits);
+    session->start();
+    return session;
+}
+
 } // namespace
 
 Test(request_http2, silent_connection_ends_its_calls)
@@ -25,13 +39,7 @@
     // nobody says so. The caller's request has a minute to go, but need not wait for it.
     asio::io_context context;
     tcp::acceptor silent(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    tcp::socket socket(context);
-    socket.connect(silent.local_endpoint());
-    SilenceLimits limits;
-    limits.interval = milliseconds(5);
-    auto session = std::make_shared<Http2Session>(std::move(socket), Http2Session::Role::Client,
-                                                  nullptr, limits);
-    session->start();
+    const auto session = openSession(context, silent.local_endpoint(), milliseconds(5));
     std::optional<Result<std::string>> result;
     session->call("/hop", "x", [&result](Result<std::string> value) { result = value; });
     cr_assert(runUntilHolds(context, [&]() { return result.has_value(); }));
@@ -44,13 +52,8 @@
     asio::io_context context;
     auto listener = std::make_shared<PeerListener>(context, "127.0.0.1", 0, answerSlowly);
     listener->start();
-    tcp::socket socket(context);
-    socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), listener->port()));
-    SilenceLimits limits;
-    limits.interval = milliseconds(20);
-    auto session = std::make_shared<Http2Session>(std::move(socket), Http2Session::Role::Client,
-                                                  nullptr, limits);
-    session->start();
+    const tcp::endpoint server(asio::ip::make_address("127.0.0.1"), listener->port());
+    const auto session = openSession(context, server, milliseconds(20));
     std::optional<Result<std::string>> result;
     session->call("/hop", "x", [&result](Result<std::string> value) { result = value; });
     cr_assert(runUntilHolds(context, [&]() { return result.has_value(); }));
--- a/test/unit/range/heartbeat_grants_test.cpp
+++ b/test/unit/range/heartbeat_grants_test.cpp
@@ -1,35 +1,20 @@
 /** @file heartbeat_grants_test.cpp Keys granted in the answers to heartbeats, under lost, late and
  * overtaken ones. */
 
-#include "decision/range/range_keeper.h"
+#include "support/range_fixture.h"
 #include "support/story.h"
 
 #include <algorithm>
 #include <random>
 
 using namespace wisteriahoist;
+using namespace wisteriahoist::testing;
 
 namespace {
 
-constexpr TimePoint Start{std::chrono::hours(1)};
-constexpr TimePoint Forever = Start + std::chrono::hours(1);
-const RangeHolder Self{NodeId(1), Incarnation(1), "b-1"};
-const RangeHolder Other{NodeId(2), Incarnation(1), "b-2"};
 const KeySpan OwnHalf{ShardKey(0), ShardKey(32767)};
 const Epoch OwnFence{1};
 
-RangeTable makeTable()
-{
-    return makeRangeTable({{Self, 1}, {Other, 1}});
-}
-
-RangeKeeper makeKeeper()
-{
-    RangeKeeper keeper(GrantTimes{}, NeverTime);
-    keeper.onTable(makeTable(), Self, Start);
-    return keeper;
-}
-
 HoldReport reportOf(std::vector<HeldKeys> holds, std::vector<ReleasedKeys> released = {})
 {
     return {std::move(holds), std::move(released)};
--- a/test/unit/range/range_keeper_test.cpp
+++ b/test/unit/range/range_keeper_test.cpp
@@ -1,30 +1,14 @@
 /** @file range_keeper_test.cpp Grants, renewals and releases of one node, under lost and late
  * answers. */
 
-#include "decision/range/range_keeper.h"
+#include "support/range_fixture.h"
 #include "support/story.h"
 
 using namespace wisteriahoist;
+using namespace wisteriahoist::testing;
 
 namespace {
 
-constexpr TimePoint Start{std::chrono::hours(1)};
-constexpr TimePoint Forever = Start + std::chrono::hours(1);
-const RangeHolder Self{NodeId(1), Incarnation(1), "b-1"};
-const RangeHolder Other{NodeId(2), Incarnation(1), "b-2"};
-
-RangeTable makeTable()
-{
-    return makeRangeTable({{Self, 1}, {Other, 1}});
-}
-
-RangeKeeper makeKeeper()
-{
-    RangeKeeper keeper(GrantTimes{}, NeverTime);
-    keeper.onTable(makeTable(), Self, Start);
-    return keeper;
-}
-
 /** Sends what is due and answers it with @p result. */
 void grantAll(RangeKeeper &keeper, OrderResult result, TimePoint now)
 {
