Codechange: [Standin] One set of a node's duties for the ingress test and the request bench

Both joined ingress, gate, peer and their rings in a struct of their own, equal but for the rings' length, and described the node to others in the same lines.

--- a/test/unit/request/ingress_test.cpp
+++ b/test/unit/request/ingress_test.cpp
@@ -1,10 +1,7 @@
 /** @file ingress_test.cpp A caller's request from the ingress to the backend server and back. */
 
-#include "adapter/clock/boot_clock_adapter.h"
 #include "core/hash_func.h"
-#include "duty/gate_duty.h"
-#include "duty/ingress_duty.h"
-#include "duty/peer_duty.h"
+#include "standin/node_duties.h"
 #include "support/scripted_backend.h"
 #include "support/story.h"
 
@@ -15,35 +12,14 @@
 
 constexpr NodeId First{1};
 constexpr NodeId Second{2};
-
-/** One node's duties, on one loop. */
-struct Node {
-    Node(asio::io_context &context, NodeId id)
-        : gate(context, clock, id), toGate(context, context, 8), fromPeer(context, context, 8),
-          renew(context, context, 8), ingress(context, clock, id, "127.0.0.1", 0, toGate),
-          peer(context, "127.0.0.1", 0, fromPeer, renew)
-    {
-        const auto run = [this](v1::HopRequest hop) { return gate.onRequest(std::move(hop)); };
-        toGate.serve(run);
-        fromPeer.serve(run);
-        ingress.start();
-        peer.start();
-    }
-
-    BootClockAdapter clock;
-    GateDuty gate;
-    GateLink toGate;
-    GateLink fromPeer;
-    RenewLink renew;
-    IngressDuty ingress;
-    PeerDuty peer;
-};
+constexpr uint32_t Slots = 12;
+constexpr size_t RingLength = 8;
 
 /** Two nodes; the second owns every key and has the backend server. */
 struct TwoNodes {
     explicit TwoNodes(std::vector<BackendScript> scripts, Misrouted misrouted = Misrouted::Forward)
         : backend(std::make_shared<ScriptedBackend>(context, std::move(scripts))),
-          first(context, First), second(context, Second)
+          first(context, First, RingLength), second(context, Second, RingLength)
     {
         backend->start();
         RouteRule read;
@@ -58,21 +34,11 @@
         service.misrouted = misrouted;
         routing->declarations.services = {service};
         routing->tables["s"] = SliceTable({{KeyHash(0), Second, Epoch(4)}});
-        addMember(First, first);
-        addMember(Second, second);
+        routing->members[First] = first.describe("s", Slots);
+        routing->members[Second] = second.describe("s", Slots);
         publish();
     }
 
-    void addMember(NodeId id, Node &node)
-    {
-        MemberInfo member;
-        member.id = id;
-        member.address = {"127.0.0.1", node.ingress.port(), node.peer.port(), 0};
-        member.service = "s";
-        member.slots = 12;
-        routing->members[id] = member;
-    }
-
     void publish()
     {
         runUntil(context, first.ingress.onRouting(routing));
@@ -80,7 +46,7 @@
         GateGrant grant;
         grant.routing = routing;
         grant.leaseUntil = second.clock.now() + std::chrono::seconds(60);
-        grant.backend = {"127.0.0.1", backend->port(), "s", 12, GrantMode::Fenced, false};
+        grant.backend = {"127.0.0.1", backend->port(), "s", Slots, GrantMode::Fenced, false};
         runUntil(context, second.gate.onGrant(grant));
     }
 
@@ -95,8 +61,8 @@
     asio::io_context context;
     std::shared_ptr<RoutingSnapshot> routing = std::make_shared<RoutingSnapshot>();
     std::shared_ptr<ScriptedBackend> backend;
-    Node first;
-    Node second;
+    NodeDuties first;
+    NodeDuties second;
 };
 
 HttpRequest makeGet()
@@ -285,7 +251,7 @@
     GateGrant grant;
     grant.routing = nodes.routing;
     grant.leaseUntil = nodes.second.clock.now() + std::chrono::seconds(60);
-    grant.backend = {"127.0.0.1", echo->port(), "s", 12, GrantMode::Fenced, false};
+    grant.backend = {"127.0.0.1", echo->port(), "s", Slots, GrantMode::Fenced, false};
     runUntil(nodes.context, nodes.second.gate.onGrant(grant));
     for (size_t index = 0; index < Callers; ++index) {
         const std::string target = "/" + std::string(index % 5 + 1, 'k') + std::to_string(index);
--- a/tool/request_bench/request_bench.cpp
+++ b/tool/request_bench/request_bench.cpp
@@ -1,10 +1,7 @@
 /** @file request_bench.cpp Measures what a hop costs, and goodput above the slots' capacity. */
 
-#include "adapter/clock/boot_clock_adapter.h"
-#include "duty/gate_duty.h"
-#include "duty/ingress_duty.h"
-#include "duty/peer_duty.h"
 #include "standin/backend_standin.h"
+#include "standin/node_duties.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -23,39 +20,19 @@
 constexpr NodeId First{1};
 constexpr NodeId Second{2};
 constexpr uint32_t Slots = 12;
+constexpr size_t RingLength = 1024;
 constexpr uint32_t Samples = 2000;
 constexpr milliseconds WorkTime{10};
 constexpr milliseconds LoadTime{3000};
 constexpr milliseconds WarmUp{2500}; ///< Longer than the slow start.
 
-/** One node's duties, all on one loop, so that processor time is that of one thread. */
-struct Node {
-    Node(asio::io_context &context, NodeId id, RetryLimits retries)
-        : gate(context, clock, id), toGate(context, context, 1024),
-          fromPeer(context, context, 1024), renew(context, context, 8),
-          ingress(context, clock, id, "127.0.0.1", 0, toGate, retries),
-          peer(context, "127.0.0.1", 0, fromPeer, renew)
-    {
-        const auto run = [this](v1::HopRequest hop) { return gate.onRequest(std::move(hop)); };
-        toGate.serve(run);
-        fromPeer.serve(run);
-        ingress.start();
-        peer.start();
-    }
-
-    BootClockAdapter clock;
-    GateDuty gate;
-    GateLink toGate;
-    GateLink fromPeer;
-    RenewLink renew;
-    IngressDuty ingress;
-    PeerDuty peer;
-};
-
-/** Two nodes and a backend server beside the second, which owns every key. */
+/**
+ * Two nodes and a backend server beside the second, which owns every key. All of it runs on one
+ * loop, so that processor time is that of one thread.
+ */
 struct Bench {
     Bench(milliseconds workTime, milliseconds patience, RetryLimits retries)
-        : first(context, First, retries), second(context, Second, retries),
+        : first(context, First, RingLength, retries), second(context, Second, RingLength, retries),
           backend(context, "127.0.0.1", 0, makeBehaviour(workTime))
     {
         backend.start();
@@ -69,8 +46,8 @@
         service.routes = {rule};
         routing->declarations.services = {service};
         routing->tables["profiles"] = SliceTable({{KeyHash(0), Second, Epoch(1)}});
-        addMember(First, first);
-        addMember(Second, second);
+        routing->members[First] = first.describe("profiles", Slots);
+        routing->members[Second] = second.describe("profiles", Slots);
     }
 
     static BackendBehaviour makeBehaviour(milliseconds workTime)
@@ -81,16 +58,6 @@
         return behaviour;
     }
 
-    void addMember(NodeId id, Node &node)
-    {
-        MemberInfo member;
-        member.id = id;
-        member.address = {"127.0.0.1", node.ingress.port(), node.peer.port(), 0};
-        member.service = "profiles";
-        member.slots = Slots;
-        routing->members[id] = member;
-    }
-
     asio::awaitable<void> begin()
     {
         co_await first.ingress.onRouting(routing);
@@ -110,8 +77,8 @@
     }
 
     asio::io_context context;
-    Node first;
-    Node second;
+    NodeDuties first;
+    NodeDuties second;
     BackendStandin backend;
     std::shared_ptr<RoutingSnapshot> routing = std::make_shared<RoutingSnapshot>();
 };
