Codechange: [Fault matrix] One draw of delays, a function for each of the coordinator's records

The delay of messages and calls was drawn in two places with the same lines, and one function of seventy lines made the calls for the term and for the assignment. The order of random draws is as before.

--- a/tool/fault_matrix/ownership_model.cpp
+++ b/tool/fault_matrix/ownership_model.cpp
@@ -10,8 +10,8 @@
 
 constexpr milliseconds PlatformTimeout{500};
 constexpr std::chrono::microseconds MinDelay{300};
-constexpr int DelaySpread = 1500; // us
-constexpr int SlowSpread = 1000;  // ms
+constexpr int DelaySpread = 1500; ///< Microseconds.
+constexpr int SlowSpread = 1000;  ///< Milliseconds.
 const std::string ServiceName = "profiles";
 
 } // namespace
@@ -191,16 +191,22 @@
     return found != cuts_.end() && found->second > now_;
 }
 
+Duration OwnershipModel::drawDelay(bool withPlatform)
+{
+    Duration delay = MinDelay + std::chrono::microseconds(random_() % DelaySpread);
+    if (withPlatform && platformSlowUntil_ > now_) {
+        delay += std::chrono::milliseconds(random_() % SlowSpread);
+    }
+    return delay;
+}
+
 void OwnershipModel::transmit(Transmission transmission,
                               std::function<void(const Transmission &)> arrive)
 {
     ++findings_.steps[static_cast<size_t>(transmission.step)];
     const bool toPlatform = transmission.from == PlatformPeer || transmission.to == PlatformPeer;
     (toPlatform ? platformCalls_ : messages_) += 1;
-    transmission.delay = MinDelay + std::chrono::microseconds(random_() % DelaySpread);
-    if (toPlatform && platformSlowUntil_ > now_) {
-        transmission.delay += std::chrono::milliseconds(random_() % SlowSpread);
-    }
+    transmission.delay = drawDelay(toPlatform);
     injector_.onTransmission(*this, transmission);
     const bool down = toPlatform && platformDownUntil_ > now_;
     if (transmission.lost || down || isCut(transmission.from, transmission.to)) {
@@ -240,10 +246,6 @@
     if (replyLost || isCut(PlatformPeer, index)) {
         return;
     }
-    Duration delay = MinDelay + std::chrono::microseconds(random_() % DelaySpread);
-    if (platformSlowUntil_ > now_) {
-        delay += std::chrono::milliseconds(random_() % SlowSpread);
-    }
     const auto reply
             = [call, ended, accepted, version = object.version, content = object.content]() {
                   if (std::exchange(*ended, true)) {
@@ -255,7 +257,7 @@
                       call->failed();
                   }
               };
-    onNode(index, life, now_ + delay, reply);
+    onNode(index, life, now_ + drawDelay(true), reply);
 }
 
 template <typename T>
@@ -347,55 +349,72 @@
     });
 }
 
+Coordinator *OwnershipModel::coordinatorOf(int index, Term served)
+{
+    Coordinator *present = node(index).coordinator.get();
+    return present != nullptr && present->term().term == served ? present : nullptr;
+}
+
 void OwnershipModel::coordinatorCall(int index, CoordinatorStep step)
+{
+    switch (step) {
+    case CoordinatorStep::ReadTerm:
+    case CoordinatorStep::WriteTerm:
+        callTermRecord(index, step == CoordinatorStep::WriteTerm);
+        break;
+    default:
+        callAssignmentRecord(index, step == CoordinatorStep::WriteAssignment);
+        break;
+    }
+}
+
+void OwnershipModel::callTermRecord(int index, bool isWrite)
 {
     Coordinator &coordinator = *node(index).coordinator;
     const Term served = coordinator.term().term;
     const TimePoint askedAt = clockOf(node(index));
-    const auto serving = [this, index, served]() -> Coordinator * {
-        Coordinator *present = node(index).coordinator.get();
-        return present != nullptr && present->term().term == served ? present : nullptr;
-    };
-    if (step == CoordinatorStep::ReadTerm || step == CoordinatorStep::WriteTerm) {
-        auto call = std::make_shared<Call<TermRecord>>();
-        call->step = ProtocolStep::ReadBack;
-        call->isWrite = step == CoordinatorStep::WriteTerm;
-        call->expected = coordinator.termVersion();
-        if (call->isWrite) {
-            const size_t open = coordinator.term().openRosters.size();
-            call->content = coordinator.makeTermWrite(WriteNonce(random_()));
-            call->step = call->content.openRosters.size() < open ? ProtocolStep::CloseRoster
-                                                                 : ProtocolStep::WriteRoster;
-        }
-        call->done = [this, index, serving, askedAt, isWrite = call->isWrite](ObjectVersion version,
-                                                                              const auto &content) {
-            Coordinator *present = serving();
-            const TimePoint at = clockOf(node(index));
-            if (present != nullptr && isWrite) {
-                present->onTermWritten(version, at);
-            } else if (present != nullptr) {
-                present->onTermStored(version, content, askedAt, at);
-            }
-        };
-        call->failed = [this, index, serving]() {
-            if (Coordinator *present = serving()) {
-                present->onTermCallFailed(clockOf(node(index)));
-            }
-        };
-        callPlatform(index, term_, call);
-        return;
+    auto call = std::make_shared<Call<TermRecord>>();
+    call->step = ProtocolStep::ReadBack;
+    call->isWrite = isWrite;
+    call->expected = coordinator.termVersion();
+    if (isWrite) {
+        const size_t open = coordinator.term().openRosters.size();
+        call->content = coordinator.makeTermWrite(WriteNonce(random_()));
+        const bool closes = call->content.openRosters.size() < open;
+        call->step = closes ? ProtocolStep::CloseRoster : ProtocolStep::WriteRoster;
     }
+    call->done
+            = [this, index, served, askedAt, isWrite](ObjectVersion version, const auto &content) {
+                  Coordinator *present = coordinatorOf(index, served);
+                  const TimePoint at = clockOf(node(index));
+                  if (present != nullptr && isWrite) {
+                      present->onTermWritten(version, at);
+                  } else if (present != nullptr) {
+                      present->onTermStored(version, content, askedAt, at);
+                  }
+              };
+    call->failed = [this, index, served]() {
+        if (Coordinator *present = coordinatorOf(index, served)) {
+            present->onTermCallFailed(clockOf(node(index)));
+        }
+    };
+    callPlatform(index, term_, call);
+}
+
+void OwnershipModel::callAssignmentRecord(int index, bool isWrite)
+{
+    Coordinator &coordinator = *node(index).coordinator;
+    const Term served = coordinator.term().term;
     auto call = std::make_shared<Call<AssignmentRecord>>();
     call->step = coordinator.isFenced() ? ProtocolStep::ReadBack : ProtocolStep::ReadAssignment;
-    call->isWrite = step == CoordinatorStep::WriteAssignment;
+    call->isWrite = isWrite;
     call->expected = coordinator.assignmentVersion();
-    if (call->isWrite) {
+    if (isWrite) {
         call->step = coordinator.isFenced() ? ProtocolStep::WriteMove : ProtocolStep::WriteFence;
         call->content = coordinator.makeAssignmentWrite(WriteNonce(random_()));
     }
-    call->done = [this, index, serving, isWrite = call->isWrite](ObjectVersion version,
-                                                                 const auto &content) {
-        Coordinator *present = serving();
+    call->done = [this, index, served, isWrite](ObjectVersion version, const auto &content) {
+        Coordinator *present = coordinatorOf(index, served);
         const TimePoint at = clockOf(node(index));
         if (present != nullptr && isWrite) {
             present->onAssignmentWritten(version, at);
@@ -404,8 +423,8 @@
             stepCoordinator(index);
         }
     };
-    call->failed = [this, index, serving]() {
-        if (Coordinator *present = serving()) {
+    call->failed = [this, index, served]() {
+        if (Coordinator *present = coordinatorOf(index, served)) {
             present->onAssignmentCallFailed(clockOf(node(index)));
         }
     };
--- a/tool/fault_matrix/ownership_model.h
+++ b/tool/fault_matrix/ownership_model.h
@@ -140,6 +140,8 @@
     /** Runs @p action on the node once it is not paused, unless its life has ended. */
     void onNode(int index, uint64_t life, Duration at, std::function<void()> action);
     bool isCut(int from, int to) const;
+    /** @return How long a message takes now, or a call or answer of the platform. */
+    Duration drawDelay(bool withPlatform);
     void transmit(Transmission transmission, std::function<void(const Transmission &)> arrive);
     template <typename T>
     void callPlatform(int index, StoredObject<T> &object, std::shared_ptr<Call<T>> call);
@@ -155,7 +157,11 @@
     void renew(int index);
     void answer(int index, int to, const RenewRequest &request);
     void onReply(int index, const RenewReply &reply);
+    /** @return The coordinator on the node if it still serves @p served; else nullptr. */
+    Coordinator *coordinatorOf(int index, Term served);
     void coordinatorCall(int index, CoordinatorStep step);
+    void callTermRecord(int index, bool isWrite);
+    void callAssignmentRecord(int index, bool isWrite);
     void watchTerm(int index);
     void check();
     void refreshHeld(ModelNode &node);
