--- a/tool/soak/soak_audit.h
+++ b/tool/soak/soak_audit.h
@@ -2,7 +2,7 @@
 
 #pragma once
 
-#include "platform/standin/backend_server_standin.h"
+#include "platform/standin/backend_server_type.h"
 #include "platform/standin/caller_standin.h"
 
 #include <map>
