Codechange: [Soak] Configuration, fleet, lasting faults and their driver apart from the run

Each is a module with one job now, the shares and times of faults are named constants, and the run tells its story in a dozen lines. Plans, bounds and the order of events are as before.

--- a/tool/soak/fault_plan.cpp
+++ b/tool/soak/fault_plan.cpp
@@ -48,6 +48,37 @@
     return kind <= FaultKind::Reconfigure;
 }
 
+bool isMomentary(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::NodeReload:
+    case FaultKind::Reconfigure:
+    case FaultKind::StoreForgets:
+    case FaultKind::StoreLinkSilent:
+    case FaultKind::PeerLinkReset:
+    case FaultKind::PeerLinkSilent:
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool concernsAll(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::HerdKill:
+    case FaultKind::StoreDown:
+    case FaultKind::StoreSlow:
+    case FaultKind::StoreLosesAnswers:
+    case FaultKind::StoreWritesLate:
+    case FaultKind::StoreForgets:
+    case FaultKind::CallersLeave:
+        return true;
+    default:
+        return false;
+    }
+}
+
 FaultPlan makeFaultPlan(uint64_t seed, size_t nodes)
 {
     std::mt19937_64 random(seed);
--- a/tool/soak/fault_plan.h
+++ b/tool/soak/fault_plan.h
@@ -55,6 +55,12 @@
 /** @return Whether it is work that operators plan: nobody should notice it. */
 bool isPlanned(FaultKind kind);
 
+/** @return Whether the fault is over at once; its length means nothing then. */
+bool isMomentary(FaultKind kind);
+
+/** @return Whether the fault may be felt at every node, not at its target alone. */
+bool concernsAll(FaultKind kind);
+
 /** One entry of a plan. */
 struct Fault {
     FaultKind kind = FaultKind::NodeStop;
--- /dev/null
+++ b/tool/soak/soak_fleet.cpp
@@ -0,0 +1,119 @@
+/** @file soak_fleet.cpp The nodes and backend servers of one soak. */
+
+#include "soak/soak_fleet.h"
+
+#include "adapter/clock/pause_func.h"
+#include "soak/soak_configuration.h"
+
+#include <csignal>
+
+namespace wisteriahoist::soak {
+
+namespace {
+
+constexpr milliseconds Step{50};
+/** A node that has been told to end is killed then. */
+constexpr milliseconds EndBound{8000};
+
+} // namespace
+
+SoakFleet::SoakFleet(asio::io_context &context, const SoakSettings &settings,
+                     platform::ObjectStoreStandin &store, SoakAudit &audit, const Clock &clock,
+                     SoakLog &log)
+    : audit_(audit), clock_(clock), log_(log)
+{
+    for (size_t index = 0; index < settings.nodes; ++index) {
+        const std::string service = serviceOf(index);
+        nodes_.push_back(std::make_unique<SoakNode>(context, settings, index, service,
+                                                    isSharded(service), store, audit));
+    }
+}
+
+bool SoakFleet::isSteady(size_t index)
+{
+    return nodes_[index]->isRunning() && expectedDown_.count(index) == 0;
+}
+
+void SoakFleet::startNode(size_t index)
+{
+    audit_.onNodeStarted(index);
+    nodes_[index]->start();
+    expectedDown_.erase(index);
+    note("start " + nodes_[index]->name());
+}
+
+void SoakFleet::startBackend(size_t index)
+{
+    platform::BackendServerStandin &backend = nodes_[index]->backend();
+    if (!backend.isUp()) {
+        backend.start();
+        audit_.onBackendStarted(backend.id(), index);
+        note("start " + backend.id());
+    }
+}
+
+void SoakFleet::killNode(size_t index)
+{
+    expectedDown_.insert(index);
+    nodes_[index]->kill();
+}
+
+asio::awaitable<void> SoakFleet::startNodeAfter(size_t index, milliseconds wait)
+{
+    co_await pauseFor(wait);
+    if (!nodes_[index]->isRunning()) {
+        startNode(index);
+    }
+}
+
+asio::awaitable<void> SoakFleet::restartNode(size_t index)
+{
+    SoakNode &node = *nodes_[index];
+    const TimePoint begun = clock_.now();
+    expectedDown_.insert(index);
+    node.signal(SIGTERM);
+    while (node.isRunning() && clock_.now() - begun < EndBound) {
+        co_await pauseFor(Step);
+    }
+    if (node.isRunning()) {
+        note(node.name() + " did not end in time");
+        node.kill();
+    }
+    startNode(index);
+}
+
+void SoakFleet::heal()
+{
+    for (size_t index = 0; index < nodes_.size(); ++index) {
+        nodes_[index]->signal(SIGCONT);
+        if (!nodes_[index]->isRunning()) {
+            startNode(index);
+        }
+        startBackend(index);
+    }
+}
+
+asio::awaitable<void> SoakFleet::watch()
+{
+    while (watching_) {
+        for (size_t index = 0; index < nodes_.size(); ++index) {
+            if (expectedDown_.count(index) == 0 && !nodes_[index]->isRunning()) {
+                audit_.onNotRecovered(nodes_[index]->name() + " ended by itself with "
+                                              + std::to_string(nodes_[index]->exitCode()),
+                                      clock_.now());
+                startNode(index);
+            }
+        }
+        co_await pauseFor(Step);
+    }
+}
+
+void SoakFleet::killAll()
+{
+    for (auto &node : nodes_) {
+        node->kill();
+        node->backend().kill();
+    }
+}
+
+} // namespace wisteriahoist::soak
--- a/tool/soak/soak_run.h
+++ b/tool/soak/soak_run.h
@@ -4,11 +4,8 @@
 #pragma once
 
 #include "adapter/clock/boot_clock_adapter.h"
-#include "soak/fault_plan.h"
-#include "soak/soak_callers.h"
-
-#include <fstream>
-#include <map>
+#include "soak/fault_driver.h"
+#include "soak/soak_configuration.h"
 
 namespace wisteriahoist::soak {
 
@@ -21,7 +18,7 @@
     std::vector<std::string> violations;
 };
 
-/** One run; it ends only the processes that it has started itself. */
+/** One run. */
 class SoakRun
 {
 public:
@@ -31,40 +28,31 @@
     SoakResult run();
 
 private:
-    asio::awaitable<void> tell();
-    asio::awaitable<void> carryOut(Fault fault);
-    asio::awaitable<void> stopNode(size_t index);
-    asio::awaitable<void> restartNode(size_t index, milliseconds after);
+    /** From the first start to the last check. */
+    asio::awaitable<void> play();
+    void startAll();
+    /** Ends the load and waits for the last answers; what was refused may not run even then. */
+    asio::awaitable<void> endLoad();
+    SoakResult makeResult();
+
+    /** @return Whether every node served everything before @p bound was over. */
     asio::awaitable<bool> waitServed(milliseconds bound);
     asio::awaitable<std::string> probeAll();
     asio::awaitable<void> probe(size_t index, std::vector<std::optional<std::string>> &missing);
-    asio::awaitable<void> watchProcesses();
-    void setActive(const Fault &fault, bool active);
-    void applyState(const Fault &fault, bool on);
-    void killHerd(const Fault &fault);
-    void startNode(size_t index);
-    void startBackend(size_t index);
     void reconfigure();
-    void heal();
-    void note(const std::string &text);
+    void note(const std::string &text) { log_.note(text, clock_.now()); }
 
     SoakSettings settings_;
     asio::io_context context_{1};
     BootClockAdapter clock_;
-    TimePoint begun_;
+    SoakLog log_;
     SoakAudit audit_;
     platform::ObjectStoreStandin store_;
-    std::vector<std::unique_ptr<SoakNode>> nodes_;
+    SoakFleet fleet_;
     SoakCallers callers_;
     FaultPlan plan_;
-    std::map<std::pair<FaultKind, size_t>, size_t> active_; ///< Faults in force, by kind and place.
-    std::set<size_t> expectedDown_;  ///< Nodes that the soak itself has ended.
-    size_t openFaults_ = 0;          ///< Faults and restarts that have not come to their end.
-    std::vector<std::string> paths_; ///< Of routes that configurations have added.
-    std::string movedTo_;
-    uint64_t version_ = 0;
-    bool ended_ = false;
-    std::ofstream log_;
+    SoakConfiguration configuration_;
+    FaultDriver driver_;
 };
 
 } // namespace wisteriahoist::soak
