Add: [Stop] Requests that meet the close of idle connections, as it fails today

A caller's connection ended without an answer 2.5 s after SIGTERM, 4 ms after a request was sent, and the request was passed on to another node and ran. The test stops a server after each step of its event loop from a request's arrival to its answer, on new and kept connections, with the answer at once or later.

--- /dev/null
+++ b/test/unit/http/server_stop_test.cpp
@@ -0,0 +1,241 @@
+/** @file server_stop_test.cpp Requests that meet the end of a server. */
+
+#include "adapter/http/http_server.h"
+#include "support/story.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <thread>
+
+using namespace wisteriahoist;
+
+namespace {
+
+constexpr milliseconds LongTime{20000}; ///< Far above what a test takes; no verdict depends on it.
+
+/** A caller on a plain socket; it knows when its bytes have reached the server's machine. */
+class RawCaller
+{
+public:
+    explicit RawCaller(uint16_t port) : socket_(context_)
+    {
+        socket_.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+        socket_.non_blocking(true);
+    }
+
+    /** Returns when the other side's operating system has all bytes, or the connection is cut. */
+    void send(const std::string &bytes)
+    {
+        beast::error_code error;
+        asio::write(socket_, asio::buffer(bytes), error);
+        for (int unread = 0;
+             !error && ioctl(socket_.native_handle(), SIOCOUTQ, &unread) == 0 && unread > 0;) {
+            std::this_thread::yield();
+        }
+    }
+
+    /** Takes what has come. */
+    void look()
+    {
+        std::array<char, 4096> chunk{};
+        beast::error_code error;
+        while (!error) {
+            const size_t count = socket_.read_some(asio::buffer(chunk), error);
+            received_.append(chunk.data(), count);
+        }
+        ended_ |= error != asio::error::would_block;
+    }
+
+    void leave() { socket_.close(); }
+
+    /** @return Whole answers of the handler, behind one another. */
+    size_t answers() const
+    {
+        size_t count = 0;
+        for (size_t at = received_.find("\r\n\r\nanswered"); at != std::string::npos;
+             at = received_.find("\r\n\r\nanswered", at + 1)) {
+            ++count;
+        }
+        return count;
+    }
+    bool hasEnded() const { return ended_; }
+    const std::string &received() const { return received_; }
+
+private:
+    asio::io_context context_;
+    tcp::socket socket_;
+    std::string received_;
+    bool ended_ = false;
+};
+
+/** Whether the handler answers at once, or waits like one whose request is at another node. */
+enum class Work { AtOnce, Elsewhere };
+
+/** A server whose event loop runs step by step, so that a stop can fall between any two steps. */
+class SteppedServer
+{
+public:
+    explicit SteppedServer(Work work)
+        : work_(work), server_(std::make_shared<HttpServer>(
+                               context_, "127.0.0.1", 0, HttpLimits{},
+                               HttpHandler([this](HttpRequest) { return answer(); })))
+    {
+        server_->start();
+    }
+
+    /** @return Whether there was something to do. */
+    bool step()
+    {
+        context_.restart();
+        return context_.poll_one() > 0;
+    }
+
+    /** @return Whether there were @p count steps; a request that is elsewhere comes back amid them.
+     */
+    bool steps(size_t count)
+    {
+        for (size_t done = 0; done < count; ++done) {
+            if (!step() && !(finishWork() && step())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** What is elsewhere comes back. @return Whether there was anything. */
+    bool finishWork() { return elsewhere_.cancel() > 0; }
+
+    /** Runs until @p holds, or for long. */
+    bool runUntil(RawCaller &caller, const std::function<bool()> &holds)
+    {
+        const auto end = std::chrono::steady_clock::now() + LongTime;
+        for (caller.look(); !holds() && std::chrono::steady_clock::now() < end; caller.look()) {
+            finishWork();
+            context_.restart();
+            context_.run_for(milliseconds(1));
+        }
+        return holds();
+    }
+
+    HttpServer &server() { return *server_; }
+    size_t begun() const { return begun_; }
+
+private:
+    asio::awaitable<HttpResponse> answer()
+    {
+        ++begun_;
+        if (work_ == Work::Elsewhere) {
+            elsewhere_.expires_after(LongTime);
+            beast::error_code ignored;
+            co_await elsewhere_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        HttpResponse response(http::status::ok, 11);
+        response.body() = "answered";
+        co_return response;
+    }
+
+    Work work_;
+    asio::io_context context_{1};
+    asio::steady_timer elsewhere_{context_};
+    std::shared_ptr<HttpServer> server_;
+    size_t begun_ = 0;
+};
+
+/** How a request comes. */
+struct Arrival {
+    const char *name;
+    bool kept;         ///< On a connection that has carried a request before.
+    std::string bytes; ///< Before the connections are looked at for the last time.
+    std::string rest;  ///< Behind that.
+};
+
+const std::string Head = "GET /x HTTP/1.1\r\nHost: h\r\n";
+const std::string PostHead = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n";
+const std::string LongField = "X: " + std::string(12000, 'x') + "\r\n"; ///< More than one read.
+
+const std::vector<Arrival> WholeRequests{
+        {"on a new connection", false, Head + "\r\n", ""},
+        {"on a kept connection", true, Head + "\r\n", ""},
+        {"on a new connection, in several reads", false, Head + LongField + "\r\n", ""},
+        {"on a kept connection, in several reads", true, Head + LongField + "\r\n", ""},
+        {"with a body", true, PostHead + "\r\nbody", ""},
+        {"sent ahead", true, Head + "\r\n" + Head + LongField + "\r\n", ""},
+};
+
+/** What became of the requests of one arrival. */
+struct Outcome {
+    bool stoppedAmid = false; ///< The server had more to do when it was stopped.
+    bool ended = false;       ///< The caller's connection has ended.
+    size_t begun = 0;
+    size_t answered = 0;
+    size_t left = 0; ///< Requests that still count as open when the caller has gone.
+};
+
+/** Stops the server when it has run @p steps since the request arrived. */
+Outcome stopAfter(size_t steps, const Arrival &arrival, Work work)
+{
+    SteppedServer stepped(work);
+    RawCaller caller(stepped.server().port());
+    size_t before = 0;
+    if (arrival.kept) {
+        caller.send(Head + "\r\n");
+        stepped.runUntil(caller, [&]() { return caller.answers() == 1; });
+        before = 1;
+    }
+    stepped.server().closeAfterAnswers();
+    caller.send(arrival.bytes);
+    Outcome outcome;
+    outcome.stoppedAmid = stepped.steps(steps);
+    stepped.server().closeIdle();
+    caller.send(arrival.rest);
+    outcome.ended = stepped.runUntil(caller, [&]() { return caller.hasEnded(); });
+    caller.leave();
+    stepped.runUntil(caller, [&]() { return stepped.server().openConnections() == 0; });
+    outcome.begun = stepped.begun() - before;
+    outcome.answered = caller.answers() - before;
+    outcome.left = stepped.server().openRequests();
+    return outcome;
+}
+
+/** @return The moments of a stop at which @p holds is false, in words. */
+std::string findMoments(const std::vector<Arrival> &arrivals,
+                        const std::function<bool(const Outcome &)> &holds)
+{
+    std::string moments;
+    for (const Arrival &arrival : arrivals) {
+        for (const Work work : {Work::AtOnce, Work::Elsewhere}) {
+            Outcome outcome{.stoppedAmid = true};
+            for (size_t steps = 0; outcome.stoppedAmid; ++steps) {
+                outcome = stopAfter(steps, arrival, work);
+                if (!holds(outcome)) {
+                    moments += std::string("\n") + arrival.name
+                               + (work == Work::AtOnce ? "" : ", passed on") + ", after "
+                               + std::to_string(steps) + " steps: begun "
+                               + std::to_string(outcome.begun) + ", answered "
+                               + std::to_string(outcome.answered) + ", left open "
+                               + std::to_string(outcome.left);
+                }
+            }
+        }
+    }
+    return moments;
+}
+
+} // namespace
+
+// A caller's connection ends without an answer, and its request runs all the same. A stop takes the
+// connection for idle and closes it, while the bytes of the request have been read but not looked
+// at; they are parsed afterwards and passed on, and the answer finds no connection. The request
+// then counts as open for good, and the process ends only when it must.
+Test(server_stop, what_was_passed_on_is_answered)
+{
+    const std::string moments = findMoments(WholeRequests, [](const Outcome &outcome) {
+        return outcome.begun == outcome.answered && outcome.left == 0;
+    });
+    cr_assert(moments.empty(), "%s", moments.c_str());
+}
