Fix: [Stop] A request whose connection was closed meanwhile is not passed on

Cause: closeIdle took a connection for idle while a read on it had ended whose bytes were still to be looked at. The read loop went on after the close, parsed them and handed the request on; its answer found no connection, and the request counted as open until the time to end was over. Right after a connection is accepted the first read ends at once, so this meets callers that come anew, which all do while a node stops.

--- a/src/adapter/http/http_connection.cpp
+++ b/src/adapter/http/http_connection.cpp
@@ -85,6 +85,11 @@
         beast::error_code error;
         const size_t count = co_await socket_.async_read_some(
                 asio::buffer(chunk_), asio::redirect_error(asio::use_awaitable, error));
+        if (closed_) {
+            // A read may have ended well before the close, with its bytes still to be looked at. A
+            // request among them would run and find no connection for its answer.
+            co_return;
+        }
         if (error) {
             onCallerGone();
             co_return;
