--- a/test/unit/http/server_stop_test.cpp
+++ b/test/unit/http/server_stop_test.cpp
@@ -158,15 +158,23 @@
 const std::string PostHead = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n";
 const std::string LongField = "X: " + std::string(12000, 'x') + "\r\n"; ///< More than one read.
 
-const std::vector<Arrival> WholeRequests{
+const std::vector<Arrival> OnNewConnections{
         {"on a new connection", false, Head + "\r\n", ""},
-        {"on a kept connection", true, Head + "\r\n", ""},
         {"on a new connection, in several reads", false, Head + LongField + "\r\n", ""},
+};
+
+const std::vector<Arrival> OnKeptConnections{
+        {"on a kept connection", true, Head + "\r\n", ""},
         {"on a kept connection, in several reads", true, Head + LongField + "\r\n", ""},
         {"with a body", true, PostHead + "\r\nbody", ""},
         {"sent ahead", true, Head + "\r\n" + Head + LongField + "\r\n", ""},
 };
 
+const std::vector<Arrival> InParts{
+        {"stopped amid its head", true, "GET /x HT", "TP/1.1\r\nHost: h\r\n\r\n"},
+        {"stopped amid its body", true, PostHead + "\r\nbo", "dy"},
+};
+
 /** What became of the requests of one arrival. */
 struct Outcome {
     bool stoppedAmid = false; ///< The server had more to do when it was stopped.
@@ -202,6 +210,13 @@
     return outcome;
 }
 
+/** @return Whether the caller got an answer for all that was begun, and nothing is left of it. */
+bool isAnswered(const Outcome &outcome)
+{
+    return outcome.ended && outcome.answered > 0 && outcome.begun == outcome.answered
+           && outcome.left == 0;
+}
+
 /** @return The moments of a stop at which @p holds is false, in words. */
 std::string findMoments(const std::vector<Arrival> &arrivals,
                         const std::function<bool(const Outcome &)> &holds)
@@ -234,8 +249,22 @@
 // then counts as open for good, and the process ends only when it must.
 Test(server_stop, what_was_passed_on_is_answered)
 {
-    const std::string moments = findMoments(WholeRequests, [](const Outcome &outcome) {
-        return outcome.begun == outcome.answered && outcome.left == 0;
-    });
-    cr_assert(moments.empty(), "%s", moments.c_str());
+    for (const std::vector<Arrival> &arrivals : {OnNewConnections, OnKeptConnections}) {
+        const std::string moments = findMoments(arrivals, [](const Outcome &outcome) {
+            return outcome.begun == outcome.answered && outcome.left == 0;
+        });
+        cr_assert(moments.empty(), "%s", moments.c_str());
+    }
+}
+
+// A caller sends on a connection that it has used before, and the connection ends under it: some or
+// all of the request's bytes have arrived when the connection is looked at for the last time, but
+// no whole head has been parsed, so it counts as idle. The caller can't tell that from a request
+// that was lost, and one that must not run twice is not sent again.
+Test(server_stop, what_has_begun_to_arrive_is_answered)
+{
+    for (const std::vector<Arrival> &arrivals : {OnKeptConnections, InParts}) {
+        const std::string moments = findMoments(arrivals, isAnswered);
+        cr_assert(moments.empty(), "%s", moments.c_str());
+    }
 }
