Fix: [Stop] A connection on which a request has begun to arrive is not idle

Cause: a connection counted as idle until a whole head had been parsed, so the end of a stop closed it under a request that was in the operating system's buffer or in the parser. Its caller could not tell that from a lost one. A request now counts as open from its first byte, and closeIfIdle only wakes the read loop: that loop alone knows whether a read has ended with bytes, looks once more whether any wait, and ends the connection or reads the request, which is answered with Connection: close.

--- a/src/adapter/http/http_connection.cpp
+++ b/src/adapter/http/http_connection.cpp
@@ -82,6 +82,10 @@
 asio::awaitable<void> HttpConnection::readLoop()
 {
     while (!closed_) {
+        if (mayEndIdle()) {
+            close();
+            co_return;
+        }
         beast::error_code error;
         const size_t count = co_await socket_.async_read_some(
                 asio::buffer(chunk_), asio::redirect_error(asio::use_awaitable, error));
@@ -90,6 +94,9 @@
             // request among them would run and find no connection for its answer.
             co_return;
         }
+        if (error == asio::error::operation_aborted) {
+            continue; // By closeIfIdle(): what has come by now decides.
+        }
         if (error) {
             onCallerGone();
             co_return;
@@ -123,6 +130,8 @@
         parser_->header_limit(server_->limits.headerBytes);
         parser_->body_limit(server_->limits.bodyBytes);
         parser_->eager(true);
+        server_->openRequests.fetch_add(1, std::memory_order_relaxed);
+        counted_ = true;
     }
     beast::error_code error;
     const bool hadHead = parser_->is_header_done();
@@ -153,8 +162,6 @@
 bool HttpConnection::checkHead()
 {
     parser_->eager(true);
-    server_->openRequests.fetch_add(1, std::memory_order_relaxed);
-    counted_ = true;
     // Two framings of one message let the two ends of a connection disagree where it ends; the
     // rest of the first caller's bytes would then be read as another caller's request.
     if (hasAmbiguousFraming(parser_->get())) {
@@ -361,13 +368,22 @@
 
 bool HttpConnection::isIdle() const
 {
-    return due_.empty() && !counted_ && !parked_;
+    return due_.empty() && !counted_ && !parked_ && !shutDown_;
+}
+
+bool HttpConnection::mayEndIdle() const
+{
+    beast::error_code ignored;
+    return server_->closed && isIdle() && socket_.available(ignored) == 0;
 }
 
 void HttpConnection::closeIfIdle()
 {
-    if (isIdle() && !shutDown_) {
-        close();
+    if (isIdle()) {
+        // Nobody but the read loop knows whether a read has just ended with a request's first
+        // bytes. It is woken from a read that has not, and ends the connection or reads on.
+        beast::error_code ignored;
+        socket_.cancel(ignored);
     }
 }
 
--- a/src/adapter/http/http_connection.h
+++ b/src/adapter/http/http_connection.h
@@ -24,7 +24,7 @@
     std::set<HttpConnection *> connections; ///< Invariant: at most limits.connections.
     bool stopping = false;                  ///< Nothing is accepted any more.
     bool closing = false;                   ///< Each connection ends with the answers that are due.
-    bool closed = false;                    ///< Idle connections are closed.
+    bool closed = false;                    ///< Idle connections end.
 };
 
 /**
@@ -33,7 +33,9 @@
  * runs when all before it have been answered and nothing runs beside it.
  *
  * Invariants: what was passed on is answered before the connection is closed from here; behind an
- * answer that announces the close nothing has been passed on, so a caller may send it again.
+ * answer that announces the close nothing has been passed on, so a caller may send it again; when
+ * a server stops, idle connections are ended by their read loops, which alone know that nothing has
+ * arrived.
  */
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
 {
@@ -43,7 +45,7 @@
 
     void start();
 
-    /** Closes the connection if no request has been begun on it. */
+    /** Closes the connection unless a request has begun to arrive on it, which is then answered. */
     void closeIfIdle();
 
 private:
@@ -79,6 +81,7 @@
     void watchSilence(milliseconds after);
     void noteActive();
     bool isIdle() const;
+    bool mayEndIdle() const;
 
     std::shared_ptr<HttpServerState> server_;
     tcp::socket socket_;
--- a/src/adapter/http/http_server.h
+++ b/src/adapter/http/http_server.h
@@ -36,7 +36,7 @@
      */
     void closeAfterAnswers() { state_->closing = true; }
 
-    /** Stops accepting, and closes connections on which no request has been begun. */
+    /** Stops accepting, and closes connections on which no request has begun to arrive. */
     void closeIdle();
 
     /** Takes over new bounds, for requests that are read from now on. */
@@ -45,7 +45,7 @@
     uint16_t port() const { return acceptor_.local_endpoint().port(); }
     size_t openConnections() const { return state_->connections.size(); }
 
-    /** @return Requests whose head has been read and whose answer has not been written whole. */
+    /** @return Requests that have begun to arrive and whose answer has not been written whole. */
     size_t openRequests() const { return state_->openRequests.load(std::memory_order_relaxed); }
 
 private:
