Add: [Stop] A body that waits for leave while a server stops, as it fails today

A caller that sends Expect: 100-continue to a server that stops is told to go on, and its body is then dropped unread: no answer comes while the server runs.

--- a/test/unit/http/server_stop_test.cpp
+++ b/test/unit/http/server_stop_test.cpp
@@ -175,6 +175,14 @@
         {"stopped amid its body", true, PostHead + "\r\nbo", "dy"},
 };
 
+const std::string AsksForLeave = PostHead + "Expect: 100-continue\r\n\r\n";
+
+const std::vector<Arrival> WithLeave{
+        {"a body that waits for leave", true, AsksForLeave, "body"},
+        {"a body that waits for leave, behind another request", true, Head + "\r\n" + AsksForLeave,
+         "body"},
+};
+
 /** What became of the requests of one arrival. */
 struct Outcome {
     bool stoppedAmid = false; ///< The server had more to do when it was stopped.
@@ -268,3 +276,12 @@
         cr_assert(moments.empty(), "%s", moments.c_str());
     }
 }
+
+// A caller asks for leave to send its body, and a node that stops gives it, but reads no more: the
+// caller waits for an answer until the node ends, and the node waits for that request. The
+// go-ahead was taken for an answer, behind which nothing is read while a server stops.
+Test(server_stop, a_body_that_was_given_leave_is_read)
+{
+    const std::string moments = findMoments(WithLeave, isAnswered);
+    cr_assert(moments.empty(), "%s", moments.c_str());
+}
