Fix: [Stop] A body that was given leave is read and its request answered

Cause: the 100 Continue of a request was taken for an answer, and behind an answer nothing is read while a server stops: the body was dropped, no answer followed, and the open request held up the end of the process. Leave behind another request's answer kept that answer from being the last one in the same way. Leave that was given is followed by reading the body; leave that has not been written when reading ends is withdrawn, so the caller sends again behind the announced close. server_stop/a_body_that_was_given_leave_is_read fails without.

--- a/src/adapter/http/http_connection.cpp
+++ b/src/adapter/http/http_connection.cpp
@@ -107,8 +107,7 @@
         }
         if (buffer_.size() + count > MostUnread && parked_) {
             // Behind the answers that are due the caller sends the rest again.
-            reading_ = false;
-            parked_.reset();
+            readNoMore();
             continue;
         }
         const asio::mutable_buffer space = buffer_.prepare(count);
@@ -269,9 +268,8 @@
     writing_ = true;
     while (!closed_ && !due_.empty() && due_.front()->response) {
         const ExchangePtr exchange = due_.front();
-        if (server_->stopping || server_->closing) {
-            reading_ = false;
-            parked_.reset();
+        if ((server_->stopping || server_->closing) && !exchange->isInterim) {
+            readNoMore();
         }
         const bool last = !reading_ && due_.size() == 1 && !exchange->isInterim;
         const bool written = co_await write(*exchange, last);
@@ -284,7 +282,7 @@
         }
         if (!written) {
             close();
-        } else if (last) {
+        } else if (!reading_ && due_.empty()) {
             endAnswers();
         } else {
             dispatchParked();
@@ -325,10 +323,21 @@
     co_return !error;
 }
 
-void HttpConnection::onCallerGone()
+/** Ends the connection with the answers to what has been passed on. */
+void HttpConnection::readNoMore()
 {
     reading_ = false;
     parked_.reset();
+    // Leave to send a body that is not read would be followed by no answer. The first one stays: it
+    // may be on its way, and the connection ends when it has been written.
+    if (due_.size() > 1 && due_.back()->isInterim) {
+        due_.pop_back();
+    }
+}
+
+void HttpConnection::onCallerGone()
+{
+    readNoMore();
     const std::deque<ExchangePtr> due = due_;
     for (const ExchangePtr &exchange : due) {
         exchange->caller->markGone();
--- a/src/adapter/http/http_connection.h
+++ b/src/adapter/http/http_connection.h
@@ -75,6 +75,7 @@
     void dispatchParked();
     void refuse(HttpResponse response);
     void answerNow(const ExchangePtr &exchange);
+    void readNoMore();
     void onCallerGone();
     void endAnswers();
     void close();
