Fix: [Stop] Whoever has connected is answered before listening ends

Cause: the acceptor was closed with connections in its queue, and closing resets them. A node that stops has a fifth of a core or less, and while it announces the close with each answer its callers all come anew, so some wait there at any moment.

--- a/src/adapter/http/http_server.cpp
+++ b/src/adapter/http/http_server.cpp
@@ -44,6 +44,7 @@
 void HttpServer::closeIdle()
 {
     state_->closed = true;
+    acceptWaiting();
     stop();
     const std::set<HttpConnection *> connections = state_->connections;
     for (HttpConnection *connection : connections) {
@@ -51,6 +52,30 @@
     }
 }
 
+/**
+ * With little processor time callers wait to be accepted; an acceptor that is closed resets them,
+ * and with them what they have sent. One that has sent nothing yet is closed like any idle one.
+ */
+void HttpServer::acceptWaiting()
+{
+    beast::error_code error;
+    acceptor_.non_blocking(true, error);
+    for (int taken = 0; !error && taken < asio::socket_base::max_listen_connections; ++taken) {
+        tcp::socket socket(acceptor_.get_executor());
+        acceptor_.accept(socket, error);
+        if (!error) {
+            serve(std::move(socket));
+        }
+    }
+}
+
+void HttpServer::serve(tcp::socket socket)
+{
+    if (state_->connections.size() < state_->limits.connections) {
+        std::make_shared<HttpConnection>(state_, std::move(socket))->start();
+    }
+}
+
 asio::awaitable<void> HttpServer::acceptLoop()
 {
     while (!state_->stopping) {
@@ -63,11 +88,7 @@
             }
             continue;
         }
-        if (state_->connections.size() >= state_->limits.connections) {
-            socket.close(error);
-            continue;
-        }
-        std::make_shared<HttpConnection>(state_, std::move(socket))->start();
+        serve(std::move(socket));
     }
 }
 
--- a/src/adapter/http/http_server.h
+++ b/src/adapter/http/http_server.h
@@ -36,7 +36,10 @@
      */
     void closeAfterAnswers() { state_->closing = true; }
 
-    /** Stops accepting, and closes connections on which no request has begun to arrive. */
+    /**
+     * Stops accepting, and closes connections on which no request has begun to arrive; whoever has
+     * connected by then is accepted first.
+     */
     void closeIdle();
 
     /** Takes over new bounds, for requests that are read from now on. */
@@ -50,6 +53,8 @@
 
 private:
     asio::awaitable<void> acceptLoop();
+    void acceptWaiting();
+    void serve(tcp::socket socket);
 
     tcp::acceptor acceptor_;
     std::shared_ptr<HttpServerState> state_;
