--- a/test/unit/http/server_stop_test.cpp
+++ b/test/unit/http/server_stop_test.cpp
@@ -1,77 +1,21 @@
 /** @file server_stop_test.cpp Requests that meet the end of a server. */
 
 #include "adapter/http/http_server.h"
+#include "support/raw_caller.h"
 #include "support/story.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
-#include <thread>
 
 using namespace wisteriahoist;
+using namespace wisteriahoist::testing;
 
 namespace {
 
 constexpr milliseconds LongTime{20000}; ///< Far above what a test takes; no verdict depends on it.
-
-/** A caller on a plain socket; it knows when its bytes have reached the server's machine. */
-class RawCaller
-{
-public:
-    explicit RawCaller(uint16_t port) : socket_(context_)
-    {
-        socket_.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
-        socket_.non_blocking(true);
-    }
-
-    /** Returns when the other side's operating system has all bytes, or the connection is cut. */
-    void send(const std::string &bytes)
-    {
-        beast::error_code error;
-        asio::write(socket_, asio::buffer(bytes), error);
-        for (int unread = 0;
-             !error && ioctl(socket_.native_handle(), SIOCOUTQ, &unread) == 0 && unread > 0;) {
-            std::this_thread::yield();
-        }
-    }
-
-    /** Takes what has come. */
-    void look()
-    {
-        std::array<char, 4096> chunk{};
-        beast::error_code error;
-        while (!error) {
-            const size_t count = socket_.read_some(asio::buffer(chunk), error);
-            received_.append(chunk.data(), count);
-        }
-        ended_ |= error != asio::error::would_block;
-    }
-
-    void leave() { socket_.close(); }
-
-    /** @return Whole answers of the handler, behind one another. */
-    size_t answers() const
-    {
-        size_t count = 0;
-        for (size_t at = received_.find("\r\n\r\nanswered"); at != std::string::npos;
-             at = received_.find("\r\n\r\nanswered", at + 1)) {
-            ++count;
-        }
-        return count;
-    }
-    bool hasEnded() const { return ended_; }
-    const std::string &received() const { return received_; }
-
-private:
-    asio::io_context context_;
-    tcp::socket socket_;
-    std::string received_;
-    bool ended_ = false;
-};
+constexpr std::string_view Answer = "\r\n\r\nanswered"; ///< Of the handler, whole.
 
 /** Whether the handler answers at once, or waits like one whose request is at another node. */
 enum class Work { AtOnce, Elsewhere };
@@ -200,7 +144,7 @@
     size_t before = 0;
     if (arrival.kept) {
         caller.send(Head + "\r\n");
-        stepped.runUntil(caller, [&]() { return caller.answers() == 1; });
+        stepped.runUntil(caller, [&]() { return caller.count(Answer) == 1; });
         before = 1;
     }
     stepped.server().closeAfterAnswers();
@@ -213,7 +157,7 @@
     caller.leave();
     stepped.runUntil(caller, [&]() { return stepped.server().openConnections() == 0; });
     outcome.begun = stepped.begun() - before;
-    outcome.answered = caller.answers() - before;
+    outcome.answered = caller.count(Answer) - before;
     outcome.left = stepped.server().openRequests();
     return outcome;
 }
