Fix: [Stop] The process ends after its last connection, in one order

The time to end bounds it as before. sidecar_stop/the_process_ends_after_the_last_connection fails without; the_process_ends_in_time_whatever_is_open holds the bound.

--- a/src/adapter/http/http_server.h
+++ b/src/adapter/http/http_server.h
@@ -48,6 +48,9 @@
     uint16_t port() const { return acceptor_.local_endpoint().port(); }
     size_t openConnections() const { return state_->connections.size(); }
 
+    /** @return Whether it accepts nobody any more and its last connection has ended. */
+    bool hasEnded() const { return state_->stopping && state_->connections.empty(); }
+
     /** @return Requests that have begun to arrive and whose answer has not been written whole. */
     size_t openRequests() const { return state_->openRequests.load(std::memory_order_relaxed); }
 
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -351,13 +351,15 @@
 
 bool SidecarProgram::hasStopped(TimePoint now) const
 {
-    if (!stopping_ || now - stopBegun_ < ReadinessGap) {
+    if (!stopping_) {
         return false;
     }
-    // Keys that nobody has taken over would wait for this node's lease to run out.
-    const bool idle = router_.openRequests() == 0 && gate_.openRequests() == 0
-                      && callers_->openRequests() == 0 && !ranges_.hasKeysToGive(now);
-    return idle || now - stopBegun_ >= settings_.shutdown - EndMargin;
+    // Not by open requests alone: the end of the process cuts connections on which a request has
+    // arrived that nobody has looked at, and answers that their callers have not read yet. Keys
+    // that nobody has taken over would wait for this node's lease to run out.
+    const bool isDone = callers_->hasEnded() && router_.openRequests() == 0
+                        && gate_.openRequests() == 0 && !ranges_.hasKeysToGive(now);
+    return isDone || now - stopBegun_ >= settings_.shutdown - EndMargin;
 }
 
 namespace {
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -55,7 +55,19 @@
     /** @return Whether @p settings differ from those that were read last. */
     bool isNews(const SidecarSettings &settings) const { return !(settings == known_); }
 
-    /** Takes no new work, finishes what runs. */
+    /**
+     * Begins a stop, which goes through these steps in this order:
+     * 1. At once: the platform is told "not ready", each answer announces the end of its
+     *    connection, keys are given away.
+     * 2. When other nodes have had time to follow: they are told to send nothing here any more.
+     * 3. When the platform sends no more callers: listening ends. Connections on which nothing has
+     *    arrived are closed; every request that has begun to arrive is answered or refused.
+     * 4. When the last connection and the last request of another node have ended: the process
+     * does.
+     *
+     * The time to end bounds all of them: no request is handed over that may outlive it, and what
+     * is still open shortly before it is cut.
+     */
     void beginStop();
 
     /** Takes the steps of the stop that are due. */
