Add: [Stop] A request that is passed on in a node's last second, as it fails today

A node whose process ends in 1 s turns long requests away from its own backend server, but passes them on to other nodes: 200 where the test wants 503.

--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -82,6 +82,41 @@
                          loads,   gate,  peers,    {NodeId(1), "domain", "one", {}}};
 };
 
+/** Another node, and the only one of the service that is ready. */
+struct Neighbour {
+    explicit Neighbour(Fixture &fixture) : peers(fixture.context, "127.0.0.1", 0)
+    {
+        peers.serve("/hop", [this](std::string body) { return onHop(std::move(body)); });
+        peers.start();
+        MemberRecord first;
+        first.node = NodeId(1);
+        first.service = "one";
+        first.state = BackendState::Draining;
+        fixture.view.onMember(first, StoreRevision(2));
+        MemberRecord second = first;
+        second.node = NodeId(2);
+        second.ip = "127.0.0.1";
+        second.peerPort = peers.port();
+        second.backend = "b-2";
+        second.slots = 4;
+        second.state = BackendState::Ready;
+        fixture.view.onMember(second, StoreRevision(3));
+    }
+
+    asio::awaitable<std::string> onHop(std::string)
+    {
+        ++hops;
+        v1::HopReply reply;
+        reply.set_outcome(v1::HOP_OUTCOME_DONE);
+        reply.set_status(200);
+        reply.set_reached_backend(true);
+        co_return reply.SerializeAsString();
+    }
+
+    PeerLink peers;
+    uint32_t hops = 0;
+};
+
 std::string answerWith(const std::string &status)
 {
     return "HTTP/1.1 " + status
@@ -124,6 +159,21 @@
     cr_assert_eq(fixture.backend->requests().size(), 1U);
 }
 
+// The same for a request that another node would serve: the caller's connection is cut with the
+// process that waits for the answer, while the request runs there. Turned away before it is passed
+// on, it has provably not.
+Test(request_router, a_node_that_ends_passes_nothing_on_that_may_outlive_it)
+{
+    Fixture fixture({{answerWith("200 OK")}});
+    Neighbour neighbour(fixture);
+    fixture.gate.endAt(fixture.clock.now() + LongTime + LongTime);
+    cr_assert_eq(fixture.ask().result_int(), 200U);
+    cr_assert_eq(neighbour.hops, 1U);
+    fixture.gate.endAt(fixture.clock.now() + milliseconds(1000));
+    cr_assert_eq(fixture.ask().result_int(), 503U);
+    cr_assert_eq(neighbour.hops, 1U);
+}
+
 // The same where the answer was lost: the request may have run, and no refusal may hide that.
 Test(request_router, a_lost_answer_is_not_turned_into_a_refusal)
 {
