Fix: [Stop] A node that ends passes nothing on that may outlive it

Cause: only the gate beside a node's own backend server turned away what may run beyond the end of the process. The router passed such requests on to other nodes, where they ran while their callers' connections were cut.

--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -84,9 +84,9 @@
     return load;
 }
 
-bool BackendGate::mayOutlive(const Call &call, TimePoint now) const
+bool BackendGate::mayOutlive(TimePoint deadline, TimePoint now) const
 {
-    return endsAt_ && std::min(call.deadline, now + LongWork) > *endsAt_;
+    return endsAt_ && std::min(deadline, now + LongWork) > *endsAt_;
 }
 
 RequestEnd BackendGate::check(const v1::HopRequest &request, const Call &call, TimePoint now) const
@@ -94,7 +94,7 @@
     if (call.cancelled) {
         return RequestEnd::CallerGone;
     }
-    if ((closed_ && !request.keyed()) || mayOutlive(call, now)
+    if ((closed_ && !request.keyed()) || mayOutlive(call.deadline, now)
         || monitor_.state() != BackendState::Ready || monitor_.service() != request.service()) {
         return RequestEnd::NoBackend;
     }
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -64,6 +64,9 @@
     /** The process ends at @p end at the latest: no request is admitted that may run beyond it. */
     void endAt(TimePoint end) { endsAt_ = end; }
 
+    /** @return Whether a request with @p deadline may still run when the process ends. */
+    bool mayOutlive(TimePoint deadline, TimePoint now) const;
+
     /** @param action Runs when requests show that the backend server's state has changed. */
     void onMonitorChange(std::function<void()> action) { monitorChanged_ = std::move(action); }
 
@@ -91,7 +94,6 @@
 
     RequestEnd check(const v1::HopRequest &request, const Call &call, TimePoint now) const;
     bool isWorking() const;
-    bool mayOutlive(const Call &call, TimePoint now) const;
     asio::awaitable<RequestEnd> awaitSlot(const v1::HopRequest &request, std::shared_ptr<Call> call,
                                           v1::HopReply &reply);
     asio::awaitable<void> serve(const v1::HopRequest &request, std::shared_ptr<Call> call,
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -282,6 +282,10 @@
         co_return makeVerdictReply(RequestStage::Received, RequestEnd::NoBackend);
     }
     work->asked.insert(work->target);
+    if (gate_.mayOutlive(work->deadline, now)) {
+        // Its caller's connection would be cut with this process while the request runs elsewhere.
+        co_return makeVerdictReply(RequestStage::Received, RequestEnd::NoBackend);
+    }
     if (loads_.isShunned(work->target, now)) {
         // Its keys are served again when the node is back or its lease has been taken away, in
         // seconds: whoever waits here for a connection that cannot come is refused later instead.
