--- a/src/adapter/http/http_connection.cpp
+++ b/src/adapter/http/http_connection.cpp
@@ -82,9 +82,21 @@
 asio::awaitable<void> HttpConnection::readLoop()
 {
     while (!closed_) {
+        if (mayEndIdle()) {
+            close();
+            co_return;
+        }
         beast::error_code error;
         const size_t count = co_await socket_.async_read_some(
                 asio::buffer(chunk_), asio::redirect_error(asio::use_awaitable, error));
+        if (closed_) {
+            // A read may have ended well before the close, with its bytes still to be looked at. A
+            // request among them would run and find no connection for its answer.
+            co_return;
+        }
+        if (error == asio::error::operation_aborted) {
+            continue; // By closeIfIdle(): what has come by now decides.
+        }
         if (error) {
             onCallerGone();
             co_return;
@@ -95,8 +107,7 @@
         }
         if (buffer_.size() + count > MostUnread && parked_) {
             // Behind the answers that are due the caller sends the rest again.
-            reading_ = false;
-            parked_.reset();
+            readNoMore();
             continue;
         }
         const asio::mutable_buffer space = buffer_.prepare(count);
@@ -118,6 +129,8 @@
         parser_->header_limit(server_->limits.headerBytes);
         parser_->body_limit(server_->limits.bodyBytes);
         parser_->eager(true);
+        server_->openRequests.fetch_add(1, std::memory_order_relaxed);
+        counted_ = true;
     }
     beast::error_code error;
     const bool hadHead = parser_->is_header_done();
@@ -148,8 +161,6 @@
 bool HttpConnection::checkHead()
 {
     parser_->eager(true);
-    server_->openRequests.fetch_add(1, std::memory_order_relaxed);
-    counted_ = true;
     // Two framings of one message let the two ends of a connection disagree where it ends; the
     // rest of the first caller's bytes would then be read as another caller's request.
     if (hasAmbiguousFraming(parser_->get())) {
@@ -257,9 +268,8 @@
     writing_ = true;
     while (!closed_ && !due_.empty() && due_.front()->response) {
         const ExchangePtr exchange = due_.front();
-        if (server_->stopping || server_->closing) {
-            reading_ = false;
-            parked_.reset();
+        if ((server_->stopping || server_->closing) && !exchange->isInterim) {
+            readNoMore();
         }
         const bool last = !reading_ && due_.size() == 1 && !exchange->isInterim;
         const bool written = co_await write(*exchange, last);
@@ -272,7 +282,7 @@
         }
         if (!written) {
             close();
-        } else if (last) {
+        } else if (!reading_ && due_.empty()) {
             endAnswers();
         } else {
             dispatchParked();
@@ -313,10 +323,21 @@
     co_return !error;
 }
 
-void HttpConnection::onCallerGone()
+/** Ends the connection with the answers to what has been passed on. */
+void HttpConnection::readNoMore()
 {
     reading_ = false;
     parked_.reset();
+    // Leave to send a body that is not read would be followed by no answer. The first one stays: it
+    // may be on its way, and the connection ends when it has been written.
+    if (due_.size() > 1 && due_.back()->isInterim) {
+        due_.pop_back();
+    }
+}
+
+void HttpConnection::onCallerGone()
+{
+    readNoMore();
     const std::deque<ExchangePtr> due = due_;
     for (const ExchangePtr &exchange : due) {
         exchange->caller->markGone();
@@ -356,13 +377,22 @@
 
 bool HttpConnection::isIdle() const
 {
-    return due_.empty() && !counted_ && !parked_;
+    return due_.empty() && !counted_ && !parked_ && !shutDown_;
+}
+
+bool HttpConnection::mayEndIdle() const
+{
+    beast::error_code ignored;
+    return server_->closed && isIdle() && socket_.available(ignored) == 0;
 }
 
 void HttpConnection::closeIfIdle()
 {
-    if (isIdle() && !shutDown_) {
-        close();
+    if (isIdle()) {
+        // Nobody but the read loop knows whether a read has just ended with a request's first
+        // bytes. It is woken from a read that has not, and ends the connection or reads on.
+        beast::error_code ignored;
+        socket_.cancel(ignored);
     }
 }
 
