--- a/test/unit/range/range_duty_test.cpp
+++ b/test/unit/range/range_duty_test.cpp
@@ -341,6 +341,47 @@
     cr_assert(!twice);
 }
 
+// Two backend servers hold the same keys. A leaving node writes its released keys to another one,
+// and the store's answer is lost. It reads the record back and plans on it, while it still counts
+// the keys as its own to give: they go to a third one, and the second is never asked to release
+// them.
+Test(range_duty, keys_that_were_handed_over_are_not_given_on_again)
+{
+    OwnershipFleet fleet;
+    OwnershipNode &leaving = fleet.add(1, "b-1");
+    fleet.add(2, "b-2");
+    fleet.add(3, "b-3");
+    cr_assert(fleet.reaches([&]() { return isEachServedByOne(fleet); }, Patience));
+    fleet.holdNews(true); // What the node knows of the table is what it reads itself.
+    const auto tableNow = [&fleet]() {
+        const StoredRecord *record = fleet.store().find(RecordKind::Ranges, "s");
+        return decodeRangeRecord(record->content).assume_value().table;
+    };
+    RangeTable known = tableNow();
+    bool givenOnAgain = false;
+    fleet.store().onWrite([&]() {
+        const RangeTable written = tableNow();
+        for (uint32_t key = Low.value(); key <= LastShardKey.value(); key += SampleEvery) {
+            const RangeEntry &before = *known.find(ShardKey(key));
+            const RangeEntry &after = *written.find(ShardKey(key));
+            const bool changed
+                    = before.holder.node != after.holder.node || before.fence != after.fence;
+            givenOnAgain |= changed && before.holder.node != leaving.record.node;
+        }
+        // The answers to the hand-over are lost, not those to renewals of leases.
+        if (!(written == known)) {
+            fleet.store().loseAnswers(1);
+        }
+        known = written;
+    });
+    (void)leaving.monitor.onDeregister("b-1");
+    leaving.duty.wake();
+    cr_assert(
+            fleet.reaches([&]() { return countKeys(known, leaving.record.node) == 0; }, Patience));
+    (void)fleet.reaches([&]() { return givenOnAgain; }, std::chrono::seconds(1));
+    cr_assert(!givenOnAgain);
+}
+
 // A backend server crashes and starts again under its id before anybody has noticed. Its first
 // heartbeat is answered while the node still lists what it has granted to the earlier life; granted
 // to the new one under the same fence, the keys could not be told from those of the old.
