--- /dev/null
+++ b/src/duty/range_duty_heartbeat.cpp
@@ -0,0 +1,100 @@
+/** @file range_duty_heartbeat.cpp What the answers to the backend server's heartbeats grant. */
+
+#include "adapter/log/event_log.h"
+#include "duty/range_duty.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace wisteriahoist {
+
+namespace {
+
+/**
+ * An answer without news is held back for so long. It counts only within a second of the sending of
+ * its heartbeat, which is on its way for a moment and at times for longer.
+ */
+constexpr milliseconds AnswerHeldFor{500};
+
+} // namespace
+
+bool RangeDuty::grantsByHeartbeat() const
+{
+    return isSharded() && service()->grants == GrantForm::Heartbeat;
+}
+
+asio::awaitable<std::optional<HoldOrder>> RangeDuty::answerReport(HoldReport report, bool atOnce,
+                                                                  TimePoint receivedAt)
+{
+    // The heartbeat may be the first of another life, whose predecessor's grants are still listed.
+    if (const StoredTable *stored = view_.findTable(self_.service)) {
+        keeper_.onTable(stored->table, holder(), receivedAt);
+    }
+    keeper_.onHolds(report, receivedAt);
+    if (keeper_.hasLeaving()) {
+        wake();
+    }
+    const uint64_t number = ++reports_;
+    if (heldAnswer_) {
+        heldAnswer_->timer->cancel(); // Its heartbeat has been given up.
+    }
+    if (!atOnce && !hasHoldNews(report, receivedAt)) {
+        co_await awaitHoldNews(report, receivedAt);
+    }
+    if (number != reports_ || hasRangesToAdopt()) {
+        co_return std::nullopt;
+    }
+    const TimePoint now = clock_.now();
+    std::optional<HoldOrder> order = keeper_.takeHolds(receivedAt, authority_.validUntil(), now);
+    if (order && order->leftOut > 0 && leftOutLines_.tryTake(now)) {
+        logEvent(LogEvent::RangesLeftOut,
+                 {{"ranges", order->leftOut}, {"granted", order->rows.size()}});
+    }
+    co_return order;
+}
+
+/**
+ * A node that has restarted, or has lost its lease, has a new life, and the table still names the
+ * one before. An answer that grants nothing then would make the backend server release all that it
+ * holds, a moment before the node adopts just that.
+ */
+bool RangeDuty::hasRangesToAdopt() const
+{
+    const StoredTable *stored = view_.findTable(self_.service);
+    const std::optional<RangeHolder> self = holder();
+    return stored == nullptr || !self
+           || std::any_of(stored->table.entries.begin(), stored->table.entries.end(),
+                          [&self](const RangeEntry &entry) {
+                              return entry.holder.node == self->node
+                                     && entry.holder.backend == self->backend
+                                     && entry.holder.life != self->life;
+                          });
+}
+
+bool RangeDuty::hasHoldNews(const HoldReport &report, TimePoint now) const
+{
+    return authority_.validUntil() > now && !keeper_.isAsReported(report);
+}
+
+asio::awaitable<void> RangeDuty::awaitHoldNews(const HoldReport &report, TimePoint receivedAt)
+{
+    asio::steady_timer timer(context_);
+    timer.expires_after(receivedAt + AnswerHeldFor - clock_.now());
+    const HeldAnswer held{&report, &timer};
+    heldAnswer_ = held;
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    if (heldAnswer_ && heldAnswer_->timer == &timer) {
+        heldAnswer_.reset();
+    }
+}
+
+void RangeDuty::releaseHeldAnswer(TimePoint now)
+{
+    if (heldAnswer_ && hasHoldNews(*heldAnswer_->report, now)) {
+        heldAnswer_->timer->cancel();
+    }
+}
+
+} // namespace wisteriahoist
