Add: [Signals] On what proof a range goes to another holder

A node now logs range-given-on (the ground, the heartbeats that listed the range, told its release and listed it no more, the age of each, what was granted last, the fence that was released beside the fence that the table has), ranges-offered (what the answer to a heartbeat newly grants, under how much authority) and, with lease-revoked, the evidence for it. Bounded by budgets of lines, never blocking.

--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -50,6 +50,8 @@
         {LogEvent::GrantRefused, "grant-refused", LogSeverity::Warning},
         {LogEvent::LeaseRevoked, "lease-revoked", LogSeverity::Warning},
         {LogEvent::RangeLeaving, "range-leaving", LogSeverity::Info},
+        {LogEvent::RangeGivenOn, "range-given-on", LogSeverity::Info},
+        {LogEvent::RangesOffered, "ranges-offered", LogSeverity::Info},
         {LogEvent::RangesChanging, "ranges-changing", LogSeverity::Info},
         {LogEvent::RangesWritten, "ranges-written", LogSeverity::Info},
         {LogEvent::RangesNotWritten, "ranges-not-written", LogSeverity::Warning},
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -57,6 +57,8 @@
     GrantRefused,     ///< The backend server has seen a higher fence.
     LeaseRevoked,     ///< This node has taken another one's lease away.
     RangeLeaving,     ///< A range is being released for another holder.
+    RangeGivenOn,     ///< A range is about to go to another holder: on what proof.
+    RangesOffered,    ///< The answer to a heartbeat grants ranges that it did not list.
     RangesChanging,   ///< Why ranges are about to be written to other holders; one line a cause.
     RangesWritten,    ///< This node has changed the table of its service.
     RangesNotWritten, ///< The change failed, or its outcome is not known.
--- a/src/decision/range/hold_report.h
+++ b/src/decision/range/hold_report.h
@@ -24,6 +24,7 @@
 struct HoldReport {
     std::vector<HeldKeys> holds;
     std::vector<ReleasedKeys> released; ///< Since the last heartbeat that was acknowledged.
+    uint64_t sequence = 0;              ///< Of the heartbeat, within the life that sent it.
     bool operator==(const HoldReport &) const = default;
 };
 
--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -43,6 +43,19 @@
 
 } // namespace
 
+std::string_view releaseGroundName(ReleaseGround ground)
+{
+    switch (ground) {
+    case ReleaseGround::Answered:
+        return "release-answered";
+    case ReleaseGround::NotListed:
+        return "not-listed";
+    case ReleaseGround::GrantsRunOut:
+        return "grants-run-out";
+    }
+    return "unknown";
+}
+
 TimePoint RangeKeeper::lapseOf(const GrantTimes &times, milliseconds hold, TimePoint now)
 {
     const auto drift = std::chrono::duration_cast<Duration>(hold * times.driftShare);
@@ -151,6 +164,7 @@
     for (Held *due : dueForGrant(now)) {
         Held &held = *due;
         held.granting = true;
+        held.proof.grantedAt = now;
         // One that was cut short by a split counts as unanswered.
         held.unansweredUntil = std::max(held.unansweredUntil, held.pendingUntil);
         held.pendingUntil = lapseOf(times_, hold, now);
@@ -279,6 +293,8 @@
     }
     held->released = true;
     held->releaseToken = handover;
+    held->proof.ground = ReleaseGround::Answered;
+    held->proof.confirmedAt = now;
 }
 
 std::vector<ReleasedRange> RangeKeeper::releasedRanges(TimePoint now) const
@@ -289,7 +305,11 @@
         const bool confirmed = held.released && lateUntil <= now;
         const bool outwaited = std::max(held.lapsesAt, lateUntil) <= now;
         if (held.leaving && (confirmed || outwaited)) {
-            released.push_back({held.span, held.fence, held.releaseToken});
+            ReleaseProof proof = held.proof;
+            proof.ground = confirmed ? proof.ground : ReleaseGround::GrantsRunOut;
+            proof.lapsesAt = held.lapsesAt;
+            proof.unansweredUntil = lateUntil;
+            released.push_back({held.span, held.fence, held.releaseToken, proof});
         }
     }
     return released;
@@ -305,10 +325,13 @@
 void RangeKeeper::onHolds(const HoldReport &report, TimePoint now)
 {
     for (Held &held : held_) {
-        held.taken |= areShown(report.holds, held.span, held.fence);
+        if (areShown(report.holds, held.span, held.fence)) {
+            held.taken = true;
+            held.proof.shownIn = report.sequence;
+        }
     }
     for (const ReleasedKeys &released : report.released) {
-        takeReleased(released);
+        takeReleased(released, report.sequence);
     }
     for (Held &held : held_) {
         if (!held.leaving) {
@@ -318,8 +341,14 @@
             // shown nor told as released may still be taken up, or has been since: the heartbeat
             // may have been sent before the answer that grants it was read, and arrive long after.
             // So it waits until the latest grant has run out.
-            held.released
-                    |= held.releaseTold || std::max(held.lapsesAt, held.unansweredUntil) <= now;
+            const bool hasRunOut = std::max(held.lapsesAt, held.unansweredUntil) <= now;
+            if (!held.released && (held.releaseTold || hasRunOut)) {
+                held.released = true;
+                held.proof.ground
+                        = held.releaseTold ? ReleaseGround::NotListed : ReleaseGround::GrantsRunOut;
+                held.proof.leftOutOf = report.sequence;
+                held.proof.confirmedAt = now;
+            }
         }
     }
 }
@@ -330,13 +359,14 @@
  * another fence may be that of before, told by a heartbeat that was sent before they were taken up
  * again. Only what was shown under its present fence can have been released under it.
  */
-void RangeKeeper::takeReleased(const ReleasedKeys &released)
+void RangeKeeper::takeReleased(const ReleasedKeys &released, uint64_t sequence)
 {
     cutLeavingAt(released.span.first.value());
     cutLeavingAt(released.span.last.value() + 1);
     for (Held &held : held_) {
         if (held.leaving && held.taken && !held.released && released.span.covers(held.span)) {
             held.releaseTold = true;
+            held.proof.toldIn = sequence;
             held.releaseToken = released.handover;
         }
     }
@@ -431,6 +461,7 @@
     }
     held.confirmedUntil = std::max(held.confirmedUntil, receivedAt + hold);
     held.offered = true;
+    held.proof.grantedAt = now;
 }
 
 bool RangeKeeper::isLeaving(ShardKey key) const
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -6,6 +6,7 @@
 #include "decision/range/hold_report.h"
 
 #include <optional>
+#include <string_view>
 
 namespace wisteriahoist {
 
@@ -75,11 +76,34 @@
     NotSent,     ///< Its connection was refused: it takes no effect.
 };
 
+/** What shows that a backend server holds a range no more. */
+enum class ReleaseGround {
+    Answered,     ///< The backend server has answered the release.
+    NotListed,    ///< A heartbeat has told the release, and one does not list the range any more.
+    GrantsRunOut, ///< The latest grant has run out on the slowest clock.
+};
+
+std::string_view releaseGroundName(ReleaseGround ground);
+
+/** The inputs of the decision that a range is held no more; a heartbeat is named by its sequence.
+ */
+struct ReleaseProof {
+    ReleaseGround ground = ReleaseGround::GrantsRunOut;
+    uint64_t shownIn = 0;                  ///< Latest heartbeat that listed it under its fence.
+    uint64_t toldIn = 0;                   ///< Heartbeat that told its release; 0: none.
+    uint64_t leftOutOf = 0;                ///< Heartbeat that confirmed the end of work; 0: none.
+    TimePoint confirmedAt = NeverTime;     ///< When the ground became known, if not by time alone.
+    TimePoint grantedAt = NeverTime;       ///< Sending of the latest grant; never: none is known.
+    TimePoint lapsesAt = NeverTime;        ///< Of the latest grant.
+    TimePoint unansweredUntil = NeverTime; ///< Until when a grant without an answer may count.
+};
+
 /** A range that the backend server holds no more and that may be given to another one. */
 struct ReleasedRange {
     KeySpan span;
     Epoch fence;
     std::string handover; ///< Empty if it was not released but outwaited.
+    ReleaseProof proof;
 };
 
 /**
@@ -190,6 +214,7 @@
         bool shown = false;                 ///< The latest heartbeat has shown it as held.
         bool taken = false;                 ///< A heartbeat has shown it as held under its fence.
         uint32_t missing = 0;               ///< Heartbeats in a row that did not, though offered.
+        ReleaseProof proof;                 ///< What is known of its end so far.
 
         bool isWanted() const { return !leaving && !refused; }
     };
@@ -200,7 +225,7 @@
     void rememberDropped(const RangeTable &table, const std::vector<Held> &next);
     void takeEntry(const KeySpan &span, const RangeEntry &entry, TimePoint now,
                    std::vector<Held> &next) const;
-    void takeReleased(const ReleasedKeys &released);
+    void takeReleased(const ReleasedKeys &released, uint64_t sequence);
     void noteShown(Held &held, bool shown) const;
     void offer(Held &held, milliseconds hold, TimePoint receivedAt, TimePoint now) const;
     void cutLeavingAt(uint32_t key);
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -34,13 +34,13 @@
 /** A node that has not been reached for so long may be lost; its witnesses and its lease decide. */
 constexpr milliseconds SuspectAfter{500};
 
+} // namespace
+
 std::string holderText(const RangeHolder &holder)
 {
     return std::to_string(holder.node.value()) + "/" + holder.backend.text();
 }
 
-} // namespace
-
 RangeDuty::RangeDuty(asio::io_context &context, const Clock &clock, RecordStore &store,
                      BackendControl &backend, FleetView &view, BackendMonitor &monitor,
                      PeerLoads &loads, PeerLink &peers, const MemberRecord &self, GrantTimes grants)
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -20,6 +20,9 @@
 
 namespace wisteriahoist {
 
+/** @return Node and backend server of @p holder, for the log. */
+std::string holderText(const RangeHolder &holder);
+
 /** Asks another node whether it is there. @return Whether it answered. */
 using PeerProbe = std::function<asio::awaitable<bool>(const MemberRecord &)>;
 
@@ -115,13 +118,17 @@
     void watchOthers();
     void probeQuiet(TimePoint now);
     asio::awaitable<bool> fenceAtWitnesses(NodeId node, const LeaseRecord &lease);
-    asio::awaitable<void> revoke(NodeId node, StoreRevision revision);
+    asio::awaitable<void> revoke(NodeId node, StoreRevision revision, std::string_view evidence);
     void sendOrders(TimePoint now);
     std::optional<RangeTable> planTable(const StoredTable &stored, TimePoint now);
     void logChange(std::string_view cause, const RangeTable &before, const RangeTable &after,
                    TimePoint now) const;
     RangeTable giveFreeRanges(RangeTable table, TimePoint now);
     RangeTable handReleasedOver(RangeTable table, TimePoint now);
+    void logGivenOn(const ReleasedRange &released, const RangeHolder &target,
+                    const RangeTable &table, TimePoint now);
+    void logOffered(const HoldReport &report, const HoldOrder &order, TimePoint receivedAt,
+                    TimePoint now);
     bool isFreeForAll(const RangeHolder &holder) const;
     asio::awaitable<void> createTable();
     asio::awaitable<void> checkHolder(NodeId node);
@@ -166,6 +173,8 @@
     bool renewing_ = false;
     std::optional<HeldAnswer> heldAnswer_; ///< Of the newest heartbeat, while it waits.
     LineBudget leftOutLines_{1, 5};        ///< Each heartbeat would say the same.
+    LineBudget givenOnLines_{20, 200};     ///< A plan whose write failed is made again.
+    LineBudget offeredLines_{5, 50};
     uint64_t reports_ = 0; ///< Heartbeats so far; only the newest one is granted to.
     size_t checking_ = 0;  ///< Holders that are being looked at.
     /** A record of ranges whose write failed: not written again before its newest state is known.
--- a/src/duty/range_duty_heartbeat.cpp
+++ b/src/duty/range_duty_heartbeat.cpp
@@ -16,6 +16,7 @@
  * its heartbeat, which is on its way for a moment and at times for longer.
  */
 constexpr milliseconds AnswerHeldFor{500};
+constexpr size_t SpansInLine = 12; ///< Bounds the length of a line.
 
 } // namespace
 
@@ -51,9 +52,42 @@
         logEvent(LogEvent::RangesLeftOut,
                  {{"ranges", order->leftOut}, {"granted", order->rows.size()}});
     }
+    if (order) {
+        logOffered(report, *order, receivedAt, now);
+    }
     co_return order;
 }
 
+/** Only ranges that the heartbeat did not list: renewals would be a line for each heartbeat. */
+void RangeDuty::logOffered(const HoldReport &report, const HoldOrder &order, TimePoint receivedAt,
+                           TimePoint now)
+{
+    std::string spans;
+    size_t count = 0;
+    for (const OfferedKeys &row : order.rows) {
+        const HeldKeys held{row.span, row.fence};
+        if (std::find(report.holds.begin(), report.holds.end(), held) != report.holds.end()) {
+            continue;
+        }
+        if (++count <= SpansInLine) {
+            spans += (spans.empty() ? "" : " ") + std::to_string(row.span.first.value()) + "-"
+                     + std::to_string(row.span.last.value()) + "@"
+                     + std::to_string(row.fence.value());
+        }
+    }
+    if (count == 0 || !offeredLines_.tryTake(now)) {
+        return;
+    }
+    const auto held = std::chrono::duration_cast<milliseconds>(now - receivedAt);
+    const auto authority = std::chrono::duration_cast<milliseconds>(authority_.validUntil() - now);
+    logEvent(LogEvent::RangesOffered, {{"sequence", report.sequence},
+                                       {"ranges", count},
+                                       {"spans", spans},
+                                       {"hold_ms", order.hold.count()},
+                                       {"answer_held_ms", held.count()},
+                                       {"authority_ms", authority.count()}});
+}
+
 /**
  * A node that has restarted, or has lost its lease, has a new life, and the table still names the
  * one before. An answer that grants nothing then would make the backend server release all that it
--- a/src/duty/range_duty_plan.cpp
+++ b/src/duty/range_duty_plan.cpp
@@ -50,11 +50,45 @@
     return idlest == others.end() ? RangeHolder{} : idlest->holder;
 }
 
+/** Times are relative to now, in milliseconds; what has never been is left out as -1. */
+void RangeDuty::logGivenOn(const ReleasedRange &released, const RangeHolder &target,
+                           const RangeTable &table, TimePoint now)
+{
+    if (!givenOnLines_.tryTake(now)) {
+        return;
+    }
+    const auto ago = [now](TimePoint time) -> int64_t {
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(now - time);
+        return time == NeverTime ? -1 : elapsed.count();
+    };
+    const auto left = [now](TimePoint time) {
+        const auto remaining = std::chrono::duration_cast<milliseconds>(time - now);
+        return std::max<int64_t>(0, remaining.count());
+    };
+    const ReleaseProof &proof = released.proof;
+    const RangeEntry *entry = table.find(released.span.first);
+    logEvent(LogEvent::RangeGivenOn, {{"first", released.span.first.value()},
+                                      {"last", released.span.last.value()},
+                                      {"fence", released.fence.value()},
+                                      {"table_fence", entry == nullptr ? 0 : entry->fence.value()},
+                                      {"to", holderText(target)},
+                                      {"proof", releaseGroundName(proof.ground)},
+                                      {"confirmed_ms_ago", ago(proof.confirmedAt)},
+                                      {"shown_in", proof.shownIn},
+                                      {"told_in", proof.toldIn},
+                                      {"left_out_of", proof.leftOutOf},
+                                      {"granted_ms_ago", ago(proof.grantedAt)},
+                                      {"grant_runs_ms", left(proof.lapsesAt)},
+                                      {"unanswered_ms", left(proof.unansweredUntil)},
+                                      {"backend_state", static_cast<int64_t>(monitor_.state())}});
+}
+
 RangeTable RangeDuty::handReleasedOver(RangeTable table, TimePoint now)
 {
     for (const ReleasedRange &released : keeper_.releasedRanges(now)) {
         const RangeHolder target = targetOf(released.span, now);
         if (!target.isNobody()) {
+            logGivenOn(released, target, table, now);
             table = giveRange(std::move(table), released.span, target, released.handover);
         }
     }
--- a/src/duty/range_duty_takeover.cpp
+++ b/src/duty/range_duty_takeover.cpp
@@ -87,13 +87,15 @@
     LeaseObserver &observer
             = observers_.try_emplace(node, LeaseObserver(StoreLeaseTimes{})).first->second;
     observer.onRead(revision.value(), clock_.now());
-    bool over = observer.isOver(clock_.now());
-    if (!absent && !over) {
+    if (absent) {
+        co_await revoke(node, revision, "no lease");
+    } else if (observer.isOver(clock_.now())) {
+        co_await revoke(node, revision, "lease run out");
+    } else {
         Result<LeaseRecord> lease = decodeLease(stored.assume_value().content);
-        over = lease && co_await fenceAtWitnesses(node, lease.assume_value());
-    }
-    if (over) {
-        co_await revoke(node, revision);
+        if (lease && co_await fenceAtWitnesses(node, lease.assume_value())) {
+            co_await revoke(node, revision, "fenced at all witnesses");
+        }
     }
 }
 
@@ -120,7 +122,8 @@
     co_return takeover != takeovers_.end() && takeover->second.isDue(clock_.now());
 }
 
-asio::awaitable<void> RangeDuty::revoke(NodeId node, StoreRevision revision)
+asio::awaitable<void> RangeDuty::revoke(NodeId node, StoreRevision revision,
+                                        std::string_view evidence)
 {
     std::set<Incarnation> lives;
     const StoredTable *stored = view_.findTable(self_.service);
@@ -144,7 +147,10 @@
     if (!written) {
         co_return;
     }
-    logEvent(LogEvent::LeaseRevoked, {{"node", node.value()}, {"revision", revision.value()}});
+    logEvent(LogEvent::LeaseRevoked, {{"node", node.value()},
+                                      {"revision", revision.value()},
+                                      {"evidence", std::string(evidence)},
+                                      {"lives", lives.size()}});
     revoked_[node].insert(lives.begin(), lives.end());
     wake();
 }
--- a/test/unit/platform/decoding_test.cpp
+++ b/test/unit/platform/decoding_test.cpp
@@ -131,7 +131,8 @@
     cr_assert(report.backend == BackendLife("i-7", 1700));
     const HoldReport expected{{{{ShardKey(0), ShardKey(4095)}, Epoch(7)},
                                {{ShardKey(4096), ShardKey(5000)}, Epoch(9)}},
-                              {{{ShardKey(5001), ShardKey(6000)}, "5c0e"}}};
+                              {{{ShardKey(5001), ShardKey(6000)}, "5c0e"}},
+                              4};
     cr_assert(report.holding == expected);
     SECTION("a service that is not divided by key says nothing of keys")
     {
