Fix: [Ownership] A grant that could not be sent in time was sent all the same

What callers saw: nothing yet.

Cause: a grant's hold counts from its arrival at the backend server, and the node notes its end from the order, with 100 ms for the way. A connection that opens late, or a process that stands still between the order and the first byte, makes it arrive up to 400 ms later, or as late as the process goes on; the keys are given on when the noted end is over, and are held by two for the rest.

Change: an order says by when its first byte has to be sent (80 ms); asked right before the byte is written, a later one is not sent and counts as never granted.

--- a/src/adapter/http/http_client.cpp
+++ b/src/adapter/http/http_client.cpp
@@ -158,6 +158,11 @@
         putIdle(std::move(connection), limits_.idleTime);
         co_return Failure{FailureCode::Unavailable, "cancelled before sending"};
     }
+    if (control->isInTime_ && !control->isInTime_()) {
+        control->tooLate_ = true;
+        putIdle(std::move(connection), limits_.idleTime);
+        co_return Failure{FailureCode::Unavailable, "too late to be sent"};
+    }
     control->stream_ = connection.get();
     request.version(11);
     if (request.find(http::field::host) == request.end()) {
--- a/src/adapter/http/http_client.h
+++ b/src/adapter/http/http_client.h
@@ -29,6 +29,12 @@
     /** @return Whether the address refused the connection: nothing listens there. */
     bool isRefused() const { return refused_; }
 
+    /** @return Whether nothing was sent since it was too late for that. */
+    bool isTooLate() const { return tooLate_; }
+
+    /** @param isInTime Asked right before the first byte is sent; if not, nothing is sent. */
+    void sendOnlyIf(std::function<bool()> isInTime) { isInTime_ = std::move(isInTime); }
+
     /** Answers for which @p belongs is false are dropped, and the next one is waited for. */
     void expect(std::function<bool(const HttpResponse &)> belongs)
     {
@@ -41,6 +47,8 @@
     RequestStage stage_ = RequestStage::Received;
     bool cancelled_ = false;
     bool refused_ = false;
+    bool tooLate_ = false;
+    std::function<bool()> isInTime_;                    ///< Empty: it is sent whenever that may be.
     std::function<bool(const HttpResponse &)> belongs_; ///< Empty: any answer belongs.
 };
 
--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -169,7 +169,7 @@
         held.unansweredUntil = std::max(held.unansweredUntil, held.pendingUntil);
         held.pendingUntil = lapseOf(times_, hold, now);
         held.lapsesAt = std::max(held.lapsesAt, held.pendingUntil);
-        orders.push_back({held.span, held.fence, hold, held.handover, now});
+        orders.push_back({held.span, held.fence, hold, held.handover, now, now + times_.sending});
     }
     return orders;
 }
@@ -225,6 +225,9 @@
     case OrderResult::NotSent:
         held.dueAt = order.sentAt + RefusalPause;
         break;
+    case OrderResult::TooLate:
+        held.dueAt = order.sentAt;
+        break;
     }
 }
 
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -30,7 +30,10 @@
     milliseconds least{300};
     /** A backend server's clock may run 2% slow: its hold lasts so much longer than ours. */
     double driftShare = 0.02;
-    /** Between the sending of a grant and its arrival on the same VM. */
+    /** From the order of a grant until its first byte is sent; later it is not sent at all. A
+     *  connection may have to be opened, and the process may stand still meanwhile. */
+    milliseconds sending{80};
+    /** Between the order of a grant and its arrival on the same VM. */
     milliseconds arrival{100};
     /**
      * An answer to a heartbeat takes effect only within a second of the heartbeat's sending, so
@@ -58,6 +61,7 @@
     milliseconds hold{0};
     std::string handover; ///< Empty: none.
     TimePoint sentAt = NeverTime;
+    TimePoint sendBy = NeverTime; ///< Sent later, it would last longer than is noted of it.
 };
 
 /** A call to the backend server: stop new work on these keys, answer when the old work has ended.
@@ -74,6 +78,7 @@
     HigherFence, ///< The backend server has seen a higher fence on one of the keys.
     Unanswered,  ///< It may take effect, also seconds later.
     NotSent,     ///< Its connection was refused: it takes no effect.
+    TooLate,     ///< It could not be sent in time, and was not: it takes no effect.
 };
 
 /** What shows that a backend server holds a range no more. */
