Fix: [Ownership] A second answer to a grant could be read as the answer to a release

What callers saw: nothing yet.

Cause: orders carry no id that is echoed, and share pooled connections. A backend server that sends an answer twice, the second one late, has it read where the next order's is due. If that is a release, its keys count as released while they are worked on, and go to another holder.

Change: a release has a connection of its own, on which no other answer can be due.

Evidence: backend_calls/a_second_answer_to_a_grant_is_not_taken_for_a_releases failed before.

--- a/src/adapter/http/http_client.cpp
+++ b/src/adapter/http/http_client.cpp
@@ -146,7 +146,7 @@
     if (!control) {
         control = std::make_shared<ExchangeControl>();
     }
-    Connection connection = takeIdle();
+    Connection connection = control->ownConnection_ ? nullptr : takeIdle();
     if (!connection) {
         Result<Connection> opened = co_await open(deadline, *control);
         if (!opened) {
@@ -186,7 +186,7 @@
     const bool headOnly = request.method() == http::verb::head;
     Result<HttpResponse> answer = co_await read(*connection, headOnly, *control);
     control->stream_ = nullptr;
-    if (answer && answer.assume_value().keep_alive()) {
+    if (answer && answer.assume_value().keep_alive() && !control->ownConnection_) {
         const std::chrono::milliseconds idleTime = idleTimeOf(answer.assume_value());
         putIdle(std::move(connection), idleTime);
     }
--- a/src/adapter/http/http_client.h
+++ b/src/adapter/http/http_client.h
@@ -29,6 +29,10 @@
     /** @return Whether the address refused the connection: nothing listens there. */
     bool isRefused() const { return refused_; }
 
+    /** The exchange gets a connection that no other one has used or will use, so that no answer of
+     *  another request can be read there. */
+    void useOwnConnection() { ownConnection_ = true; }
+
     /** @return Whether nothing was sent since it was too late for that. */
     bool isTooLate() const { return tooLate_; }
 
@@ -47,6 +51,7 @@
     RequestStage stage_ = RequestStage::Received;
     bool cancelled_ = false;
     bool refused_ = false;
+    bool ownConnection_ = false;
     bool tooLate_ = false;
     std::function<bool()> isInTime_;                    ///< Empty: it is sent whenever that may be.
     std::function<bool(const HttpResponse &)> belongs_; ///< Empty: any answer belongs.
--- a/test/support/scripted_backend.h
+++ b/test/support/scripted_backend.h
@@ -25,6 +25,8 @@
     bool close = false;       ///< Closes after the answer (or instead, if that is empty).
     bool silent = false;      ///< Neither answers nor closes.
     bool closeUnread = false; ///< Closes at once, without reading.
+    /** A second answer to an earlier request: written first, unless the connection is new. */
+    std::string stray{};
 };
 
 inline std::string makeAnswer(const std::string &body)
@@ -71,7 +73,7 @@
     asio::awaitable<void> serve(tcp::socket socket)
     {
         std::string buffer;
-        while (true) {
+        for (bool isNew = true;; isNew = false) {
             if (nextScript().closeUnread) {
                 ++next_;
                 co_return;
@@ -88,6 +90,10 @@
             ++next_;
             requests_.push_back(buffer.substr(0, length));
             buffer.clear();
+            if (!isNew && !script.stray.empty()) {
+                co_await asio::async_write(socket, asio::buffer(script.stray),
+                                           asio::redirect_error(asio::use_awaitable, error));
+            }
             asio::steady_timer timer(context_, script.delay);
             co_await timer.async_wait(asio::use_awaitable);
             if (!script.silent) {
--- a/test/unit/platform/backend_calls_test.cpp
+++ b/test/unit/platform/backend_calls_test.cpp
@@ -13,6 +13,7 @@
 
 const KeySpan Keys{ShardKey(0), ShardKey(99)};
 constexpr milliseconds Timeout{1000};
+constexpr milliseconds WorkTime{200}; ///< Until the work on released keys has ended.
 
 struct Fixture {
     explicit Fixture(std::vector<BackendScript> scripts)
@@ -28,6 +29,8 @@
         return runUntil(context, calls.grant(std::move(order), Timeout));
     }
 
+    OrderAnswer release() { return runUntil(context, calls.release({Keys, Epoch(1), 1}, Timeout)); }
+
     asio::io_context context;
     BootClockAdapter clock;
     std::shared_ptr<ScriptedBackend> backend;
@@ -44,6 +47,17 @@
 
 } // namespace
 
+// Guards against keys given on while at work: a grant's second answer read as a release's.
+Test(backend_calls, a_second_answer_to_a_grant_is_not_taken_for_a_releases)
+{
+    BackendScript released = answerWith("X-Wisteriahoist-Handover: token\r\n", WorkTime);
+    released.stray = makeAnswer("");
+    Fixture fixture({answerWith(""), released});
+    cr_assert(fixture.grant(fixture.clock.now() + Timeout).result == OrderResult::Accepted);
+    const OrderAnswer answer = fixture.release();
+    cr_assert(answer.result == OrderResult::Accepted && answer.handover == "token");
+}
+
 // Guards against a hold that outlasts what its node has noted: a grant sent after a standstill.
 Test(backend_calls, a_grant_that_is_late_is_not_sent)
 {
