--- a/src/duty/contact_duty.cpp
+++ b/src/duty/contact_duty.cpp
@@ -7,7 +7,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <random>
 
 namespace wisteriahoist {
 
@@ -29,19 +28,18 @@
 
 } // namespace
 
-Incarnation drawLife()
+Incarnation drawLife(RandomSource &random)
 {
-    std::random_device device;
-    const uint64_t high = device();
-    return Incarnation((high << 31U | device()) | 1U);
+    constexpr unsigned Spare = 1; // Bits that a signed number of 64 bits has no room for.
+    return Incarnation(random.next() >> Spare | 1U);
 }
 
-ContactDuty::ContactDuty(asio::io_context &context, const Clock &clock, PeerLink &peers,
-                         FleetView &view, PeerLoads &loads, GrantAuthority &authority, NodeId self,
-                         std::string failureDomain)
+ContactDuty::ContactDuty(asio::io_context &context, const Clock &clock, RandomSource &random,
+                         PeerCalls &peers, FleetView &view, PeerLoads &loads,
+                         GrantAuthority &authority, NodeId self, std::string failureDomain)
     : context_(context), clock_(clock), peers_(peers), view_(view), loads_(loads),
       authority_(authority), self_(self), failureDomain_(std::move(failureDomain)),
-      deskLife_(drawLife())
+      deskLife_(drawLife(random))
 {
     peers_.serve(std::string(HeartbeatPath),
                  [this](std::string body) { return onHeartbeat(std::move(body)); });
--- a/src/duty/contact_duty.h
+++ b/src/duty/contact_duty.h
@@ -4,14 +4,19 @@
 
 #include "decision/range/grant_authority.h"
 #include "duty/fleet_view.h"
-#include "duty/peer_link.h"
 #include "duty/peer_loads.h"
 #include "port/clock.h"
+#include "port/peer_calls.h"
+#include "port/random_source.h"
+
+#include <boost/asio/io_context.hpp>
 
 namespace wisteriahoist {
 
+namespace asio = boost::asio;
+
 /** @return A number that names one life of a process, or one session of it; never 0. */
-Incarnation drawLife();
+Incarnation drawLife(RandomSource &random);
 
 /** How a fence at one witness ended. */
 enum class FenceResult {
@@ -30,9 +35,9 @@
 class ContactDuty
 {
 public:
-    ContactDuty(asio::io_context &context, const Clock &clock, PeerLink &peers, FleetView &view,
-                PeerLoads &loads, GrantAuthority &authority, NodeId self,
-                std::string failureDomain);
+    ContactDuty(asio::io_context &context, const Clock &clock, RandomSource &random,
+                PeerCalls &peers, FleetView &view, PeerLoads &loads, GrantAuthority &authority,
+                NodeId self, std::string failureDomain);
 
     /**
      * Sends a heartbeat of @p life to each witness, if it is time.
@@ -58,7 +63,7 @@
 
     asio::io_context &context_;
     const Clock &clock_;
-    PeerLink &peers_;
+    PeerCalls &peers_;
     FleetView &view_;
     PeerLoads &loads_;
     GrantAuthority &authority_;
--- a/src/duty/peer_link.cpp
+++ b/src/duty/peer_link.cpp
@@ -40,8 +40,7 @@
     caller_.limitConnect(ConnectTimeout);
 }
 
-void PeerLink::serve(const std::string &path,
-                     std::function<asio::awaitable<std::string>(std::string)> answer)
+void PeerLink::serve(const std::string &path, Answer answer)
 {
     answers_[path] = std::move(answer);
 }
--- a/src/duty/peer_link.h
+++ b/src/duty/peer_link.h
@@ -3,21 +3,20 @@
 #pragma once
 
 #include "adapter/http2/peer_transport.h"
-#include "decision/member/member_type.h"
+#include "port/peer_calls.h"
 
 #include <map>
 
 namespace wisteriahoist {
 
-/** The connections of one node to the others, in both directions. Used by one thread. */
-class PeerLink
+/** The connections of one node to the others, in both directions. */
+class PeerLink final : public PeerCalls
 {
 public:
     PeerLink(asio::io_context &context, const std::string &ip, uint16_t port);
 
-    /** @param path Begins with a slash. @pre Called before start(). */
-    void serve(const std::string &path,
-               std::function<asio::awaitable<std::string>(std::string)> answer);
+    /** @pre Called before start(). */
+    void serve(const std::string &path, Answer answer) override;
 
     /** From now on calls that are meant for another node are not taken. */
     void identifyAs(NodeId self) { self_ = self; }
@@ -29,10 +28,8 @@
 
     uint16_t port() const { return listener_->port(); }
 
-    /** @return The reply's body; Unavailable if the peer never processed the call, also because
-     *          another node has its address by now. */
     asio::awaitable<Result<std::string>> call(const MemberRecord &member, std::string_view path,
-                                              std::string body, milliseconds timeout);
+                                              std::string body, milliseconds timeout) override;
 
 private:
     asio::awaitable<std::string> dispatch(std::string path, std::string body);
@@ -40,8 +37,7 @@
     PeerCaller caller_;
     NodeId self_; ///< InvalidNode: every call is taken.
     std::shared_ptr<PeerListener> listener_;
-    std::map<std::string, std::function<asio::awaitable<std::string>(std::string)>, std::less<>>
-            answers_;
+    std::map<std::string, Answer, std::less<>> answers_;
 };
 
 } // namespace wisteriahoist
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -7,8 +7,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace wisteriahoist {
 
@@ -41,14 +39,15 @@
     return std::to_string(holder.node.value()) + "/" + holder.backend.text();
 }
 
-RangeDuty::RangeDuty(asio::io_context &context, const Clock &clock, RecordStore &store,
-                     BackendControl &backend, FleetView &view, BackendMonitor &monitor,
-                     PeerLoads &loads, PeerLink &peers, const MemberRecord &self, GrantTimes grants)
-    : context_(context), clock_(clock), store_(store), backend_(backend), view_(view),
-      monitor_(monitor), loads_(loads), self_(self), session_(drawLife()),
-      keeper_(grants, RangeKeeper::lapseOf(grants, grants.hold, clock.now())),
-      contact_(context, clock, peers, view, loads, authority_, self.node, self.failureDomain),
-      random_(std::random_device{}()), wakeTimer_(context)
+RangeDuty::RangeDuty(const RangeDutyPorts &ports, FleetView &view, BackendMonitor &monitor,
+                     PeerLoads &loads, const MemberRecord &self, GrantTimes grants)
+    : context_(ports.context), clock_(ports.clock), timers_(ports.timers),
+      randomSource_(ports.random), store_(ports.store), backend_(ports.backend), view_(view),
+      monitor_(monitor), loads_(loads), self_(self), session_(drawLife(ports.random)),
+      keeper_(grants, RangeKeeper::lapseOf(grants, grants.hold, ports.clock.now())),
+      contact_(ports.context, ports.clock, ports.random, ports.peers, view, loads, authority_,
+               self.node, self.failureDomain),
+      random_(ports.random.next()), wakeTimer_(ports.timers.make())
 { }
 
 void RangeDuty::start()
@@ -60,7 +59,7 @@
 
 void RangeDuty::wake()
 {
-    wakeTimer_.cancel();
+    wakeTimer_->wake();
 }
 
 void RangeDuty::halt()
@@ -188,9 +187,7 @@
             sendOrders(now);
             releaseHeldAnswer(now);
         }
-        wakeTimer_.expires_after(sharded ? Tick : IdleTick);
-        boost::system::error_code ignored;
-        co_await wakeTimer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await wakeTimer_->wait(sharded ? Tick : IdleTick);
     }
 }
 
@@ -272,7 +269,7 @@
 {
     logEvent(LogEvent::LeaseLost, {{"session", session_.value()}});
     authority_.onRevoked();
-    session_ = drawLife();
+    session_ = drawLife(randomSource_);
 }
 
 asio::awaitable<void> RangeDuty::renewLease()
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -12,9 +12,9 @@
 #include "duty/fleet_view.h"
 #include "duty/peer_loads.h"
 #include "port/backend_control.h"
+#include "port/wake_timer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <set>
 
@@ -23,6 +23,17 @@
 /** @return Node and backend server of @p holder, for the log. */
 std::string holderText(const RangeHolder &holder);
 
+/** What the duty reaches the rest of the world through; each outlives the duty. */
+struct RangeDutyPorts {
+    asio::io_context &context;
+    const Clock &clock;
+    WakeTimers &timers;
+    RandomSource &random;
+    RecordStore &store;
+    BackendControl &backend;
+    PeerCalls &peers;
+};
+
 /** Asks another node whether it is there. @return Whether it answered. */
 using PeerProbe = std::function<asio::awaitable<bool>(const MemberRecord &)>;
 
@@ -42,9 +53,8 @@
     /** How often the other holders of the service are looked at. */
     static constexpr milliseconds WatchEvery{500};
 
-    RangeDuty(asio::io_context &context, const Clock &clock, RecordStore &store,
-              BackendControl &backend, FleetView &view, BackendMonitor &monitor, PeerLoads &loads,
-              PeerLink &peers, const MemberRecord &self, GrantTimes grants);
+    RangeDuty(const RangeDutyPorts &ports, FleetView &view, BackendMonitor &monitor,
+              PeerLoads &loads, const MemberRecord &self, GrantTimes grants);
 
     void start();
 
@@ -91,7 +101,7 @@
     /** A heartbeat whose answer is held back. */
     struct HeldAnswer {
         const HoldReport *report = nullptr;
-        asio::steady_timer *timer = nullptr;
+        WakeTimer *timer = nullptr;
     };
 
     const ServiceConfig *service() const;
@@ -142,6 +152,8 @@
 
     asio::io_context &context_;
     const Clock &clock_;
+    WakeTimers &timers_;
+    RandomSource &randomSource_;
     RecordStore &store_;
     BackendControl &backend_;
     FleetView &view_;
@@ -157,7 +169,7 @@
     KeyLoad load_;
     std::mt19937_64 random_;
     PeerProbe probe_;
-    asio::steady_timer wakeTimer_;
+    std::unique_ptr<WakeTimer> wakeTimer_;
     std::vector<RangeMove> targets_;            ///< Who is to get what is being released.
     std::map<NodeId, LeaseObserver> observers_; ///< Of nodes that do not answer.
     std::map<NodeId, Takeover> takeovers_;      ///< Of the same, where witnesses are known.
--- a/src/duty/range_duty_heartbeat.cpp
+++ b/src/duty/range_duty_heartbeat.cpp
@@ -4,8 +4,6 @@
 #include "duty/range_duty.h"
 
 #include <algorithm>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace wisteriahoist {
 
@@ -38,7 +36,7 @@
     }
     const uint64_t number = ++reports_;
     if (heldAnswer_) {
-        heldAnswer_->timer->cancel(); // Its heartbeat has been given up.
+        heldAnswer_->timer->wake(); // Its heartbeat has been given up.
     }
     if (!atOnce && !hasHoldNews(report, receivedAt)) {
         co_await awaitHoldNews(report, receivedAt);
@@ -113,13 +111,11 @@
 
 asio::awaitable<void> RangeDuty::awaitHoldNews(const HoldReport &report, TimePoint receivedAt)
 {
-    asio::steady_timer timer(context_);
-    timer.expires_after(receivedAt + AnswerHeldFor - clock_.now());
-    const HeldAnswer held{&report, &timer};
+    const std::unique_ptr<WakeTimer> timer = timers_.make();
+    const HeldAnswer held{&report, timer.get()};
     heldAnswer_ = held;
-    boost::system::error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    if (heldAnswer_ && heldAnswer_->timer == &timer) {
+    co_await timer->wait(receivedAt + AnswerHeldFor - clock_.now());
+    if (heldAnswer_ && heldAnswer_->timer == timer.get()) {
         heldAnswer_.reset();
     }
 }
@@ -127,7 +123,7 @@
 void RangeDuty::releaseHeldAnswer(TimePoint now)
 {
     if (heldAnswer_ && hasHoldNews(*heldAnswer_->report, now)) {
-        heldAnswer_->timer->cancel();
+        heldAnswer_->timer->wake();
     }
 }
 
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -2,13 +2,16 @@
 
 #pragma once
 
+#include "adapter/clock/asio_wake_timers.h"
 #include "adapter/clock/boot_clock_adapter.h"
 #include "adapter/http/http_server.h"
 #include "adapter/log/line_budget.h"
 #include "adapter/metrics/metric_registry.h"
+#include "adapter/random/mt_random_source.h"
 #include "duty/backend_gate.h"
 #include "duty/backend_watch.h"
 #include "duty/member_publisher.h"
+#include "duty/peer_link.h"
 #include "duty/range_duty.h"
 #include "duty/request_router.h"
 #include "duty/shared_watch.h"
@@ -102,6 +105,8 @@
     PeerLink peers_;
     RelayedStore relay_;
     SharedWatch store_;
+    AsioWakeTimers timers_;
+    MtRandomSource random_; ///< Of the duty of the keys.
     RangeDuty ranges_;
     BackendGate gate_;
     RequestRouter router_;
--- a/test/support/ownership_backend.h
+++ b/test/support/ownership_backend.h
@@ -5,33 +5,13 @@
 #include "decision/range/range_keeper.h"
 
 #include <algorithm>
-#include <array>
 
 namespace wisteriahoist::testing {
 
-/** Keys move in slices of equal size, so that a hold can be kept for each slice. */
-inline constexpr uint32_t SliceCount = 8;
-inline constexpr uint32_t SliceKeys = (LastShardKey.value() + 1) / SliceCount;
-
-/** @return Slices @p first to @p last as keys. */
-inline KeySpan slicesOf(uint32_t first, uint32_t last)
-{
-    return {ShardKey(first * SliceKeys), ShardKey((last + 1) * SliceKeys - 1)};
-}
-
-inline uint32_t firstSlice(const KeySpan &span)
-{
-    return span.first.value() / SliceKeys;
-}
-
-inline uint32_t lastSlice(const KeySpan &span)
-{
-    return span.last.value() / SliceKeys;
-}
-
 inline std::string spanText(const KeySpan &span)
 {
-    return "slices " + std::to_string(firstSlice(span)) + " to " + std::to_string(lastSlice(span));
+    return "keys " + std::to_string(span.first.value()) + " to "
+           + std::to_string(span.last.value());
 }
 
 /**
@@ -44,6 +24,25 @@
     /** An answer to a heartbeat counts for so long from the heartbeat's sending. */
     static constexpr milliseconds AnswerBound{1000};
 
+    /** Keys that it has always held, released and worked on together. */
+    struct Part {
+        KeySpan span;
+        Epoch fence; ///< The highest it has seen.
+        TimePoint until = NeverTime;
+        TimePoint workUntil = NeverTime;
+        bool ending = true;         ///< No new work; not held, but for what still works on it.
+        bool isReleaseNews = false; ///< No acknowledged heartbeat has told of the release.
+        uint64_t toldIn = 0;        ///< First heartbeat that told of the release; 0: none yet.
+
+        bool isHeld(TimePoint now) const { return !ending && now < until; }
+
+        /** Work that outlasts its hold is broken off. */
+        bool isWorkedOn(TimePoint now) const { return now < workUntil && now < until; }
+
+        /** @return Whether it counts as held, or is worked on within a hold that it had. */
+        bool isOccupied(TimePoint now) const { return isHeld(now) || isWorkedOn(now); }
+    };
+
     void start(const BackendLife &life)
     {
         life_ = life;
@@ -54,7 +53,7 @@
     void crash()
     {
         alive_ = false;
-        slices_ = {};
+        parts_ = {Part{}};
         sequence_ = 0;
         taken_ = 0;
     }
@@ -64,16 +63,20 @@
 
     const BackendLife &life() const { return life_; }
     bool isAlive() const { return alive_; }
+    const std::vector<Part> &parts() const { return parts_; }
 
     /** @return Whether it takes the grant that has arrived at @p arrivedAt; carried out @p now. */
     bool grant(const KeySpan &span, Epoch fence, milliseconds hold, TimePoint arrivedAt,
                TimePoint now)
     {
+        cut(span);
         if (seesHigher(span, fence)) {
             return false;
         }
-        for (uint32_t index = firstSlice(span); index <= lastSlice(span); ++index) {
-            take(slices_[index], fence, arrivedAt + stretched(hold), now);
+        for (Part &part : parts_) {
+            if (span.covers(part.span)) {
+                take(part, fence, arrivedAt + stretched(hold), now);
+            }
         }
         return true;
     }
@@ -81,14 +84,17 @@
     /** Ends new work on @p span. @return When the running work will have ended. */
     TimePoint release(const KeySpan &span, Epoch fence, TimePoint now)
     {
+        cut(span);
         TimePoint ended = now;
-        for (uint32_t index = firstSlice(span); index <= lastSlice(span); ++index) {
-            Slice &slice = slices_[index];
-            if (slice.fence <= fence) {
-                slice.ending = true;
+        for (Part &part : parts_) {
+            if (!span.covers(part.span)) {
+                continue;
+            }
+            if (part.fence <= fence) {
+                part.ending = true;
             }
-            if (isWorkedOn(slice, now)) {
-                ended = std::max(ended, std::min(slice.workUntil, slice.until));
+            if (part.isWorkedOn(now)) {
+                ended = std::max(ended, std::min(part.workUntil, part.until));
             }
         }
         return ended;
@@ -97,16 +103,15 @@
     /** @return What a heartbeat that is sent now shows; it gets the next number. */
     HoldReport report(TimePoint now)
     {
-        ++sequence_;
         HoldReport report;
-        for (uint32_t index = 0; index < SliceCount; ++index) {
-            Slice &slice = slices_[index];
-            if (holds(slice, now) || isWorkedOn(slice, now)) {
-                report.holds.push_back({slicesOf(index, index), slice.fence});
+        report.sequence = ++sequence_;
+        for (Part &part : parts_) {
+            if (part.isOccupied(now)) {
+                report.holds.push_back({part.span, part.fence});
             }
-            if (slice.isReleaseNews) {
-                slice.toldIn = slice.toldIn == 0 ? sequence_ : slice.toldIn;
-                report.released.push_back({slicesOf(index, index), "token"});
+            if (part.isReleaseNews) {
+                part.toldIn = part.toldIn == 0 ? sequence_ : part.toldIn;
+                report.released.push_back({part.span, "token"});
             }
         }
         return report;
@@ -122,9 +127,9 @@
             return;
         }
         taken_ = number;
-        for (Slice &slice : slices_) {
-            if (slice.isReleaseNews && slice.toldIn != 0 && slice.toldIn <= number) {
-                slice.isReleaseNews = false;
+        for (Part &part : parts_) {
+            if (part.isReleaseNews && part.toldIn != 0 && part.toldIn <= number) {
+                part.isReleaseNews = false;
             }
         }
         if (order) {
@@ -132,99 +137,97 @@
         }
     }
 
-    /** A request for @p slice arrives. @return Whether work on it begins. */
-    bool work(uint32_t slice, milliseconds duration, TimePoint now)
+    /** A request for @p key arrives. @return Whether work on it begins. */
+    bool work(ShardKey key, milliseconds duration, TimePoint now)
     {
-        Slice &wanted = slices_[slice];
-        if (!alive_ || !holds(wanted, now)) {
+        const auto part = std::find_if(parts_.begin(), parts_.end(), [key](const Part &candidate) {
+            return candidate.span.contains(key);
+        });
+        if (!alive_ || !part->isHeld(now)) {
             return false;
         }
-        wanted.workUntil = std::max(wanted.workUntil, now + duration);
+        part->workUntil = std::max(part->workUntil, now + duration);
         return true;
     }
 
     /** @return Whether a request is at work on any key. */
     bool isWorking(TimePoint now) const
     {
-        return std::any_of(slices_.begin(), slices_.end(),
-                           [now](const Slice &slice) { return isWorkedOn(slice, now); });
+        return std::any_of(parts_.begin(), parts_.end(),
+                           [now](const Part &part) { return part.isWorkedOn(now); });
     }
 
     /** @return Whether it may still release something that it works on. */
     bool isReleasing(TimePoint now) const
     {
-        return std::any_of(slices_.begin(), slices_.end(), [now](const Slice &slice) {
-            return slice.ending && isWorkedOn(slice, now);
-        });
+        return std::any_of(parts_.begin(), parts_.end(),
+                           [now](const Part &part) { return part.ending && part.isWorkedOn(now); });
     }
 
-    /** @return Whether it counts @p slice as held, or works on it within a hold that it had. */
-    bool occupies(uint32_t slice, TimePoint now) const
+    /** @return Whether it takes requests for @p key. */
+    bool holds(ShardKey key, TimePoint now) const
     {
-        return holds(slices_[slice], now) || isWorkedOn(slices_[slice], now);
+        return std::any_of(parts_.begin(), parts_.end(), [&](const Part &part) {
+            return part.span.contains(key) && part.isHeld(now);
+        });
     }
 
 private:
-    struct Slice {
-        Epoch fence; ///< The highest it has seen.
-        TimePoint until = NeverTime;
-        TimePoint workUntil = NeverTime;
-        bool ending = true;         ///< No new work; not held, but for what still works on it.
-        bool isReleaseNews = false; ///< No acknowledged heartbeat has told of the release.
-        uint64_t toldIn = 0;        ///< First heartbeat that told of the release; 0: none yet.
-    };
-
     Duration stretched(milliseconds time) const
     {
         return std::chrono::duration_cast<Duration>(time * (1 + slowness_));
     }
 
-    static bool holds(const Slice &slice, TimePoint now)
+    /** Makes parts begin and end where @p span does. */
+    void cut(const KeySpan &span)
     {
-        return !slice.ending && now < slice.until;
+        cutAt(span.first.value());
+        cutAt(span.last.value() + 1);
     }
 
-    /** Work that outlasts its hold is broken off. */
-    static bool isWorkedOn(const Slice &slice, TimePoint now)
+    void cutAt(uint32_t key)
     {
-        return now < slice.workUntil && now < slice.until;
+        for (auto part = parts_.begin(); part != parts_.end(); ++part) {
+            if (part->span.first.value() < key && key <= part->span.last.value()) {
+                Part rest = *part;
+                part->span.last = ShardKey(key - 1);
+                rest.span.first = ShardKey(key);
+                parts_.insert(std::next(part), rest);
+                return;
+            }
+        }
     }
 
     bool seesHigher(const KeySpan &span, Epoch fence) const
     {
-        for (uint32_t index = firstSlice(span); index <= lastSlice(span); ++index) {
-            if (slices_[index].fence > fence) {
-                return true;
-            }
-        }
-        return false;
+        return std::any_of(parts_.begin(), parts_.end(), [&](const Part &part) {
+            return span.covers(part.span) && part.fence > fence;
+        });
     }
 
-    static void take(Slice &slice, Epoch fence, TimePoint until, TimePoint now)
+    static void take(Part &part, Epoch fence, TimePoint until, TimePoint now)
     {
-        const bool isRenewal = holds(slice, now);
-        slice.fence = fence;
-        slice.until = isRenewal ? std::max(slice.until, until) : until;
-        slice.ending = false;
+        part.until = part.isHeld(now) ? std::max(part.until, until) : until;
+        part.fence = fence;
+        part.ending = false;
     }
 
     void takeHolds(const HoldOrder &order, TimePoint sentAt, TimePoint now)
     {
-        std::array<bool, SliceCount> named{};
+        std::vector<KeySpan> named;
         for (const OfferedKeys &row : order.rows) {
-            if (!grant(row.span, row.fence, order.hold, sentAt, now)) {
-                continue;
-            }
-            for (uint32_t index = firstSlice(row.span); index <= lastSlice(row.span); ++index) {
-                named[index] = true;
+            if (grant(row.span, row.fence, order.hold, sentAt, now)) {
+                named.push_back(row.span);
             }
         }
-        for (uint32_t index = 0; index < SliceCount; ++index) {
-            Slice &slice = slices_[index];
-            if (holds(slice, now) && !named[index]) {
-                slice.ending = true;
-                slice.isReleaseNews = true;
-                slice.toldIn = 0;
+        for (Part &part : parts_) {
+            const bool isNamed
+                    = std::any_of(named.begin(), named.end(),
+                                  [&part](const KeySpan &span) { return span.covers(part.span); });
+            if (part.isHeld(now) && !isNamed) {
+                part.ending = true;
+                part.isReleaseNews = true;
+                part.toldIn = 0;
             }
         }
     }
@@ -232,9 +235,9 @@
     BackendLife life_;
     bool alive_ = false;
     double slowness_ = 0;
-    uint64_t sequence_ = 0; ///< Of the latest heartbeat.
-    uint64_t taken_ = 0;    ///< Heartbeat whose answer was read last.
-    std::array<Slice, SliceCount> slices_;
+    uint64_t sequence_ = 0;              ///< Of the latest heartbeat.
+    uint64_t taken_ = 0;                 ///< Heartbeat whose answer was read last.
+    std::vector<Part> parts_ = {Part{}}; ///< Sorted by span; they cover all keys.
 };
 
 } // namespace wisteriahoist::testing
--- a/test/support/ownership_fleet.h
+++ b/test/support/ownership_fleet.h
@@ -2,8 +2,11 @@
 
 #pragma once
 
+#include "adapter/clock/asio_wake_timers.h"
 #include "adapter/clock/boot_clock_adapter.h"
 #include "adapter/clock/pause_func.h"
+#include "adapter/random/mt_random_source.h"
+#include "duty/peer_link.h"
 #include "duty/range_duty.h"
 #include "support/scripted_backend.h"
 #include "support/scripted_store.h"
@@ -103,8 +106,9 @@
 struct OwnershipNode {
     OwnershipNode(asio::io_context &context, const Clock &clock, RecordStore &store, uint64_t id,
                   const std::string &backendId)
-        : backend(clock), peers(context, "127.0.0.1", 0), record(makeRecord(id)),
-          duty(context, clock, store, backend, view, monitor, loads, peers, record, GrantTimes{})
+        : backend(clock), peers(context, "127.0.0.1", 0), record(makeRecord(id)), timers(context),
+          duty({context, clock, timers, random, store, backend, peers}, view, monitor, loads,
+               record, GrantTimes{})
     {
         BackendReport report;
         report.backend = backendId;
@@ -173,6 +177,8 @@
     PeerLoads loads;
     PeerLink peers;
     MemberRecord record;
+    AsioWakeTimers timers;
+    MtRandomSource random;
     RangeDuty duty;
 };
 
--- a/test/support/ownership_node.h
+++ b/test/support/ownership_node.h
@@ -1,130 +1,96 @@
-/** @file ownership_node.h One life of a modelled node's process: the duty of the keys, on the real
- * decision modules. */
+/** @file ownership_node.h One life of a node's process: the product's duty of the keys over
+ * simulated ports. */
 
 #pragma once
 
+#include "decision/member/backend_monitor.h"
+#include "duty/range_duty.h"
 #include "support/ownership_world.h"
 
 namespace wisteriahoist::testing {
 
+/** Random numbers from the world's seed. */
+class SeededRandom final : public RandomSource
+{
+public:
+    explicit SeededRandom(uint64_t seed) : engine_(seed) { }
+    uint64_t next() override { return engine_(); }
+
+private:
+    std::mt19937_64 engine_;
+};
+
 /**
- * Does what RangeDuty does, step by step and under the same names, with the world's messages in
- * place of sockets. What is drawn here is only which ranges move, and to whom.
+ * The duty with all that it decides on, on an event loop and a clock of its own. The world delivers
+ * what is sent here; a node that is paused finds it when it goes on. Destroyed, it is a process
+ * that was killed: what it has sent may still arrive.
  */
-class ModelNode : public std::enable_shared_from_this<ModelNode>
+class SimulatedNode
 {
 public:
-    using Answer = std::function<void(std::optional<HoldOrder>)>;
+    using ReportAnswer = std::function<void(const std::optional<HoldOrder> &)>;
+    using PeerAnswer = std::function<void(std::string)>;
 
-    ModelNode(OwnershipWorld &world, size_t index);
+    SimulatedNode(OwnershipWorld &world, size_t index, double clockRate);
+    ~SimulatedNode();
 
     void start();
 
-    /** The process ends; what it has sent may still arrive. */
-    void halt() { halted_ = true; }
+    /** Runs what is ready on the node's event loop. */
+    void run();
 
-    /** What the store's watch, a read or an own write has told of the table. */
-    void onTable(const StoreObject<RangeTable> &table);
+    void onConfig(const RouteConfig &config);
+    void onRanges(const StoredRecord &record);
+    void onMember(const MemberRecord &member, StoreRevision revision);
+    void onReport(const BackendReport &report, const ReportAnswer &answer);
 
-    void onReport(const BackendReport &report, const Answer &answer);
+    /** A call of another node for @p path arrives. */
+    void onPeerCall(const std::string &path, const std::string &body, const PeerAnswer &answer);
+
+    /** A request finds out whether the backend server refuses connections, and which life it is. */
     void onLook();
     void onDeregister();
 
-    RangeHolder published() const { return {id_, session_, monitor_.backend()}; }
-    bool isReady() const { return monitor_.state() == BackendState::Ready; }
+    /** The node's process is told to end soon. */
+    void beginStop();
+
+    MemberRecord published() const;
+
+    /** @return Whether a request for @p key would be handed over now. */
+    bool admits(ShardKey key) const;
 
-    WitnessDesk &desk() { return desk_; }
-    Incarnation deskLife() const { return deskLife_; }
+    /** A request for @p key has kept the backend server busy for @p busy. */
+    void onWork(ShardKey key, Duration busy);
 
 private:
-    /** A heartbeat whose answer is held back. */
-    struct HeldAnswer {
-        uint64_t number = 0; ///< Of the report.
-        HoldReport report;
-        TimePoint receivedAt;
-        Answer answer;
-    };
-
-    struct RangeMove {
-        KeySpan span;
-        RangeHolder holder;
-    };
-
-    TimePoint now() const { return world_.agenda_.now(); }
-    Dice &dice() { return world_.dice_; }
-    bool byHeartbeat() const { return world_.settings_.form == GrantForm::Heartbeat; }
-    template <typename Action>
-    void after(Duration delay, Action action);
+    class Store;
+    class Orders;
+    class Peers;
+
+    /** Runs @p action on the node's event loop. */
     template <typename Action>
-    auto whileAlive(Action action);
-
-    std::optional<RangeHolder> holder() const;
-    bool isTakenForEnded() const;
-    bool hasRangesToAdopt() const;
-    bool hasHoldNews(const HoldReport &report) const;
-    void finishAnswer(const HeldAnswer &held);
-    void releaseHeldAnswer();
-
-    void tick();
-    void wake();
-    void listTable();
-    void startLeaving();
-    void startBalancing();
-    void beginMove(const KeySpan &span);
-    void handOverWork();
-    void sendOrders();
-    void sendGrant(const GrantOrder &order);
-    void sendRelease(const ReleaseOrder &order);
-
-    std::set<NodeId> chooseWitnesses();
-    void sendContacts();
-    void sendContact(size_t witness);
-    void renewLease();
-    void onLeaseWritten(Incarnation life, const std::set<NodeId> &witnesses, TimePoint sentAt,
-                        WriteEnd end, uint64_t revision);
-    void readOwnLease();
-    void lostLease();
-
-    void planOnce();
-    void planAndWrite();
-    std::optional<RangeTable> planTable();
-    RangeTable handReleasedOver(RangeTable table);
-    RangeTable giveAway(RangeTable table, const std::function<bool(const RangeHolder &)> &isGiven,
-                        bool withSelf);
-    RangeHolder targetOf(const KeySpan &span);
-    std::vector<RangeHolder> candidates(bool withSelf) const;
-    bool isFreeForAll(const RangeHolder &holder) const;
-
-    void watchOthers();
-    void checkHolder(size_t other);
-    bool fenceAtWitnesses(size_t other, const ModelLease &lease);
-    void revoke(size_t other, uint64_t revision);
+    void post(Action action);
+    asio::awaitable<bool> probe(MemberRecord member);
+    asio::awaitable<std::string> answerProbe(std::string body);
+    void lookAround();
+    asio::awaitable<void> takeReport(BackendReport report, ReportAnswer answer);
 
     OwnershipWorld &world_;
     size_t index_;
-    NodeId id_;
-    bool halted_ = false;
-    bool woken_ = false;
-    Incarnation session_;
-    RangeKeeper keeper_;
-    GrantAuthority authority_{StoreLeaseTimes{}, ContactTimes{}};
+    asio::io_context context_{1}; ///< Outlives all that waits on it.
+    SimulatedClock clock_;
+    SimulatedTimers timers_;
+    SeededRandom random_;
+    FleetView view_;
     BackendMonitor monitor_{MonitorLimits{}};
-    WitnessDesk desk_{ContactTimes{}};
-    Incarnation deskLife_;
-    StoreObject<RangeTable> stored_; ///< As this node knows it.
-    std::optional<uint64_t> unread_; ///< Revision over which a write failed.
-    uint64_t leaseRevision_ = 0;
-    bool renewing_ = false;
-    bool writing_ = false;
-    std::set<NodeId> witnesses_;
-    TimePoint contactSentAt_ = NeverTime;
-    TimePoint watchedAt_ = NeverTime;
-    std::vector<RangeMove> targets_;
-    std::optional<HeldAnswer> heldAnswer_;
-    uint64_t reports_ = 0;
-    std::map<NodeId, LeaseObserver> observers_;
-    std::map<NodeId, Takeover> takeovers_;
-    std::map<NodeId, std::set<Incarnation>> revoked_;
+    PeerLoads loads_;
+    std::unique_ptr<Store> store_;
+    std::unique_ptr<Orders> orders_;
+    std::unique_ptr<Peers> peers_;
+    MemberRecord self_;
+    std::unique_ptr<RangeDuty> duty_;
+    /** Ends with the node; actions on the agenda hold it weakly. */
+    std::shared_ptr<SimulatedNode *> alive_;
 };
 
 } // namespace wisteriahoist::testing
--- a/test/support/ownership_world.h
+++ b/test/support/ownership_world.h
@@ -3,129 +3,39 @@
 
 #pragma once
 
-#include "decision/member/backend_monitor.h"
-#include "decision/range/grant_authority.h"
+#include "decision/member/member_type.h"
 #include "decision/routing/route_config_type.h"
+#include "port/backend_control.h"
+#include "port/record_store.h"
 #include "support/ownership_backend.h"
+#include "support/simulated_clock.h"
 
-#include <algorithm>
-#include <functional>
+#include <array>
+#include <map>
 #include <memory>
-#include <random>
 
 namespace wisteriahoist::testing {
 
-/** Draws from a seed; the same on every machine. */
-class Dice
-{
-public:
-    explicit Dice(uint64_t seed) : random_(seed) { }
-
-    uint64_t below(uint64_t bound) { return random_() % bound; }
-    bool oneIn(uint64_t chances) { return below(chances) == 0; }
-    milliseconds between(int64_t least, int64_t most)
-    {
-        return milliseconds(least + static_cast<int64_t>(below(most - least + 1)));
-    }
-
-private:
-    std::minstd_rand random_;
-};
-
-/** What happens when, on a simulated clock. */
-class Agenda
-{
-public:
-    using Action = std::function<void()>;
-
-    explicit Agenda(TimePoint start) : now_(start) { }
-
-    TimePoint now() const { return now_; }
-
-    void at(TimePoint time, Action action)
-    {
-        queue_.push_back({std::max(time, now_), ++count_, std::move(action)});
-        std::push_heap(queue_.begin(), queue_.end());
-    }
-
-    void after(Duration delay, Action action) { at(now_ + delay, std::move(action)); }
-
-    /** Runs the next action, unless it comes after @p end. @return Whether there was one. */
-    bool step(TimePoint end)
-    {
-        if (queue_.empty() || queue_.front().time > end) {
-            return false;
-        }
-        std::pop_heap(queue_.begin(), queue_.end());
-        const Item item = std::move(queue_.back());
-        queue_.pop_back();
-        now_ = item.time;
-        item.action();
-        return true;
-    }
-
-private:
-    struct Item {
-        TimePoint time;
-        uint64_t number; ///< Ties keep their order.
-        Action action;
-        bool operator<(const Item &other) const
-        {
-            return std::tie(other.time, other.number) < std::tie(time, number);
-        }
-    };
-
-    TimePoint now_;
-    uint64_t count_ = 0;
-    std::vector<Item> queue_; ///< A heap.
-};
-
-/** A node's lease as the store keeps it. */
-struct ModelLease {
-    Incarnation life;
-    std::set<NodeId> witnesses;
-    bool revoked = false;
-};
-
-/** One object of the store; revision 0: it does not exist. */
-template <typename Content>
-struct StoreObject {
-    Content content;
-    uint64_t revision = 0;
-};
-
-enum class WriteEnd {
-    Written,
-    Conflict,
-    Failed, ///< Nothing is known: it may be written, also later.
-};
-
-/** The safeguards of the duty that carries the decisions out; taken out one at a time in trials. */
-struct DutyRules {
-    /** Not a safeguard: refused connections count as the end of a life, and its keys go to others
-     *  at once. */
-    bool refusalEndsLife = false;
-    /** A table that was just read reaches the keeper before anything is planned on it. */
-    bool listsBeforePlanning = true;
-};
-
-/** How keys are granted, and the safeguards in force. */
+/** How keys are granted, and how they are recorded. */
 struct WorldSettings {
     GrantForm form = GrantForm::Call;
-    DutyRules rules;
+    uint32_t blocks = 1;                           ///< Records that the table is kept in.
     std::function<void(const std::string &)> tell; ///< Gets each step, to read a seed that fails.
 };
 
-class ModelNode;
+class SimulatedNode;
 
 /**
  * Three nodes, each with a backend server beside it, and the store. Draws what is lost, late,
- * doubled or refused, and who crashes; the nodes decide by the real decision modules.
+ * doubled or refused, who crashes or stands still, and which keys are busy; the nodes run the
+ * product's duty of the keys.
  */
 class OwnershipWorld
 {
 public:
     static constexpr uint64_t NodeCount = 3;
+    static constexpr uint32_t Slots = 12;
+    static constexpr const char *Service = "s";
 
     OwnershipWorld(uint64_t seed, WorldSettings settings);
     ~OwnershipWorld();
@@ -134,35 +44,59 @@
      * @return Whether at most one held each key, as the holders count it. */
     bool run(Duration time);
 
-    /** @return Who held what at the same time; empty if nobody did. */
+    /** Ends all faults; who is down or cut off comes back. */
+    void endFaults();
+
+    /** Runs until each key is served, for @p bound at most.
+     * @return Whether that was reached and no key was held twice. */
+    bool recovers(Duration bound);
+
+    /** @return What was broken; empty if nothing was. */
     const std::string &violation() const { return violation_; }
 
-    uint64_t handovers() const { return handovers_; } ///< Ranges given on without a takeover.
+    uint64_t handovers() const { return handovers_; } ///< Changes of the table that moved keys.
     uint64_t takeovers() const { return takeovers_; } ///< Leases taken away.
 
 private:
-    friend class ModelNode;
+    friend class SimulatedNode;
 
-    using WriteDone = std::function<void(WriteEnd, uint64_t revision)>;
+    using WriteDone = std::function<void(Result<StoreRevision>)>;
+    using ReadDone = std::function<void(Result<StoredRecord>)>;
+    using OrderDone = std::function<void(OrderAnswer)>;
+    using CallDone = std::function<void(Result<std::string>)>;
 
-    /** What is between one node and the others. */
+    /** What is between one node and the others, and the state of its VM. */
     struct Link {
         TimePoint cutUntil = NeverTime;     ///< From the other nodes.
         TimePoint refusesUntil = NeverTime; ///< Its backend server refuses connections.
+        TimePoint pausedUntil = NeverTime;  ///< Node and backend server stand still.
     };
 
-    template <typename Content>
-    void write(StoreObject<Content> &object, Content content, uint64_t over, WriteDone done);
-    template <typename Content>
-    WriteEnd apply(StoreObject<Content> &object, const Content &content, uint64_t over,
-                   uint64_t &revision);
-    template <typename Content>
-    void read(StoreObject<Content> &object,
-              std::function<void(std::optional<StoreObject<Content>>)> done);
-    void spreadTable();
+    /** What a node asks the store to replace, over which revision; 0: to create. */
+    struct RecordWrite {
+        std::string name;
+        StoreRevision over;
+        std::string content;
+    };
 
+    // Calls of the nodes.
+    void read(size_t index, RecordKind kind, const std::string &name, ReadDone done);
+    void write(size_t index, RecordKind kind, RecordWrite write, const WriteDone &done);
+    void sendGrant(size_t index, const GrantOrder &order, milliseconds timeout,
+                   const OrderDone &done);
+    void sendRelease(size_t index, const ReleaseOrder &order, milliseconds timeout,
+                     const OrderDone &done);
+    void sendPeerCall(size_t from, NodeId to, const std::string &path, std::string body,
+                      milliseconds timeout, const CallDone &done);
+
+    // The store.
+    Result<StoreRevision> apply(RecordKind kind, const RecordWrite &write);
+    void noteWritten(RecordKind kind, const StoredRecord &before, const StoredRecord &after);
+    void spread(const StoredRecord &ranges);
     void divideKeys();
-    void restartNode(size_t index);
+    void publishMembers();
+
+    // Backend servers.
     void startBackend(size_t index, bool keepsId);
     void crashBackend(size_t index);
     void heartbeat(size_t index, uint64_t life);
@@ -170,36 +104,52 @@
     void readAnswer(size_t index, uint64_t life, uint64_t number,
                     const std::optional<HoldOrder> &order, TimePoint sentAt);
     void endExchange(size_t index, uint64_t life, uint64_t number);
-    void deliverGrant(size_t index, const GrantOrder &order, std::function<void(OrderResult)> done);
-    void deliverRelease(size_t index, const ReleaseOrder &order,
-                        std::function<void(OrderResult)> done);
+    void carryOutGrant(size_t index, const GrantOrder &order, TimePoint arrivedAt,
+                       const OrderDone &done);
+    void checkTaken(size_t index);
+
+    // Work and faults.
+    void drawWork();
     void planFault();
     void breakSomething();
     void crashNode(size_t index);
+    void startNode(size_t index);
     void leave(size_t index);
     void refuseConnections(size_t index);
-    void checkTaken(size_t index);
-    void tellReport(const BackendReport &report, TimePoint sentAt, size_t index) const;
+    void pause(size_t index);
+    void stopNode(size_t index);
+
+    bool step(TimePoint end);
+    bool isServed(ShardKey key) const;
+    bool isEachKeyServed() const;
+    void fail(const std::string &what);
     void tell(const std::string &what, size_t index) const;
+    void tellReport(const BackendReport &report, TimePoint sentAt, size_t index) const;
+    bool isTroubled() { return !calm_ && dice_.oneIn(trouble_); }
     bool isCut(size_t index) const { return agenda_.now() < links_[index].cutUntil; }
+    bool isPaused(size_t index) const { return agenda_.now() < links_[index].pausedUntil; }
     bool refuses(size_t index) const;
     milliseconds drawDelay();
+    milliseconds drawConnectTime();
 
     WorldSettings settings_;
     Dice dice_;
     uint64_t trouble_;        ///< One call in so many meets a fault.
     bool isPeriodic_;         ///< Heartbeats are also sent before the last one was answered.
     milliseconds usualDelay_; ///< At most, of a message that meets none.
+    bool calm_ = false;       ///< Faults have ended.
     Agenda agenda_;
-    StoreObject<RangeTable> table_;
-    std::array<StoreObject<ModelLease>, NodeCount> leases_;
-    std::array<std::shared_ptr<ModelNode>, NodeCount> nodes_;
+    std::map<std::pair<RecordKind, std::string>, StoredRecord> records_;
+    std::array<std::optional<MemberRecord>, NodeCount> published_;
+    std::array<double, NodeCount> clockRates_{};
     std::array<ModelBackend, NodeCount> backends_;
-    std::array<uint64_t, NodeCount> lives_{}; ///< Of each backend server, counted.
-    std::array<uint64_t, NodeCount> ended_{}; ///< Heartbeat that was given up or answered last.
+    std::array<std::unique_ptr<SimulatedNode>, NodeCount> nodes_;
+    std::array<uint64_t, NodeCount> lives_{};     ///< Of each backend server, counted.
+    std::array<uint64_t, NodeCount> nodeLives_{}; ///< Of each node, counted.
+    std::array<uint64_t, NodeCount> ended_{};     ///< Heartbeat that was given up or answered last.
     std::array<Link, NodeCount> links_;
+    ShardKey hotKey_; ///< Much of the load is about it, for a while.
     uint64_t revision_ = 0;
-    uint64_t incarnation_ = 0;
     uint64_t handovers_ = 0;
     uint64_t takeovers_ = 0;
     std::string violation_;
--- a/test/unit/range/ownership_node.cpp
+++ b/test/unit/range/ownership_node.cpp
@@ -1,646 +1,346 @@
-/** @file ownership_node.cpp What a modelled node does with the real decision modules. */
+/** @file ownership_node.cpp The product's duty of the keys over simulated ports. */
 
 #include "support/ownership_node.h"
 
-#include <algorithm>
+#include "support/ownership_world.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 
 namespace wisteriahoist::testing {
 
 namespace {
 
-constexpr milliseconds Tick{100};
-constexpr milliseconds AnswerHeldFor{500};
-constexpr milliseconds WatchEvery{500};
+/** How often the node looks at a backend server that is silent or refuses connections. */
+constexpr milliseconds LookEvery{250};
 /** A backend server that was not heard of for so long is taken for down. */
 constexpr milliseconds SilentAfter{3000};
-/** One that is down and was not heard of for so long loses its keys. */
-constexpr milliseconds SignOfLifeWithin{2000};
+constexpr milliseconds ProbeTimeout{300};
+constexpr std::string_view ProbePath = "/probe";
 
-std::string tableText(const RangeTable &table)
+/** What a call to the world has brought; the coroutine that waits for it holds it alone. */
+template <typename Value>
+class Outcome
 {
-    std::string text;
-    for (size_t index = 0; index < table.entries.size(); ++index) {
-        const RangeEntry &entry = table.entries[index];
-        text += " " + spanText(table.spanOf(index)) + " of node "
-                + std::to_string(entry.holder.node.value()) + " life "
-                + std::to_string(entry.holder.life.value()) + " fence "
-                + std::to_string(entry.fence.value()) + ",";
+public:
+    Outcome(asio::io_context &context, Value unless) : signal_(context), value_(std::move(unless))
+    { }
+
+    void set(Value value)
+    {
+        value_ = std::move(value);
+        signal_.raise();
     }
-    return text;
-}
 
-} // namespace
+    asio::awaitable<Value> wait()
+    {
+        co_await signal_.wait();
+        co_return std::move(value_);
+    }
 
-ModelNode::ModelNode(OwnershipWorld &world, size_t index)
-    : world_(world), index_(index), id_(index + 1), session_(++world.incarnation_),
-      keeper_(GrantTimes{},
-              RangeKeeper::lapseOf(GrantTimes{}, GrantTimes{}.hold, world.agenda_.now())),
-      deskLife_(++world.incarnation_)
-{
-    monitor_.askWork([this]() { return world_.backends_[index_].isWorking(now()); });
-}
+private:
+    Signal signal_;
+    Value value_;
+};
 
-/** @return @p action for as long as this process runs. */
-template <typename Action>
-auto ModelNode::whileAlive(Action action)
+/** @return A function that brings @p outcome about, if somebody still waits for it. */
+template <typename Value>
+auto bringing(const std::shared_ptr<Outcome<Value>> &outcome)
 {
-    return [weak = weak_from_this(), action](auto... values) {
-        const std::shared_ptr<ModelNode> self = weak.lock();
-        if (self && !self->halted_) {
-            action(values...);
+    return [weak = std::weak_ptr<Outcome<Value>>(outcome)](Value value) {
+        if (const auto waited = weak.lock()) {
+            waited->set(std::move(value));
         }
     };
 }
 
-template <typename Action>
-void ModelNode::after(Duration delay, Action action)
-{
-    world_.agenda_.after(delay, whileAlive(std::move(action)));
-}
+} // namespace
 
-void ModelNode::start()
+/** The store as this node reaches it. */
+class SimulatedNode::Store final : public RecordStore
 {
-    tick();
-}
+public:
+    explicit Store(SimulatedNode &node) : node_(node) { }
 
-void ModelNode::onTable(const StoreObject<RangeTable> &table)
-{
-    if (table.revision > stored_.revision) {
-        stored_ = table;
-    }
-}
+    Pending<RecordListing> list(RecordKind) override { co_return unused(); }
 
-std::optional<RangeHolder> ModelNode::holder() const
-{
-    const bool isKnown = !monitor_.backend().empty() && monitor_.hasReported();
-    if (!isKnown || isTakenForEnded()) {
-        return std::nullopt;
+    Pending<RecordChanges> watch(RecordKind, StoreRevision, milliseconds) override
+    {
+        co_return unused();
     }
-    return RangeHolder{id_, session_, monitor_.backend()};
-}
-
-bool ModelNode::isTakenForEnded() const
-{
-    return world_.settings_.rules.refusalEndsLife && monitor_.isRefusing();
-}
 
-void ModelNode::listTable()
-{
-    if (stored_.revision > 0) {
-        keeper_.onTable(stored_.content, holder(), now());
+    Pending<StoredRecord> read(RecordKind kind, std::string name) override
+    {
+        const auto outcome = std::make_shared<Outcome<Result<StoredRecord>>>(
+                node_.context_, Failure{FailureCode::DeadlineExceeded, name});
+        node_.world_.read(node_.index_, kind, name, bringing(outcome));
+        co_return co_await outcome->wait();
     }
-}
 
-void ModelNode::onReport(const BackendReport &report, const Answer &answer)
-{
-    const bool changed = monitor_.onReport(report, now());
-    if (!report.holding || !monitor_.isNewest(report)) {
-        answer(std::nullopt);
-        return;
-    }
-    listTable();
-    keeper_.onHolds(*report.holding, now());
-    if (keeper_.hasLeaving()) {
-        wake();
-    }
-    const HeldAnswer held{++reports_, *report.holding, now(), answer};
-    if (heldAnswer_) {
-        const HeldAnswer earlier = *heldAnswer_;
-        heldAnswer_.reset();
-        finishAnswer(earlier);
-    }
-    const bool atOnce = changed || monitor_.state() != BackendState::Ready;
-    if (atOnce || hasHoldNews(held.report)) {
-        finishAnswer(held);
-        return;
+    Pending<StoreRevision> create(RecordKind kind, std::string name, std::string content) override
+    {
+        return replace(kind, std::move(name), StoreRevision(0), std::move(content));
     }
-    heldAnswer_ = held;
-    after(AnswerHeldFor, [this, number = held.number]() {
-        if (heldAnswer_ && heldAnswer_->number == number) {
-            const HeldAnswer due = *heldAnswer_;
-            heldAnswer_.reset();
-            finishAnswer(due);
-        }
-    });
-}
 
-void ModelNode::finishAnswer(const HeldAnswer &held)
-{
-    if (held.number != reports_ || hasRangesToAdopt()) {
-        held.answer(std::nullopt);
-        return;
+    Pending<StoreRevision> replace(RecordKind kind, std::string name, StoreRevision expected,
+                                   std::string content) override
+    {
+        const auto outcome = std::make_shared<Outcome<Result<StoreRevision>>>(
+                node_.context_, Failure{FailureCode::Ambiguous, name});
+        node_.world_.write(node_.index_, kind, {name, expected, std::move(content)},
+                           bringing(outcome));
+        co_return co_await outcome->wait();
     }
-    held.answer(keeper_.takeHolds(held.receivedAt, authority_.validUntil(), now()));
-}
 
-bool ModelNode::hasRangesToAdopt() const
-{
-    const std::optional<RangeHolder> self = holder();
-    const auto isEarlier = [&self](const RangeEntry &entry) {
-        return entry.holder.node == self->node && entry.holder.backend == self->backend
-               && entry.holder.life != self->life;
-    };
-    return stored_.revision == 0 || !self
-           || std::any_of(stored_.content.entries.begin(), stored_.content.entries.end(),
-                          isEarlier);
-}
+private:
+    static Failure unused() { return {FailureCode::Unavailable, "not part of this world"}; }
 
-bool ModelNode::hasHoldNews(const HoldReport &report) const
-{
-    return authority_.validUntil() > now() && !keeper_.isAsReported(report);
-}
+    SimulatedNode &node_;
+};
 
-void ModelNode::releaseHeldAnswer()
+/** Orders to the backend server beside the node. */
+class SimulatedNode::Orders final : public BackendControl
 {
-    if (heldAnswer_ && hasHoldNews(heldAnswer_->report)) {
-        const HeldAnswer due = *heldAnswer_;
-        heldAnswer_.reset();
-        finishAnswer(due);
-    }
-}
+public:
+    explicit Orders(SimulatedNode &node) : node_(node) { }
 
-/** A look finds out what each request would: whether connections are refused, and by which life. */
-void ModelNode::onLook()
-{
-    const std::string &id = world_.backends_[index_].life().id;
-    if (world_.refuses(index_)) {
-        (void)monitor_.onRefusedConnection();
-    } else if (id != monitor_.backend().id) {
-        (void)monitor_.onOtherLife(id, now());
-    } else {
-        (void)monitor_.onAnswer(now());
+    asio::awaitable<OrderAnswer> grant(GrantOrder order, milliseconds timeout) override
+    {
+        // The connection opens late, or the process stands still meanwhile.
+        const std::unique_ptr<WakeTimer> opening = node_.timers_.make();
+        co_await opening->wait(node_.world_.drawConnectTime());
+        if (node_.clock_.now() > order.sendBy) {
+            OrderAnswer late;
+            late.result = OrderResult::TooLate;
+            co_return late;
+        }
+        const auto outcome = std::make_shared<Outcome<OrderAnswer>>(node_.context_, OrderAnswer{});
+        node_.world_.sendGrant(node_.index_, order, timeout, bringing(outcome));
+        co_return co_await outcome->wait();
     }
-    wake();
-}
-
-void ModelNode::onDeregister()
-{
-    (void)monitor_.onDeregister(world_.backends_[index_].life());
-    wake();
-}
 
-void ModelNode::wake()
-{
-    if (!woken_) {
-        woken_ = true;
-        after(Duration(0), [this]() {
-            woken_ = false;
-            listTable();
-            sendOrders();
-            releaseHeldAnswer();
-        });
+    asio::awaitable<OrderAnswer> release(ReleaseOrder order, milliseconds timeout) override
+    {
+        const auto outcome = std::make_shared<Outcome<OrderAnswer>>(node_.context_, OrderAnswer{});
+        node_.world_.sendRelease(node_.index_, order, timeout, bringing(outcome));
+        co_return co_await outcome->wait();
     }
-}
 
-void ModelNode::tick()
-{
-    if (now() - monitor_.heardAt() > SilentAfter) {
-        (void)monitor_.onSilence();
-    }
-    listTable();
-    if (!keeper_.hasLeaving()) {
-        targets_.clear();
-    }
-    startLeaving();
-    startBalancing();
-    handOverWork();
-    sendOrders();
-    releaseHeldAnswer();
-    after(Tick, [this]() { tick(); });
-}
+    asio::awaitable<BackendSight> look(milliseconds) override { co_return BackendSight{}; }
 
-void ModelNode::startLeaving()
-{
-    const bool isLost = monitor_.state() == BackendState::Down
-                        && now() - monitor_.heardAt() >= SignOfLifeWithin;
-    const bool isLeaving = monitor_.state() == BackendState::Draining || isLost;
-    if (isLeaving) {
-        for (const KeySpan &span : keeper_.heldSpans()) {
-            beginMove(span);
-        }
-    }
-}
+private:
+    SimulatedNode &node_;
+};
 
-/** A whole range, or a part of it, begins to move now and then. */
-void ModelNode::startBalancing()
+/** Calls between nodes. */
+class SimulatedNode::Peers final : public PeerCalls
 {
-    const std::vector<KeySpan> held = keeper_.heldSpans();
-    if (!isReady() || held.empty() || keeper_.hasLeaving() || !dice().oneIn(6)) {
-        return;
-    }
-    const KeySpan whole = held[dice().below(held.size())];
-    const uint32_t count = lastSlice(whole) - firstSlice(whole) + 1;
-    const auto first = firstSlice(whole) + static_cast<uint32_t>(dice().below(count));
-    const auto last = first + static_cast<uint32_t>(dice().below(lastSlice(whole) - first + 1));
-    beginMove(slicesOf(first, last));
-}
+public:
+    explicit Peers(SimulatedNode &node) : node_(node) { }
 
-void ModelNode::beginMove(const KeySpan &span)
-{
-    const std::vector<RangeHolder> others = candidates(false);
-    if (!others.empty()) {
-        world_.tell("releases a range", index_);
-        targets_.push_back({span, others[dice().below(others.size())]});
-        keeper_.beginRelease(span);
+    void serve(const std::string &path, Answer answer) override
+    {
+        answers_[path] = std::move(answer);
     }
-}
 
-/** The gate: a request for a key goes to the backend server only while the keeper admits it. */
-void ModelNode::handOverWork()
-{
-    const auto slice = static_cast<uint32_t>(dice().below(SliceCount));
-    if (dice().oneIn(3)
-        && keeper_.admits(ShardKey(slice * SliceKeys), authority_.validUntil(), now())) {
-        (void)world_.backends_[index_].work(slice, dice().between(20, 1500), now());
+    asio::awaitable<Result<std::string>> call(const MemberRecord &member, std::string_view path,
+                                              std::string body, milliseconds timeout) override
+    {
+        const auto outcome = std::make_shared<Outcome<Result<std::string>>>(
+                node_.context_, Failure{FailureCode::DeadlineExceeded, member.name});
+        node_.world_.sendPeerCall(node_.index_, member.node, std::string(path), std::move(body),
+                                  timeout, bringing(outcome));
+        co_return co_await outcome->wait();
     }
-}
 
-void ModelNode::sendOrders()
-{
-    const bool inUse = keeper_.size() > 0 || (holder().has_value() && !monitor_.isRefusing());
-    if (authority_.needsRenewal(now())) {
-        authority_.lease().retryNow();
-    }
-    if (!renewing_ && inUse && authority_.lease().beginRenewal(now())) {
-        renewing_ = true;
-        renewLease();
-    }
-    if (inUse) {
-        sendContacts();
-    }
-    if (!writing_) {
-        writing_ = true;
-        planOnce();
-    }
-    if (now() - watchedAt_ >= WatchEvery) {
-        watchedAt_ = now();
-        watchOthers();
-    }
-    if (byHeartbeat() || monitor_.isRefusing()) {
-        return;
+    Answer *find(const std::string &path)
+    {
+        const auto found = answers_.find(path);
+        return found == answers_.end() ? nullptr : &found->second;
     }
-    for (const GrantOrder &order : keeper_.takeDueGrants(authority_.validUntil(), now())) {
-        sendGrant(order);
-    }
-    for (const ReleaseOrder &order : keeper_.takeDueReleases(now())) {
-        sendRelease(order);
-    }
-}
 
-void ModelNode::sendGrant(const GrantOrder &order)
-{
-    world_.deliverGrant(index_, order, whileAlive([this, order](OrderResult result) {
-                            keeper_.onGrantEnd(order, result);
-                            if (result == OrderResult::NotSent) {
-                                (void)monitor_.onRefusedConnection();
-                            } else if (result != OrderResult::Unanswered) {
-                                (void)monitor_.onAnswer(now());
-                            }
-                            wake();
-                        }));
-}
+private:
+    SimulatedNode &node_;
+    std::map<std::string, Answer> answers_;
+};
 
-void ModelNode::sendRelease(const ReleaseOrder &order)
+SimulatedNode::SimulatedNode(OwnershipWorld &world, size_t index, double clockRate)
+    : world_(world), index_(index), clock_(world.agenda_, clockRate),
+      timers_(context_, world.agenda_, clock_), random_(world.dice_.below(UINT32_MAX)),
+      store_(std::make_unique<Store>(*this)), orders_(std::make_unique<Orders>(*this)),
+      peers_(std::make_unique<Peers>(*this)), alive_(std::make_shared<SimulatedNode *>(this))
 {
-    world_.deliverRelease(index_, order, whileAlive([this, order](OrderResult result) {
-                              keeper_.onReleaseEnd(order, result, "token", now());
-                              wake();
-                          }));
+    self_.node = NodeId(index + 1);
+    self_.name = "node " + std::to_string(index + 1);
+    self_.service = OwnershipWorld::Service;
+    self_.slots = OwnershipWorld::Slots;
+    self_.failureDomain = "d" + std::to_string(index + 1);
+    const RangeDutyPorts ports{context_, clock_, timers_, random_, *store_, *orders_, *peers_};
+    duty_ = std::make_unique<RangeDuty>(ports, view_, monitor_, loads_, self_, GrantTimes{});
+    monitor_.askWork([this]() { return world_.backends_[index_].isWorking(world_.agenda_.now()); });
+    duty_->probeWith([this](const MemberRecord &member) { return probe(member); });
+    peers_->serve(std::string(ProbePath),
+                  [this](std::string body) { return answerProbe(std::move(body)); });
 }
 
-std::set<NodeId> ModelNode::chooseWitnesses()
-{
-    std::set<NodeId> chosen;
-    for (size_t other = 0; other < OwnershipWorld::NodeCount; ++other) {
-        if (other != index_ && !world_.isCut(other) && !world_.isCut(index_) && !dice().oneIn(8)) {
-            chosen.insert(NodeId(other + 1));
-        }
-    }
-    return chosen;
-}
+SimulatedNode::~SimulatedNode() = default;
 
-void ModelNode::sendContacts()
+void SimulatedNode::start()
 {
-    if (now() - contactSentAt_ < ContactTimes{}.heartbeatEvery) {
-        return;
-    }
-    contactSentAt_ = now();
-    for (const NodeId witness : witnesses_) {
-        sendContact(witness.value() - 1);
-    }
+    duty_->start();
+    lookAround();
 }
 
-void ModelNode::sendContact(size_t witness)
+void SimulatedNode::run()
 {
-    const TimePoint sentAt = now();
-    const Incarnation life = session_;
-    world_.agenda_.after(world_.drawDelay(), [this, &world = world_, weak = weak_from_this(),
-                                              from = index_, id = id_, witness, sentAt, life]() {
-        const std::shared_ptr<ModelNode> asked = world.nodes_[witness];
-        if (world.isCut(from) || world.isCut(witness) || !asked) {
-            return;
-        }
-        const bool accepted = asked->desk().onHeartbeat(id, life, world.agenda_.now());
-        const std::shared_ptr<ModelNode> self = weak.lock();
-        if (!self || self->halted_) {
-            return;
-        }
-        after(world.drawDelay(), [this, witness, sentAt, life, accepted]() {
-            if (session_ != life) {
-                return;
-            }
-            if (accepted) {
-                authority_.onAcknowledged(NodeId(witness + 1), sentAt, now());
-            } else {
-                lostLease();
-            }
-        });
-    });
+    context_.restart();
+    (void)context_.poll();
 }
 
-void ModelNode::lostLease()
+template <typename Action>
+void SimulatedNode::post(Action action)
 {
-    world_.tell("goes on as a new life", index_);
-    authority_.onRevoked();
-    session_ = Incarnation(++world_.incarnation_);
+    asio::post(context_, std::move(action));
 }
 
-void ModelNode::renewLease()
+void SimulatedNode::onConfig(const RouteConfig &config)
 {
-    const TimePoint sentAt = now();
-    witnesses_ = chooseWitnesses();
-    authority_.onRenewalSent(witnesses_);
-    const std::set<NodeId> witnesses = witnesses_;
-    const Incarnation life = session_;
-    world_.write<ModelLease>(
-            world_.leases_[index_], {life, witnesses, false}, leaseRevision_,
-            whileAlive([this, life, witnesses, sentAt](WriteEnd end, uint64_t revision) {
-                onLeaseWritten(life, witnesses, sentAt, end, revision);
-            }));
+    (void)view_.onConfig(config);
 }
 
-void ModelNode::onLeaseWritten(Incarnation life, const std::set<NodeId> &witnesses,
-                               TimePoint sentAt, WriteEnd end, uint64_t revision)
+void SimulatedNode::onRanges(const StoredRecord &record)
 {
-    if (end == WriteEnd::Written) {
-        leaseRevision_ = revision;
-        if (life == session_) {
-            authority_.onRenewed(witnesses, sentAt);
-        } else {
-            authority_.lease().retryNow();
-            authority_.lease().onFailed();
-        }
-    } else {
-        authority_.lease().onFailed();
-        if (end == WriteEnd::Conflict || leaseRevision_ == 0) {
-            readOwnLease();
-            return;
-        }
-    }
-    renewing_ = false;
-    wake();
+    post([this, record]() {
+        view_.onRangeRecord(record);
+        duty_->wake();
+    });
 }
 
-void ModelNode::readOwnLease()
+void SimulatedNode::onMember(const MemberRecord &member, StoreRevision revision)
 {
-    world_.read<ModelLease>(
-            world_.leases_[index_],
-            whileAlive([this](const std::optional<StoreObject<ModelLease>> &stored) {
-                if (stored && stored->revision > 0) {
-                    leaseRevision_ = stored->revision;
-                    if (stored->content.revoked) {
-                        lostLease();
-                    }
-                    authority_.lease().retryNow();
-                }
-                renewing_ = false;
-                wake();
-            }));
+    post([this, member, revision]() { view_.onMember(member, revision); });
 }
 
-void ModelNode::planOnce()
+void SimulatedNode::onReport(const BackendReport &report, const ReportAnswer &answer)
 {
-    if (!unread_) {
-        planAndWrite();
-        return;
-    }
-    if (stored_.revision > *unread_) {
-        unread_.reset();
-        planAndWrite();
-        return;
-    }
-    world_.read<RangeTable>(
-            world_.table_, whileAlive([this](const std::optional<StoreObject<RangeTable>> &stored) {
-                if (!stored) {
-                    writing_ = false;
-                    return;
-                }
-                unread_.reset();
-                onTable(*stored);
-                planAndWrite();
-            }));
+    post([this, report, answer]() {
+        asio::co_spawn(context_, takeReport(report, answer), asio::detached);
+    });
 }
 
-void ModelNode::planAndWrite()
+asio::awaitable<void> SimulatedNode::takeReport(BackendReport report, ReportAnswer answer)
 {
-    if (world_.settings_.rules.listsBeforePlanning) {
-        listTable();
-    }
-    const std::optional<RangeTable> next = stored_.revision > 0 ? planTable() : std::nullopt;
-    if (!next) {
-        writing_ = false;
-        return;
+    const TimePoint receivedAt = clock_.now();
+    const bool changed = monitor_.onReport(report, receivedAt);
+    if (changed) {
+        duty_->wake();
     }
-    const uint64_t over = stored_.revision;
-    if (world_.settings_.tell) {
-        world_.tell("writes over " + std::to_string(over) + ":" + tableText(*next), index_);
+    std::optional<HoldOrder> order;
+    if (report.holding && monitor_.isNewest(report) && duty_->grantsByHeartbeat()) {
+        const bool atOnce = changed || monitor_.state() != BackendState::Ready;
+        order = co_await duty_->answerReport(*report.holding, atOnce, receivedAt);
     }
-    world_.write<RangeTable>(world_.table_, *next, over,
-                             whileAlive([this, over, next](WriteEnd end, uint64_t revision) {
-                                 if (end == WriteEnd::Written) {
-                                     onTable({*next, revision});
-                                     wake();
-                                 } else {
-                                     unread_ = over;
-                                 }
-                                 writing_ = false;
-                             }));
+    answer(order);
 }
 
-std::optional<RangeTable> ModelNode::planTable()
+void SimulatedNode::onPeerCall(const std::string &path, const std::string &body,
+                               const PeerAnswer &answer)
 {
-    RangeTable next = stored_.content;
-    if (const std::optional<RangeHolder> self = holder()) {
-        next = adoptRanges(next, *self);
-        for (const KeySpan &refused : keeper_.refusedSpans()) {
-            next = giveRange(next, refused, *self, {});
+    post([this, path, body, answer]() {
+        if (PeerCalls::Answer *served = peers_->find(path)) {
+            asio::co_spawn(context_, (*served)(body),
+                           [answer](const std::exception_ptr &failure, std::string reply) {
+                               if (!failure) {
+                                   answer(std::move(reply));
+                               }
+                           });
         }
-        next = handReleasedOver(next);
-    } else if (isTakenForEnded()) {
-        next = giveAway(
-                next, [this](const RangeHolder &held) { return held.node == id_; }, false);
-    }
-    next = giveAway(
-            next, [this](const RangeHolder &held) { return isFreeForAll(held); }, true);
-    if (next == stored_.content) {
-        return std::nullopt;
-    }
-    return next;
+    });
 }
 
-RangeTable ModelNode::handReleasedOver(RangeTable table)
+void SimulatedNode::onLook()
 {
-    for (const ReleasedRange &released : keeper_.releasedRanges(now())) {
-        const RangeHolder target = targetOf(released.span);
-        if (!target.isNobody()) {
-            table = giveRange(std::move(table), released.span, target, released.handover);
-            ++world_.handovers_;
+    post([this]() {
+        const std::string &id = world_.backends_[index_].life().id;
+        if (world_.refuses(index_)) {
+            (void)monitor_.onRefusedConnection();
+        } else if (id != monitor_.backend().id) {
+            (void)monitor_.onOtherLife(id, clock_.now());
+        } else {
+            (void)monitor_.onAnswer(clock_.now());
         }
-    }
-    return table;
+        duty_->wake();
+    });
 }
 
-RangeTable ModelNode::giveAway(RangeTable table,
-                               const std::function<bool(const RangeHolder &)> &isGiven,
-                               bool withSelf)
+void SimulatedNode::onDeregister()
 {
-    std::vector<KeySpan> spans;
-    for (size_t entry = 0; entry < table.entries.size(); ++entry) {
-        if (isGiven(table.entries[entry].holder)) {
-            spans.push_back(table.spanOf(entry));
-        }
-    }
-    const std::vector<RangeHolder> takers = candidates(withSelf);
-    for (const KeySpan &span : spans) {
-        if (!takers.empty()) {
-            table = giveRange(std::move(table), span, takers[dice().below(takers.size())], {});
-        }
-    }
-    return table;
+    post([this]() {
+        (void)monitor_.onDeregister(world_.backends_[index_].life());
+        duty_->wake();
+    });
 }
 
-RangeHolder ModelNode::targetOf(const KeySpan &span)
+void SimulatedNode::beginStop()
 {
-    const std::vector<RangeHolder> others = candidates(true);
-    for (const RangeMove &move : targets_) {
-        if (move.span.covers(span)
-            && std::find(others.begin(), others.end(), move.holder) != others.end()) {
-            return move.holder;
-        }
-    }
-    return others.empty() ? RangeHolder{} : others[dice().below(others.size())];
+    post([this]() { duty_->beginStop(); });
 }
 
-std::vector<RangeHolder> ModelNode::candidates(bool withSelf) const
+/** Looks at a backend server that refuses connections until it answers; notes a silent one. */
+void SimulatedNode::lookAround()
 {
-    std::vector<RangeHolder> found;
-    for (const std::shared_ptr<ModelNode> &node : world_.nodes_) {
-        const bool isSelf = node.get() == this;
-        const bool isHeard
-                = isSelf || (node && !world_.isCut(index_) && !world_.isCut(node->index_));
-        if (node && node->isReady() && isHeard && (!isSelf || withSelf)) {
-            found.push_back(node->published());
-        }
+    if (monitor_.isRefusing()) {
+        onLook();
     }
-    return found;
+    post([this]() {
+        if (clock_.now() - monitor_.heardAt() > SilentAfter && monitor_.onSilence()) {
+            duty_->wake();
+        }
+    });
+    world_.agenda_.after(LookEvery, [weak = std::weak_ptr<SimulatedNode *>(alive_)]() {
+        if (const auto node = weak.lock()) {
+            (*node)->lookAround();
+        }
+    });
 }
 
-bool ModelNode::isFreeForAll(const RangeHolder &holder) const
+MemberRecord SimulatedNode::published() const
 {
-    if (holder.isNobody()) {
-        return true;
-    }
-    const auto revoked = revoked_.find(holder.node);
-    return revoked != revoked_.end() && revoked->second.count(holder.life) > 0;
+    MemberRecord member = self_;
+    member.life = duty_->session();
+    member.backend = monitor_.backend();
+    member.state = monitor_.state();
+    return member;
 }
 
-void ModelNode::watchOthers()
+bool SimulatedNode::admits(ShardKey key) const
 {
-    for (size_t other = 0; other < OwnershipWorld::NodeCount; ++other) {
-        if (other != index_) {
-            checkHolder(other);
-        }
-    }
+    return duty_->check(key, clock_.now()) == RequestEnd::None;
 }
 
-void ModelNode::checkHolder(size_t other)
+void SimulatedNode::onWork(ShardKey key, Duration busy)
 {
-    const NodeId node(other + 1);
-    const bool answers
-            = world_.nodes_[other] != nullptr && !world_.isCut(other) && !world_.isCut(index_);
-    if (answers) {
-        observers_.erase(node);
-        takeovers_.erase(node);
-        return;
-    }
-    world_.read<ModelLease>(
-            world_.leases_[other],
-            whileAlive([this, other, node](const std::optional<StoreObject<ModelLease>> &stored) {
-                if (!stored) {
-                    return;
-                }
-                LeaseObserver &observer
-                        = observers_.try_emplace(node, LeaseObserver(StoreLeaseTimes{}))
-                                  .first->second;
-                observer.onRead(stored->revision, now());
-                bool over = observer.isOver(now());
-                if (stored->revision > 0 && !over) {
-                    over = fenceAtWitnesses(other, stored->content);
-                }
-                if (over) {
-                    revoke(other, stored->revision);
-                }
-            }));
+    duty_->onWork(key, busy, clock_.now());
 }
 
-bool ModelNode::fenceAtWitnesses(size_t other, const ModelLease &lease)
+asio::awaitable<bool> SimulatedNode::probe(MemberRecord member)
 {
-    const NodeId node(other + 1);
-    const std::vector<NodeId> witnesses(lease.witnesses.begin(), lease.witnesses.end());
-    const auto known = takeovers_.find(node);
-    const bool isSame = known != takeovers_.end() && known->second.life() == lease.life
-                        && known->second.witnesses() == witnesses;
-    if (!isSame) {
-        takeovers_.insert_or_assign(node, Takeover(ContactTimes{}, lease.life, witnesses));
-    }
-    Takeover &takeover = takeovers_.at(node);
-    for (const NodeId witness : witnesses) {
-        const size_t at = witness.value() - 1;
-        ModelNode *asked = world_.nodes_[at].get();
-        const bool isReached = asked == this || (!world_.isCut(at) && !world_.isCut(index_));
-        if (asked == nullptr || !isReached || !asked->desk().onFence(node, lease.life, now())) {
-            takeovers_.erase(node);
-            return false;
-        }
-        takeover.onFenced(witness, asked->deskLife(), now());
-    }
-    return takeover.isDue(now());
+    const Result<std::string> answer = co_await peers_->call(member, ProbePath, {}, ProbeTimeout);
+    v1::HopReply reply;
+    const bool answered = answer && reply.ParseFromString(answer.assume_value());
+    loads_.onSent(member.node);
+    loads_.onReply(member.node, reply, answered, clock_.now());
+    co_return answered;
 }
 
-void ModelNode::revoke(size_t other, uint64_t revision)
+asio::awaitable<std::string> SimulatedNode::answerProbe(std::string)
 {
-    const NodeId node(other + 1);
-    std::set<Incarnation> lives;
-    for (const RangeEntry &entry : stored_.content.entries) {
-        if (entry.holder.node == node) {
-            lives.insert(entry.holder.life);
-        }
-    }
-    ModelLease lease;
-    lease.revoked = true;
-    world_.write<ModelLease>(world_.leases_[other], lease, revision,
-                             whileAlive([this, node, lives](WriteEnd end, uint64_t) {
-                                 observers_.erase(node);
-                                 takeovers_.erase(node);
-                                 if (end == WriteEnd::Written) {
-                                     ++world_.takeovers_;
-                                     world_.tell("takes the lease of node "
-                                                         + std::to_string(node.value()) + " away",
-                                                 index_);
-                                     revoked_[node].insert(lives.begin(), lives.end());
-                                     wake();
-                                 }
-                             }));
+    v1::HopReply reply;
+    reply.mutable_load()->set_slots(OwnershipWorld::Slots);
+    reply.mutable_load()->set_busy_slots(duty_->demand(clock_.now()));
+    reply.mutable_load()->set_leaving(duty_->isLeaving());
+    co_return reply.SerializeAsString();
 }
 
 } // namespace wisteriahoist::testing
--- a/test/unit/range/range_duty_log_test.cpp
+++ b/test/unit/range/range_duty_log_test.cpp
@@ -86,7 +86,8 @@
     });
     cr_assert(!lines.empty() && names(lines.front(), "proof", "grants-run-out"));
     cr_assert(numberOf(lines.front(), "grant_runs_ms") == 0);
-    cr_assert(numberOf(lines.front(), "granted_ms_ago") >= GrantTimes{}.hold.count());
+    cr_assert(numberOf(lines.front(), "granted_ms_ago")
+              >= static_cast<uint64_t>(GrantTimes{}.hold.count()));
 }
 
 Test(range_duty_log, a_range_that_is_not_listed_any_more_names_the_heartbeats)
