--- a/test/support/ownership_world.h
+++ b/test/support/ownership_world.h
@@ -36,6 +36,7 @@
     static constexpr uint64_t NodeCount = 3;
     static constexpr uint32_t Slots = 12;
     static constexpr const char *Service = "s";
+    static constexpr TimePoint Start{std::chrono::hours(1)};
 
     OwnershipWorld(uint64_t seed, WorldSettings settings);
     ~OwnershipWorld();
@@ -119,6 +120,8 @@
     void pause(size_t index);
     void stopNode(size_t index);
 
+    /** @return Milliseconds since the start. */
+    static std::string timeText(TimePoint time);
     bool step(TimePoint end);
     bool isServed(ShardKey key) const;
     bool isEachKeyServed() const;
