Change: [Peers] One timer looks for silent connections, and a PING is sent only after 600 ms

Change: SilenceWatch looks at all connections with calls under way, every 200 ms; a PING goes out after three quiet intervals, and four more without a frame end the connection (as many as before after the PING, so 0.4 s later in all). A write is tried at once instead of by a coroutine. Ended sessions are searched for when their number has doubled, not at each new one. The test of silent sessions owns the watch now; its checks are as they were.

--- a/src/adapter/http2/http2_session.cpp
+++ b/src/adapter/http2/http2_session.cpp
@@ -2,13 +2,13 @@
 
 #include "adapter/http2/http2_session.h"
 
+#include "adapter/http2/silence_watch.h"
 #include "adapter/http2/transport_bytes.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <cstring>
@@ -102,7 +102,7 @@
 };
 
 Http2Session::Http2Session(tcp::socket socket, Role role, PeerHandler handler,
-                           SilenceLimits silence)
+                           const std::shared_ptr<SilenceWatch> &silence)
     : socket_(std::move(socket)), role_(role), handler_(std::move(handler)), silence_(silence)
 {
     nghttp2_session_callbacks *callbacks = nullptr;
@@ -134,6 +134,7 @@
 {
     beast::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
     asio::co_spawn(
             socket_.get_executor(), [self = shared_from_this()]() { return self->readLoop(); },
             asio::detached);
@@ -177,12 +178,7 @@
     Stream &stream = calls_[streamId];
     stream.toSend = std::move(body);
     stream.completion = std::move(completion);
-    if (!watching_) {
-        watching_ = true;
-        asio::co_spawn(
-                socket_.get_executor(), [self = shared_from_this()]() { return self->watchLoop(); },
-                asio::detached);
-    }
+    watchSilence();
     flush();
     return streamId;
 }
@@ -270,7 +266,11 @@
          count = nghttp2_session_mem_send(session_, &data)) {
         outgoing_.append(reinterpret_cast<const char *>(data), static_cast<size_t>(count));
     }
-    if (!writing_ && !outgoing_.empty()) {
+    if (writing_ || outgoing_.empty()) {
+        return;
+    }
+    sendNow();
+    if (open_ && !outgoing_.empty()) {
         writing_ = true;
         asio::co_spawn(
                 socket_.get_executor(), [self = shared_from_this()]() { return self->writeLoop(); },
@@ -278,6 +278,15 @@
     }
 }
 
+/** Hands over what the socket takes at once; nearly always that is all. */
+void Http2Session::sendNow()
+{
+    beast::error_code error;
+    const size_t count = socket_.write_some(asio::buffer(outgoing_), error);
+    peerBytesSent().fetch_add(count, std::memory_order_relaxed);
+    outgoing_.erase(0, count);
+}
+
 asio::awaitable<void> Http2Session::writeLoop()
 {
     while (open_ && !outgoing_.empty()) {
@@ -294,30 +303,33 @@
     writing_ = false;
 }
 
-asio::awaitable<void> Http2Session::watchLoop()
+void Http2Session::watchSilence()
 {
-    // Something between two nodes may drop a connection's packets for good while new connections
-    // work; without a bound every call on it waits for its deadline, and so do the next ones.
-    // Intervals are counted, not time: after a pause of this process the first look comes late,
-    // with frames still unread, and must not take the connection for silent.
-    auto self = shared_from_this();
-    asio::steady_timer timer(socket_.get_executor());
-    uint64_t seen = framesReceived_;
-    uint32_t quiet = 0;
-    while (open_ && !calls_.empty()) {
-        timer.expires_after(silence_.interval);
-        beast::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        quiet = framesReceived_ == seen ? quiet + 1 : 0;
-        seen = framesReceived_;
-        if (quiet == 1) {
-            ping();
-        }
-        if (quiet > silence_.intervals) {
-            close();
-        }
+    if (watched_) {
+        return;
+    }
+    if (const std::shared_ptr<SilenceWatch> silence = silence_.lock()) {
+        watched_ = true;
+        silence->add(shared_from_this());
+    }
+}
+
+bool Http2Session::checkSilence(const SilenceLimits &limits)
+{
+    watched_ = open_ && !calls_.empty();
+    if (!watched_) {
+        return false;
+    }
+    quietIntervals_ = framesReceived_ == framesSeen_ ? quietIntervals_ + 1 : 0;
+    framesSeen_ = framesReceived_;
+    if (quietIntervals_ == limits.beforePing) {
+        ping();
+    }
+    if (quietIntervals_ >= limits.beforePing + limits.afterPing) {
+        watched_ = false;
+        close();
     }
-    watching_ = false;
+    return watched_;
 }
 
 asio::awaitable<void> Http2Session::readLoop()
--- a/src/adapter/http2/http2_session.h
+++ b/src/adapter/http2/http2_session.h
@@ -13,11 +13,8 @@
 
 namespace wisteriahoist {
 
-/** When a connection with calls under way counts as silent. */
-struct SilenceLimits {
-    milliseconds interval{200}; ///< How often arrivals are looked at.
-    uint32_t intervals = 4;     ///< Intervals without a frame after a PING that end it.
-};
+class SilenceWatch;
+struct SilenceLimits;
 
 /** Answers one call from the other node: its path and its body in, the reply's body out. */
 using PeerHandler = std::function<asio::awaitable<std::string>(std::string path, std::string body)>;
@@ -33,7 +30,10 @@
     enum class Role { Client, Server };
     using Completion = std::function<void(Result<std::string>)>;
 
-    Http2Session(tcp::socket socket, Role role, PeerHandler handler, SilenceLimits silence = {});
+    /** @param silence Ends the session when its calls get no answers; nullptr: nobody does. It is
+     *         its owner's; a session whose watch has gone goes on without. */
+    Http2Session(tcp::socket socket, Role role, PeerHandler handler,
+                 const std::shared_ptr<SilenceWatch> &silence = nullptr);
     ~Http2Session();
     Http2Session(const Http2Session &) = delete;
     Http2Session &operator=(const Http2Session &) = delete;
@@ -57,11 +57,15 @@
     /** Resets a stream; its completion is dropped, a late reply with it. */
     void cancel(int32_t streamId);
 
-    /** Sends a PING; the answer counts as progress, see lastProgress(). */
+    /** Sends a PING; the answer is a frame like any other. */
     void ping();
 
-    /** @return How many frames have arrived; a connection whose count stands still is silent. */
-    uint64_t framesReceived() const { return framesReceived_; }
+    /**
+     * Counts an interval without a frame while calls are under way: asks the other side for a sign
+     * of life, and closes the connection if none comes.
+     * @return Whether calls are still under way.
+     */
+    bool checkSilence(const SilenceLimits &limits);
 
 private:
     struct Stream {
@@ -77,8 +81,9 @@
 
     asio::awaitable<void> readLoop();
     asio::awaitable<void> writeLoop();
-    asio::awaitable<void> watchLoop();
+    void watchSilence();
     void flush();
+    void sendNow();
     void onStreamEnd(int32_t streamId);
     void onStreamClose(int32_t streamId, uint32_t errorCode);
     void reply(int32_t streamId, std::string body);
@@ -86,14 +91,16 @@
     tcp::socket socket_;
     Role role_;
     PeerHandler handler_;
-    SilenceLimits silence_;
+    std::weak_ptr<SilenceWatch> silence_;
     nghttp2_session *session_ = nullptr;
     std::map<int32_t, Stream> calls_; ///< Open streams by id, of either side.
     std::string outgoing_;            ///< Bytes that the write loop sends next.
     bool writing_ = false;            ///< Invariant: at most one write loop runs.
-    bool watching_ = false;           ///< Invariant: at most one watch loop runs.
+    bool watched_ = false;            ///< Whether silence_ has this session among its own.
     bool open_ = true;
     uint64_t framesReceived_ = 0;
+    uint64_t framesSeen_ = 0;     ///< framesReceived_ at the last look.
+    uint32_t quietIntervals_ = 0; ///< In a row, with calls under way and without a frame.
 };
 
 } // namespace wisteriahoist
--- a/src/adapter/http2/peer_transport.cpp
+++ b/src/adapter/http2/peer_transport.cpp
@@ -49,13 +49,18 @@
         PeerHandler handler = guard_ ? guard_->guard(handler_) : handler_;
         auto session = std::make_shared<Http2Session>(std::move(socket), Http2Session::Role::Server,
                                                       std::move(handler));
-        std::erase_if(sessions_, [](const auto &weak) { return weak.expired(); });
+        if (sessions_.size() >= pruneAt_) {
+            std::erase_if(sessions_, [](const auto &weak) { return weak.expired(); });
+            pruneAt_ = std::max(LeastPruned, 2 * sessions_.size());
+        }
         sessions_.push_back(session);
         session->start();
     }
 }
 
-PeerCaller::PeerCaller(asio::io_context &context) : context_(context) { }
+PeerCaller::PeerCaller(asio::io_context &context)
+    : context_(context), silence_(std::make_shared<SilenceWatch>(context.get_executor()))
+{ }
 
 void PeerCaller::closeAll()
 {
@@ -98,7 +103,10 @@
 asio::awaitable<Result<std::shared_ptr<Http2Session>>> PeerCaller::open(const PeerEndpoint &peer,
                                                                         milliseconds timeout)
 {
-    std::erase_if(sessions_, [](const auto &entry) { return !entry.second->isOpen(); });
+    if (sessions_.size() >= pruneAt_) {
+        std::erase_if(sessions_, [](const auto &entry) { return !entry.second->isOpen(); });
+        pruneAt_ = std::max(LeastPruned, 2 * sessions_.size());
+    }
     beast::tcp_stream stream(context_);
     stream.expires_after(timeout);
     beast::error_code error;
@@ -109,7 +117,7 @@
     }
     stream.expires_never();
     auto session = std::make_shared<Http2Session>(stream.release_socket(),
-                                                  Http2Session::Role::Client, nullptr);
+                                                  Http2Session::Role::Client, nullptr, silence_);
     session->start();
     if (!keys_.empty()) {
         const Result<void> greeted = co_await sayHello(session, timeout);
--- a/src/adapter/http2/peer_transport.h
+++ b/src/adapter/http2/peer_transport.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "adapter/auth/peer_hello.h"
-#include "adapter/http2/http2_session.h"
+#include "adapter/http2/silence_watch.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,6 +19,9 @@
     auto operator<=>(const PeerEndpoint &) const = default;
 };
 
+/** Fewer sessions than this are not searched for those that have ended. */
+inline constexpr size_t LeastPruned = 16;
+
 /** Accepts connections from other nodes and answers their calls. */
 class PeerListener : public std::enable_shared_from_this<PeerListener>
 {
@@ -43,6 +46,7 @@
     PeerHandler handler_;
     std::shared_ptr<PeerGuard> guard_; ///< Absent: peers need no key.
     std::vector<std::weak_ptr<Http2Session>> sessions_;
+    size_t pruneAt_ = LeastPruned; ///< Number of sessions at which ended ones are dropped.
     bool stopping_ = false;
 };
 
@@ -90,8 +94,10 @@
                                                                 milliseconds timeout);
 
     asio::io_context &context_;
+    std::shared_ptr<SilenceWatch> silence_;
     std::map<PeerEndpoint, std::shared_ptr<Http2Session>>
-            sessions_; ///< With keys_: each has said its hello.
+            sessions_;             ///< With keys_: each has said its hello.
+    size_t pruneAt_ = LeastPruned; ///< Number of sessions at which closed ones are dropped.
     std::map<PeerEndpoint, std::shared_ptr<Opening>> opening_;
     FleetKeys keys_;                 ///< The first signs; empty: no hello is said.
     milliseconds connectTimeout_{0}; ///< 0: none of its own.
--- a/test/unit/http2/silent_session_test.cpp
+++ b/test/unit/http2/silent_session_test.cpp
@@ -17,19 +17,23 @@
     co_return body;
 }
 
-/** @return A session as client to @p server that asks every @p interval whether it is there. */
-std::shared_ptr<Http2Session> openSession(asio::io_context &context, const tcp::endpoint &server,
-                                          milliseconds interval)
-{
-    tcp::socket socket(context);
-    socket.connect(server);
-    SilenceLimits limits;
-    limits.interval = interval;
-    auto session = std::make_shared<Http2Session>(std::move(socket), Http2Session::Role::Client,
-                                                  nullptr, limits);
-    session->start();
-    return session;
-}
+/** A session as client to a server that it asks every interval whether it is there. */
+struct WatchedSession {
+    WatchedSession(asio::io_context &context, const tcp::endpoint &server, milliseconds interval)
+    {
+        tcp::socket socket(context);
+        socket.connect(server);
+        SilenceLimits limits;
+        limits.interval = interval;
+        watch = std::make_shared<SilenceWatch>(context.get_executor(), limits);
+        session = std::make_shared<Http2Session>(std::move(socket), Http2Session::Role::Client,
+                                                 nullptr, watch);
+        session->start();
+    }
+
+    std::shared_ptr<SilenceWatch> watch;
+    std::shared_ptr<Http2Session> session;
+};
 
 } // namespace
 
@@ -39,7 +43,8 @@
     // nobody says so. The caller's request has a minute to go, but need not wait for it.
     asio::io_context context;
     tcp::acceptor silent(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    const auto session = openSession(context, silent.local_endpoint(), milliseconds(5));
+    const WatchedSession watched(context, silent.local_endpoint(), milliseconds(5));
+    const auto &session = watched.session;
     std::optional<Result<std::string>> result;
     session->call("/hop", "x", [&result](Result<std::string> value) { result = value; });
     cr_assert(runUntilHolds(context, [&]() { return result.has_value(); }));
@@ -53,7 +58,8 @@
     auto listener = std::make_shared<PeerListener>(context, "127.0.0.1", 0, answerSlowly);
     listener->start();
     const tcp::endpoint server(asio::ip::make_address("127.0.0.1"), listener->port());
-    const auto session = openSession(context, server, milliseconds(20));
+    const WatchedSession watched(context, server, milliseconds(20));
+    const auto &session = watched.session;
     std::optional<Result<std::string>> result;
     session->call("/hop", "x", [&result](Result<std::string> value) { result = value; });
     cr_assert(runUntilHolds(context, [&]() { return result.has_value(); }));
