Fix: [Store] A fleet that starts listed its ranges once for each feeder; fewer watches, records and renewals

Cause, by a line for each call in a trial at 296 VMs: 2,746 lists of ranges within one second, since the feeders' first watches had the wait of a small fleet and confirmed nothing; 2,087 watches of members in 3 s; 70 lease writes and 70 to 90 watches of ranges a second in traffic; one refused feeder of 24 nodes made all watch for themselves. Change: first watches are bounded, a node follows from its start and is turned away without a list, a lost feeder's place is taken by the next strongest, after three failed ones a node watches the store. A new node waits up to 1 s for its backend server before its first record. Renewals are 1.5 s apart up to 20 nodes, 2.5 s from 100. Ranges are watched at most once in 2 ms for each member.

--- a/src/decision/member/feeder_choice.cpp
+++ b/src/decision/member/feeder_choice.cpp
@@ -16,22 +16,27 @@
     return hashKey(std::to_string(node.value()), seed).value();
 }
 
-/** @return The feeders of a fleet, the strongest first. */
+/** @return The feeders of a fleet, the strongest first. @param isUsable Whose place nobody takes.
+ */
 std::vector<const MemberRecord *> findFeeders(const std::map<NodeId, MemberRecord> &members,
+                                              const std::function<bool(NodeId)> &isUsable,
                                               const FeederLimits &limits)
 {
     std::vector<const MemberRecord *> ranked;
+    size_t count = 0;
     for (const auto &[node, member] : members) {
-        if (!member.stopping) {
+        count += member.stopping ? 0 : 1;
+        if (!member.stopping && isUsable(node)) {
             ranked.push_back(&member);
         }
     }
-    const size_t wanted = (ranked.size() + limits.followers - 1) / limits.followers;
+    const size_t wanted
+            = std::min((count + limits.followers - 1) / limits.followers, ranked.size());
     const auto isStronger = [](const MemberRecord *left, const MemberRecord *right) {
-        const auto rankOf = [](const MemberRecord *member) {
-            return std::pair(-member->cpuShare, rankHash(member->node, 0));
-        };
-        return rankOf(left) < rankOf(right);
+        if (left->cpuShare != right->cpuShare) {
+            return left->cpuShare > right->cpuShare;
+        }
+        return rankHash(left->node, 0) < rankHash(right->node, 0);
     };
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(wanted), ranked.end(),
                       isStronger);
@@ -54,11 +59,12 @@
         return std::pair(feeder->failureDomain != failureDomain,
                          rankHash(feeder->node, self.value()));
     };
-    for (const MemberRecord *feeder : findFeeders(members, limits)) {
+    const auto mayFeed = [&](NodeId node) { return node == self || isUsable(node); };
+    for (const MemberRecord *feeder : findFeeders(members, mayFeed, limits)) {
         if (feeder->node == self) {
             return std::nullopt;
         }
-        if (isUsable(feeder->node) && (best == nullptr || rankOf(feeder) < rankOf(best))) {
+        if (best == nullptr || rankOf(feeder) < rankOf(best)) {
             best = feeder;
         }
     }
--- a/src/decision/member/feeder_choice.h
+++ b/src/decision/member/feeder_choice.h
@@ -27,7 +27,8 @@
  * Chooses whom @p self follows. The feeders are the strongest nodes, by their processor share, so
  * that a node with a tenth of a core does not carry the news of others; where nodes are equal, a
  * hash decides, the same for everybody. A feeder in the own failure domain goes first.
- * @param isUsable Whether the caller would follow a node at present.
+ * @param isUsable Whether the caller would follow a node at present. The next strongest takes the
+ *        place of a feeder that nobody can follow: the store may have turned away just that one.
  * @return Nothing if @p self watches the store itself: it is a feeder, or nobody else can be
  *         followed.
  */
--- a/src/decision/range/store_lease.cpp
+++ b/src/decision/range/store_lease.cpp
@@ -6,9 +6,17 @@
 
 namespace wisteriahoist {
 
+milliseconds renewalInterval(const StoreLeaseTimes &times, size_t nodes)
+{
+    const auto beyond = static_cast<int64_t>(std::clamp(nodes, times.smallFleet, times.largeFleet)
+                                             - times.smallFleet);
+    const auto span = static_cast<int64_t>(times.largeFleet - times.smallFleet);
+    return times.renewEvery + (times.longestRenewEvery - times.renewEvery) * beyond / span;
+}
+
 bool StoreLease::beginRenewal(TimePoint now)
 {
-    if (inFlight_ || (sentAt_ != NeverTime && now - sentAt_ < times_.renewEvery)) {
+    if (inFlight_ || (sentAt_ != NeverTime && now - sentAt_ < renewEvery_)) {
         return false;
     }
     inFlight_ = true;
--- a/src/decision/range/store_lease.h
+++ b/src/decision/range/store_lease.h
@@ -16,17 +16,31 @@
     milliseconds term{9000};
     /** Leaves room for five renewals that are lost before the term is over. */
     milliseconds renewEvery{1500};
+    /**
+     * The same in a large fleet, whose renewals are most of its writes while the rate that the
+     * store takes grows more slowly: room for two that are lost. In between it grows with the
+     * number of nodes.
+     */
+    milliseconds longestRenewEvery{2500};
+    size_t smallFleet = 20;
+    size_t largeFleet = 100;
     /** Clocks of two machines may differ by 2%; the taker adds this share of the term. */
     double driftShare = 0.02;
     /** Time on the way of the last grant that is sent under the lease. */
     milliseconds slack{300};
 };
 
+/** @return How often each of @p nodes renews its lease. */
+milliseconds renewalInterval(const StoreLeaseTimes &times, size_t nodes);
+
 /** The holder's side: until when may this node grant? */
 class StoreLease
 {
 public:
-    explicit StoreLease(StoreLeaseTimes times) : times_(times) { }
+    explicit StoreLease(StoreLeaseTimes times) : times_(times), renewEvery_(times.renewEvery) { }
+
+    /** The fleet has @p nodes at present. */
+    void onFleetSize(size_t nodes) { renewEvery_ = renewalInterval(times_, nodes); }
 
     /** @return Whether a renewal is to be sent now; if so, it counts as sent. */
     bool beginRenewal(TimePoint now);
@@ -56,6 +70,7 @@
 
 private:
     StoreLeaseTimes times_;
+    milliseconds renewEvery_;
     TimePoint validUntil_ = NeverTime;
     TimePoint sentAt_ = NeverTime;
     bool inFlight_ = false;
--- a/src/duty/member_publisher.cpp
+++ b/src/duty/member_publisher.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds RetryPause{300};
 /** Without a call of wake(); only catches a change that nobody told of. */
 constexpr milliseconds LookEvery{5000};
+/** The first record waits so long for the first heartbeat of the backend server: most nodes of a
+ * fleet that starts then write one record instead of two, and each is news to all others. */
+constexpr milliseconds AwaitBackend{1000};
 } // namespace
 
 MemberPublisher::MemberPublisher(asio::io_context &context, RecordStore &store,
@@ -38,18 +41,27 @@
 
 asio::awaitable<void> MemberPublisher::run()
 {
+    if (describe_().state == BackendState::Absent) {
+        co_await waitFor(AwaitBackend);
+    }
     while (true) {
         const MemberRecord member = describe_();
         if (published_ && member == stored_) {
-            timer_.expires_after(LookEvery);
-            boost::system::error_code ignored;
-            co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            co_await waitFor(LookEvery);
         } else if (!co_await publish(member)) {
             co_await pauseFor(RetryPause);
         }
     }
 }
 
+/** Waits until the record may have changed. */
+asio::awaitable<void> MemberPublisher::waitFor(milliseconds longest)
+{
+    timer_.expires_after(longest);
+    boost::system::error_code ignored;
+    co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 asio::awaitable<bool> MemberPublisher::publish(const MemberRecord &member)
 {
     std::string name = memberRecordName(member.node);
--- a/src/duty/member_publisher.h
+++ b/src/duty/member_publisher.h
@@ -34,6 +34,7 @@
 
 private:
     boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> waitFor(milliseconds longest);
     boost::asio::awaitable<bool> publish(const MemberRecord &member);
 
     boost::asio::io_context &context_;
--- a/src/duty/shared_watch.cpp
+++ b/src/duty/shared_watch.cpp
@@ -4,6 +4,7 @@
 
 #include "adapter/log/event_log.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -86,24 +87,36 @@
     co_return co_await store_.replace(kind, std::move(name), expected, std::move(content));
 }
 
+std::optional<NodeId> SharedWatch::chooseWhomToFollow(TimePoint now) const
+{
+    const auto isUsable = [this, now](NodeId node) {
+        const auto found = shunned_.find(node);
+        return found == shunned_.end() || now >= found->second.until;
+    };
+    const auto shunned = std::count_if(shunned_.begin(), shunned_.end(), [now](const auto &entry) {
+        return now < entry.second.until;
+    });
+    if (static_cast<size_t>(shunned) >= times_.mostShunned) {
+        return std::nullopt;
+    }
+    return chooseFeeder(view_.members(), self_, failureDomain_, isUsable, limits_);
+}
+
 RecordStore::Pending<RecordChanges> SharedWatch::watch(RecordKind kind, StoreRevision since,
                                                        milliseconds wait)
 {
     const TimePoint now = clock_.now();
-    const bool settled = now - startedAt_ >= times_.settle;
-    const auto isUsable = [this, now, settled](NodeId node) {
-        const auto found = shunned_.find(node);
-        return settled && (found == shunned_.end() || now >= found->second.until);
-    };
-    const std::optional<NodeId> feeder
-            = chooseFeeder(view_.members(), self_, failureDomain_, isUsable, limits_);
+    // The size of the fleet is not known before its members are; a watch of many seconds that is
+    // begun by then confirms nothing to followers for as long.
+    const bool isLarge = view_.members().size() >= limits_.leastMembers;
+    if (isLarge || !isSettled(now)) {
+        wait = std::min(wait, isLarge ? waitOf(kind) : times_.settle);
+    }
+    const std::optional<NodeId> feeder = chooseWhomToFollow(now);
     following_ = feeder.has_value();
     if (following_) {
         const MemberRecord member = *view_.findMember(*feeder);
-        co_return co_await follow(member, kind, since);
-    }
-    if (view_.members().size() >= limits_.leastMembers) {
-        wait = std::min(wait, settled ? waitOf(kind) : times_.settle);
+        co_return co_await follow(member, kind, since, wait);
     }
     co_return co_await watchStore(kind, since, wait);
 }
@@ -122,7 +135,7 @@
 }
 
 RecordStore::Pending<RecordChanges> SharedWatch::follow(MemberRecord feeder, RecordKind kind,
-                                                        StoreRevision since)
+                                                        StoreRevision since, milliseconds wait)
 {
     v1::FeedRequest request;
     request.set_kind(static_cast<uint32_t>(kind));
@@ -133,8 +146,14 @@
     v1::FeedReply reply;
     const bool whole
             = bytes && !bytes.assume_value().empty() && reply.ParseFromString(bytes.assume_value());
+    const TimePoint now = clock_.now();
+    if ((!whole || !reply.fresh()) && !isSettled(now)) {
+        shunned_[feeder.node].until = now + times_.earlyShun;
+        following_ = false;
+        co_return co_await watchStore(kind, since, wait);
+    }
     if (!whole || !reply.fresh()) {
-        shun(feeder.node, clock_.now());
+        shun(feeder.node, now);
         logEvent(LogEvent::FeederLost,
                  {{"feeder", feeder.name},
                   {"kind", static_cast<int64_t>(kind)},
@@ -179,7 +198,8 @@
 {
     const auto kind = static_cast<RecordKind>(request.kind());
     const StoreRevision since(request.since());
-    const TimePoint end = clock_.now() + times_.followWait;
+    const TimePoint begun = clock_.now();
+    const TimePoint end = begun + times_.followWait;
     v1::FeedReply reply;
     while (true) {
         const TimePoint now = clock_.now();
@@ -187,10 +207,10 @@
         const auto changes = following_ || !isFresh(kind, now) ? std::nullopt
                                                                : feeds_[kind].changesSince(since);
         reply.set_fresh(changes.has_value());
-        if (!changes) {
+        if (!changes && now - begun >= times_.becomeFresh) {
             co_return reply;
         }
-        if (!changes->changes.empty() || now >= end) {
+        if (changes && (!changes->changes.empty() || now >= end)) {
             reply.set_revision(changes->at.value());
             for (const RecordChange &change : changes->changes) {
                 *reply.add_records() = encodeChange(change);
@@ -198,7 +218,8 @@
             co_return reply;
         }
         const TimePoint stale = feeds_[kind].confirmedAt() + waitOf(kind) + times_.margin;
-        asio::steady_timer timer(context_, std::min(end, stale) - now + milliseconds(1));
+        const TimePoint next = changes ? std::min(end, stale) : begun + times_.becomeFresh;
+        asio::steady_timer timer(context_, next - now + milliseconds(1));
         waiting_.insert(&timer);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/duty/shared_watch.h
+++ b/src/duty/shared_watch.h
@@ -28,11 +28,20 @@
     /** One call of a follower; the feeder answers it sooner if there is a change. */
     milliseconds followWait{1000};
     milliseconds followTimeout{1300};
-    /** A node follows nobody for so long after its start: feeders that start with it know too
-     *  little as yet. */
+    /**
+     * For so long after its start a node that a feeder turns away asks the store where it stands,
+     * without a list: feeders that started with it know too little as yet, and it has listed just
+     * before. When all 296 nodes of a fleet started, each listed once for every feeder.
+     */
     milliseconds settle{3000};
+    milliseconds earlyShun{500};  ///< A feeder that turned a node away in that time is left out.
     milliseconds firstShun{2000}; ///< A feeder that failed is left out; doubles with each failure.
     milliseconds longestShun{30000};
+    /** With so many feeders left out, a node watches the store itself: it lists after each feeder
+     *  that fails, and what ails two feeders ails the others too. */
+    size_t mostShunned = 3;
+    /** A node that takes a lost feeder's place has to list first; its followers wait so long. */
+    milliseconds becomeFresh{150};
 };
 
 /**
@@ -69,7 +78,10 @@
     milliseconds waitOf(RecordKind kind) const;
     bool isFresh(RecordKind kind, TimePoint now) const;
     Pending<RecordChanges> watchStore(RecordKind kind, StoreRevision since, milliseconds wait);
-    Pending<RecordChanges> follow(MemberRecord feeder, RecordKind kind, StoreRevision since);
+    bool isSettled(TimePoint now) const { return now - startedAt_ >= times_.settle; }
+    std::optional<NodeId> chooseWhomToFollow(TimePoint now) const;
+    Pending<RecordChanges> follow(MemberRecord feeder, RecordKind kind, StoreRevision since,
+                                  milliseconds wait);
     void shun(NodeId feeder, TimePoint now);
     asio::awaitable<std::string> serve(std::string body);
     asio::awaitable<v1::FeedReply> answer(v1::FeedRequest request);
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -110,8 +110,11 @@
     if (kind == RecordKind::Configuration || !grows) {
         return times_.gap;
     }
+    const auto members = static_cast<int64_t>(view_.members().size());
     const milliseconds most
-            = kind == RecordKind::Members ? times_.longestMemberGap : times_.longestRangeGap;
+            = kind == RecordKind::Members
+                      ? times_.longestMemberGap
+                      : std::max(times_.longestRangeGap, times_.rangeGapPerMember * members);
     Recent &recent = recent_[kind];
     recent.gap = recent.changed ? std::min(std::max(times_.gap, recent.gap * 2), most) : times_.gap;
     return recent.gap;
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -26,6 +26,9 @@
      */
     milliseconds longestMemberGap{400};
     milliseconds longestRangeGap{100};
+    /** For each member, if that makes more of it: all feeders' watches wake with each change, so
+     * the calls of a fleet would grow with its square. Whoever is given keys is told directly. */
+    milliseconds rangeGapPerMember{2};
     size_t leastMembers = 20;    ///< Smaller fleets keep to the short gap.
     milliseconds firstPause{50}; ///< After a failure; doubles while failures go on.
     /**
--- a/test/unit/range/store_lease_test.cpp
+++ b/test/unit/range/store_lease_test.cpp
@@ -33,6 +33,26 @@
     }
 }
 
+Test(store_lease, renewals_of_a_large_fleet_are_further_apart)
+{
+    SECTION("a small fleet renews as often as it likes")
+    {
+        cr_assert(renewalInterval(Times, 1) == Times.renewEvery);
+        cr_assert(renewalInterval(Times, Times.smallFleet) == Times.renewEvery);
+    }
+    SECTION("the interval grows with the fleet, up to a bound")
+    {
+        const milliseconds middle
+                = renewalInterval(Times, (Times.smallFleet + Times.largeFleet) / 2);
+        cr_assert(middle > Times.renewEvery && middle < Times.longestRenewEvery);
+        cr_assert(renewalInterval(Times, 18000) == Times.longestRenewEvery);
+    }
+    SECTION("two renewals that are lost in a row leave time for a third")
+    {
+        cr_assert(3 * Times.longestRenewEvery < Times.term);
+    }
+}
+
 Test(store_lease, taken_only_after_the_whole_term)
 {
     LeaseObserver observer(Times);
--- a/test/unit/store/shared_watch_test.cpp
+++ b/test/unit/store/shared_watch_test.cpp
@@ -35,7 +35,7 @@
 
 /** A feeder (2) and a follower (1), each with its own way to one store. */
 struct Fixture {
-    Fixture()
+    explicit Fixture(milliseconds settle = milliseconds(0))
     {
         limits.leastMembers = 2;
         limits.followers = 2;
@@ -43,7 +43,7 @@
         times.margin = ConfirmationTerm;
         times.followWait = milliseconds(20);
         times.followTimeout = ConfirmationTerm;
-        times.settle = milliseconds(0);
+        times.settle = settle;
         MemberRecord feeder;
         feeder.node = NodeId(2);
         feeder.ip = "127.0.0.1";
@@ -129,6 +129,28 @@
     }
 }
 
+// Guards against a fleet of watches of its own: the store turns away the one feeder.
+Test(shared_watch, the_place_of_a_lost_feeder_is_taken)
+{
+    const FeederLimits limits;
+    const auto fleet = makeFleet(24);
+    const auto lost = chooseFeeder(fleet, NodeId(9), "odd", all, limits);
+    const auto isUsable = [&](NodeId node) { return node != *lost; };
+    const auto next = chooseFeeder(fleet, NodeId(9), "odd", isUsable, limits);
+    cr_assert(next && *next != *lost);
+    SECTION("by the same node for everybody")
+    {
+        for (const auto &[node, member] : fleet) {
+            const auto feeder = chooseFeeder(fleet, node, member.failureDomain, isUsable, limits);
+            cr_assert(node == *next || node == *lost || feeder == next);
+        }
+    }
+    SECTION("which watches the store itself")
+    {
+        cr_assert(!chooseFeeder(fleet, *next, "odd", isUsable, limits));
+    }
+}
+
 Test(shared_watch, a_follower_hears_what_the_feeder_has_seen)
 {
     Fixture fixture;
@@ -175,6 +197,35 @@
     cr_assert(own.has_value() && own.assume_value().changes.size() == 1);
 }
 
+// Guards against a list of all records for each feeder that knows too little yet: a fleet starts.
+Test(shared_watch, a_node_that_has_just_started_does_not_list_after_a_feeder_that_turns_it_away)
+{
+    Fixture fixture(ConfirmationTerm);
+    fixture.followerStore.put(RecordKind::Configuration, "main", "1");
+    const auto own = fixture.watchAsFollower(StoreRevision(0));
+    cr_assert(own.has_value());
+    cr_assert_eq(own.assume_value().changes.size(), 1U);
+}
+
+// Guards against a list for each feeder in turn: none of them hears from the store.
+Test(shared_watch, after_three_failed_feeders_a_node_watches_the_store_itself)
+{
+    Fixture fixture;
+    for (uint64_t id = 3; id <= 6; ++id) {
+        MemberRecord member;
+        member.node = NodeId(id);
+        member.ip = "127.0.0.1";
+        member.peerPort = fixture.feederPeers.port();
+        member.cpuShare = id < 5 ? 1 : 0;
+        fixture.followerView.onMember(member, StoreRevision(id));
+    }
+    fixture.followerStore.put(RecordKind::Configuration, "main", "1");
+    cr_assert(!fixture.watchAsFollower(StoreRevision(0)).has_value());
+    cr_assert(!fixture.watchAsFollower(StoreRevision(0)).has_value());
+    cr_assert(!fixture.watchAsFollower(StoreRevision(0)).has_value());
+    cr_assert(fixture.watchAsFollower(StoreRevision(0)).has_value());
+}
+
 // A feeder that was cut off lists again; what was removed before that list it cannot tell.
 Test(shared_watch, a_follower_from_before_the_feeders_list_lists_itself)
 {
