--- /dev/null
+++ b/test/unit/request/circuit_breaker_test.cpp
@@ -0,0 +1,69 @@
+/** @file circuit_breaker_test.cpp A backend server that refuses requests although it has room. */
+
+#include "decision/request/circuit_breaker.h"
+#include "support/story.h"
+
+using namespace wisteriahoist;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+constexpr BreakerLimits Limits{};
+
+CircuitBreaker makeOpen(TimePoint now)
+{
+    CircuitBreaker breaker;
+    for (uint32_t refusal = 0; refusal < Limits.refusalsInRow; ++refusal) {
+        breaker.onRefused(now);
+    }
+    return breaker;
+}
+
+} // namespace
+
+// Guards against a server that refuses all it gets and draws ever more, since it looks idle.
+Test(circuit_breaker, server_that_refuses_everything)
+{
+    CircuitBreaker breaker = makeOpen(Start);
+    SECTION("is sent nothing for a while")
+    {
+        cr_assert(!breaker.allow(Start));
+        cr_assert(breaker.isOpen(Start + Limits.firstPause / 2));
+    }
+    SECTION("then one trial, and no more until that has ended")
+    {
+        const TimePoint trial = Start + Limits.firstPause;
+        cr_assert(breaker.allow(trial));
+        cr_assert(!breaker.allow(trial));
+    }
+    SECTION("less and less often while trials are refused")
+    {
+        TimePoint now = Start;
+        for (int trial = 0; trial < 8; ++trial) {
+            breaker.onRefused(now);
+            now += Limits.longestPause;
+        }
+        breaker.onRefused(now);
+        cr_assert(!breaker.allow(now + Limits.longestPause - milliseconds(1)));
+        cr_assert(breaker.allow(now + Limits.longestPause));
+    }
+    SECTION("and as before once it has run one")
+    {
+        breaker.onRun();
+        cr_assert(breaker.allow(Start) && breaker.allow(Start));
+    }
+}
+
+// Guards against a server that is left out although it serves most requests.
+Test(circuit_breaker, server_that_refuses_some)
+{
+    CircuitBreaker breaker;
+    for (int request = 0; request < 100; ++request) {
+        cr_assert(breaker.allow(Start));
+        if (request % 3 == 0) {
+            breaker.onRun();
+        } else {
+            breaker.onRefused(Start);
+        }
+    }
+}
