--- a/src/decision/range/grant_authority.h
+++ b/src/decision/range/grant_authority.h
@@ -15,11 +15,10 @@
 /** Times of the contact with witnesses. */
 struct ContactTimes {
     /**
-     * How long a witness's answer counts, from the sending of the heartbeat. A lost node's keys
-     * wait for it, so it is short; several heartbeats have to fail before it is over, since packets
-     * get lost and a retransmission takes a fifth of a second.
+     * How long a witness's answer counts, from the sending of the heartbeat. No grant lasts for
+     * longer, so it is not shorter than those are to be; a lost node's keys wait for it.
      */
-    milliseconds term{2500};
+    milliseconds term{4000};
     milliseconds heartbeatEvery{400};
     /** A witness that has answered the node so lately refuses to fence it: the node lives. */
     milliseconds recent{700};
@@ -33,7 +32,7 @@
 /**
  * The holder's side. A node may grant while its lease in the store is valid *and* one of the
  * witnesses that the lease names has answered lately. The lease alone has to outlast outages of the
- * store, so it would make a lost node's keys wait for 9 s; the witnesses end that wait after 2.5 s.
+ * store, so it would make a lost node's keys wait for 9 s; the witnesses end that wait after 4 s.
  *
  * A taker fences the node at every witness, waits for the contact term, has every witness confirm
  * that the fence stood all the while, and revokes the lease by a conditional update. Invariant: no
--- a/src/decision/range/key_load.cpp
+++ b/src/decision/range/key_load.cpp
@@ -25,10 +25,16 @@
     const double factor = fadedAt_ == NeverTime ? 1 : std::exp(-secondsOf(now - fadedAt_) / decay);
     fadedAt_ = now;
     const double least = settings_.least * decay;
-    for (auto &[key, weight] : weights_) {
-        weight *= factor;
+    sum_ = 0;
+    for (auto entry = weights_.begin(); entry != weights_.end();) {
+        entry->second *= factor;
+        if (entry->second < least) {
+            entry = weights_.erase(entry);
+        } else {
+            sum_ += entry->second;
+            ++entry;
+        }
     }
-    std::erase_if(weights_, [least](const auto &entry) { return entry.second < least; });
 }
 
 void KeyLoad::record(ShardKey key, Duration busy, TimePoint now)
@@ -38,9 +44,11 @@
         const auto least = std::min_element(
                 weights_.begin(), weights_.end(),
                 [](const auto &left, const auto &right) { return left.second < right.second; });
+        sum_ -= least->second;
         weights_.erase(least);
     }
     weights_[key.value()] += secondsOf(busy);
+    sum_ += secondsOf(busy);
 }
 
 std::vector<KeyRate> KeyLoad::rates(const KeySpan &span, TimePoint now)
@@ -61,11 +69,7 @@
 double KeyLoad::total(TimePoint now)
 {
     fade(now);
-    double sum = 0;
-    for (const auto &[key, weight] : weights_) {
-        sum += weight;
-    }
-    return sum / secondsOf(settings_.decay);
+    return sum_ / secondsOf(settings_.decay);
 }
 
 } // namespace wisteriahoist
--- a/src/decision/range/key_load.h
+++ b/src/decision/range/key_load.h
@@ -44,6 +44,7 @@
 
     KeyLoadSettings settings_;
     std::unordered_map<uint32_t, double> weights_; ///< Faded busy seconds by key.
+    double sum_ = 0;                               ///< Of weights_.
     TimePoint fadedAt_ = NeverTime;
 };
 
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -13,11 +13,13 @@
 /** Times of grants. */
 struct GrantTimes {
     /**
-     * How long a grant lasts. After a backend server falls silent its keys wait for so long; after
-     * a crash of the node alone its backend server keeps its keys for so long, which outlasts most
-     * restarts (0.5 to 2 s on the users' sites), so that the keys need no warm-up.
+     * How long a grant lasts. Work that outlasts the grant under which it began ends as failed,
+     * whatever was renewed meanwhile, so this is longer than nearly all requests run. After a
+     * backend server falls silent its keys wait for so long; after a crash of the node alone its
+     * backend server keeps its keys for so long, which outlasts most restarts, so that the keys
+     * need no warm-up.
      */
-    milliseconds hold{2500};
+    milliseconds hold{4000};
     /** Three renewals may be lost before a grant lapses. */
     milliseconds renewEvery{600};
     /**
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -69,7 +69,9 @@
 {
     v1::BackendLoad load;
     load.set_running(admission_.running());
-    load.set_waiting(static_cast<uint32_t>(admission_.waiting()));
+    // Others take a backend server that turns all away for as full as it acts.
+    const uint32_t heldOff = breaker_.isOpen(now) ? admission_.slots() : 0;
+    load.set_waiting(static_cast<uint32_t>(admission_.waiting()) + heldOff);
     load.set_slots(admission_.slots());
     const auto service = std::chrono::duration_cast<milliseconds>(admission_.serviceTime());
     load.set_service_ms(static_cast<uint32_t>(service.count()));
@@ -120,6 +122,11 @@
     RequestEnd refusal = check(request, *call, clock_.now());
     if (refusal != RequestEnd::None) {
         fillVerdict(reply, RequestStage::Received, refusal);
+        nameOwner(request, refusal, reply);
+        co_return;
+    }
+    if (!breaker_.allow(clock_.now())) {
+        fillVerdict(reply, RequestStage::Received, RequestEnd::Overloaded);
         co_return;
     }
     refusal = co_await awaitSlot(request, call, reply);
@@ -135,12 +142,26 @@
     if (refusal != RequestEnd::None) {
         admission_.onEnd(kindOf(request), std::nullopt);
         fillVerdict(reply, RequestStage::Queued, refusal);
+        nameOwner(request, refusal, reply);
         wakeNext();
         co_return;
     }
     co_await handOver(request, *call, reply);
 }
 
+/** A first node whose table is older than this one's sends the request on without a wait. */
+void BackendGate::nameOwner(const v1::HopRequest &request, RequestEnd refusal,
+                            v1::HopReply &reply) const
+{
+    if (refusal != RequestEnd::NotOwner) {
+        return;
+    }
+    if (const std::optional<KeyOwner> owner = holding_.ownerOf(ShardKey(request.shard_key()))) {
+        reply.set_owner_node(owner->node.value());
+        reply.set_epoch(owner->fence.value());
+    }
+}
+
 asio::awaitable<RequestEnd> BackendGate::awaitSlot(const v1::HopRequest &request,
                                                    std::shared_ptr<Call> call, v1::HopReply &reply)
 {
@@ -217,12 +238,14 @@
         noteMonitorChange(monitor_.onOtherLife(protocol_.namedBackend(answer), clock_.now()));
     } else if (kind == AnswerKind::NotExecuted) {
         fillVerdict(reply, RequestStage::Answered, RequestEnd::BackendRefused);
+        breaker_.onRefused(clock_.now());
     } else if (kind != AnswerKind::Complete || promisesNotRun(answer.result_int())) {
         // A bare 503 of a backend server does not prove that the request has not run; passed on,
         // the caller would take it for such a proof and repeat a booking.
         fillVerdict(reply, RequestStage::HandedOver, RequestEnd::BadAnswer);
     } else {
         fillAnswer(reply, std::move(answer), request.method() == "HEAD");
+        breaker_.onRun();
     }
     reply.set_reached_backend(true);
 }
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -7,15 +7,23 @@
 #include "adapter/metrics/metric_type.h"
 #include "decision/member/backend_monitor.h"
 #include "decision/request/admission_control.h"
+#include "decision/request/circuit_breaker.h"
 #include "duty/gate_message.h"
 #include "port/clock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <optional>
 
 namespace wisteriahoist {
 
+/** Another node that holds a key. */
+struct KeyOwner {
+    NodeId node;
+    Epoch fence; ///< Under which it does; an older table has a lower one.
+};
+
 /** Tells the gate which keys its backend server holds, and learns what they cost. */
 class KeyHolding
 {
@@ -26,6 +34,10 @@
      *          that is on its way, NoLease if nobody may serve it for longer. */
     virtual RequestEnd check(ShardKey key, TimePoint now) const = 0;
 
+    /** @return Who holds @p key now, by the newest table that is known here; nullopt if that is
+     * this node or nobody. */
+    virtual std::optional<KeyOwner> ownerOf(ShardKey key) const = 0;
+
     /** A request for @p key kept a slot busy, or would have if there had been room. */
     virtual void onWork(ShardKey key, Duration busy, TimePoint now) = 0;
 
@@ -94,6 +106,7 @@
 
     RequestEnd check(const v1::HopRequest &request, const Call &call, TimePoint now) const;
     bool isWorking() const;
+    void nameOwner(const v1::HopRequest &request, RequestEnd refusal, v1::HopReply &reply) const;
     asio::awaitable<RequestEnd> awaitSlot(const v1::HopRequest &request, std::shared_ptr<Call> call,
                                           v1::HopReply &reply);
     asio::awaitable<void> serve(const v1::HopRequest &request, std::shared_ptr<Call> call,
@@ -111,6 +124,7 @@
     KeyHolding &holding_;
     HttpClient client_;
     AdmissionControl admission_{AdmissionLimits{}};
+    CircuitBreaker breaker_;
     std::map<CallName, std::shared_ptr<Call>> calls_;
     std::map<uint64_t, std::shared_ptr<Call>> waiting_; ///< By admission id.
     uint64_t lastId_ = 0;
--- a/src/duty/fleet_view.cpp
+++ b/src/duty/fleet_view.cpp
@@ -48,6 +48,7 @@
     }
     known = revision;
     members_[member.node] = member;
+    ready_.clear();
     notify();
 }
 
@@ -56,6 +57,7 @@
     const auto removed = std::erase_if(
             members_, [&name](const auto &entry) { return memberRecordName(entry.first) == name; });
     if (removed > 0) {
+        ready_.clear();
         notify();
     }
 }
@@ -118,15 +120,17 @@
     return found == members_.end() ? nullptr : &found->second;
 }
 
-std::vector<const MemberRecord *> FleetView::readyMembers(const std::string &service) const
+const std::vector<const MemberRecord *> &FleetView::readyMembers(const std::string &service) const
 {
-    std::vector<const MemberRecord *> ready;
-    for (const auto &[node, member] : members_) {
-        if (member.service == service && member.takesRequests()) {
-            ready.push_back(&member);
+    const auto [found, isNew] = ready_.try_emplace(service);
+    if (isNew) {
+        for (const auto &[node, member] : members_) {
+            if (member.service == service && member.takesRequests()) {
+                found->second.push_back(&member);
+            }
         }
     }
-    return ready;
+    return found->second;
 }
 
 const StoredTable *FleetView::findTable(const std::string &service) const
--- a/src/duty/fleet_view.h
+++ b/src/duty/fleet_view.h
@@ -49,8 +49,9 @@
     const std::map<NodeId, MemberRecord> &members() const { return members_; }
     const MemberRecord *findMember(NodeId node) const;
 
-    /** @return Members whose backend server serves @p service and takes requests. */
-    std::vector<const MemberRecord *> readyMembers(const std::string &service) const;
+    /** @return Members whose backend server serves @p service and takes requests; valid until the
+     *          next change of a member. */
+    const std::vector<const MemberRecord *> &readyMembers(const std::string &service) const;
 
     /** @return nullptr if the service has no table yet. */
     const StoredTable *findTable(const std::string &service) const;
@@ -70,6 +71,8 @@
     RouteConfigHolder config_;
     std::map<NodeId, MemberRecord> members_;
     std::map<NodeId, StoreRevision> memberRevisions_;
+    /// Of members_, by service; empty after a change, since every request asks for one of them.
+    mutable std::map<std::string, std::vector<const MemberRecord *>> ready_;
     std::map<std::string, RangeRecords> tables_;
     std::vector<std::function<void()>> actions_;
     uint64_t changes_ = 0;
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -42,13 +42,17 @@
 RangeDuty::RangeDuty(const RangeDutyPorts &ports, FleetView &view, BackendMonitor &monitor,
                      PeerLoads &loads, const MemberRecord &self, GrantTimes grants)
     : context_(ports.context), clock_(ports.clock), timers_(ports.timers),
-      randomSource_(ports.random), store_(ports.store), backend_(ports.backend), view_(view),
-      monitor_(monitor), loads_(loads), self_(self), session_(drawLife(ports.random)),
+      randomSource_(ports.random), store_(ports.store), backend_(ports.backend),
+      peers_(ports.peers), view_(view), monitor_(monitor), loads_(loads), self_(self),
+      session_(drawLife(ports.random)),
       keeper_(grants, RangeKeeper::lapseOf(grants, grants.hold, ports.clock.now())),
       contact_(ports.context, ports.clock, ports.random, ports.peers, view, loads, authority_,
                self.node, self.failureDomain),
       random_(ports.random.next()), wakeTimer_(ports.timers.make())
-{ }
+{
+    peers_.serve(std::string(RangeNewsPath),
+                 [this](std::string body) { return onTold(std::move(body)); });
+}
 
 void RangeDuty::start()
 {
@@ -119,6 +123,16 @@
     return moving ? RequestEnd::NotOwner : RequestEnd::NoLease;
 }
 
+std::optional<KeyOwner> RangeDuty::ownerOf(ShardKey key) const
+{
+    const StoredTable *stored = view_.findTable(self_.service);
+    const RangeEntry *entry = stored == nullptr ? nullptr : stored->table.find(key);
+    if (entry == nullptr || entry->holder.isNobody() || entry->holder.node == self_.node) {
+        return std::nullopt;
+    }
+    return KeyOwner{entry->holder.node, entry->fence};
+}
+
 void RangeDuty::onWork(ShardKey key, Duration busy, TimePoint now)
 {
     load_.record(key, busy, now);
@@ -198,6 +212,7 @@
     };
     // Without keys, a backend server that has crashed for good needs no lease.
     const bool inUse = keeper_.size() > 0 || (holder().has_value() && !monitor_.isRefusing());
+    authority_.lease().onFleetSize(view_.members().size());
     if (authority_.needsRenewal(now)) {
         authority_.lease().retryNow();
     }
@@ -342,11 +357,45 @@
 void RangeDuty::startBalancing(TimePoint now)
 {
     const std::vector<KeySpan> held = keeper_.heldSpans();
-    BalanceLimits limits;
-    if (monitor_.state() != BackendState::Ready || held.empty() || keeper_.hasLeaving()
+    const BalanceLimits limits;
+    if (keeper_.hasLeaving()) {
+        movedAt_ = now; // Load is judged by what comes after a move, however long that takes.
+    }
+    if (monitor_.state() != BackendState::Ready || held.empty()
         || now - std::max(movedAt_, startedAt_) < limits.pause) {
         return;
     }
+    if (!spreadHotKeys(held, now)) {
+        balance(held, limits, now);
+    }
+}
+
+/** @return Whether keys have begun to move. */
+bool RangeDuty::spreadHotKeys(const std::vector<KeySpan> &held, TimePoint now)
+{
+    RangeCandidate self;
+    self.holder = *holder();
+    self.slots = std::max<uint32_t>(1, monitor_.slots());
+    const SpreadLimits limits;
+    if (load_.total(now) < limits.demand * self.slots) {
+        return false;
+    }
+    std::vector<KeyRate> rates;
+    for (const KeySpan &span : held) {
+        const std::vector<KeyRate> found = load_.rates(span, now);
+        rates.insert(rates.end(), found.begin(), found.end());
+    }
+    const std::vector<RangeMove> moves
+            = planSpread(self, held, rates, candidates(now, false), limits);
+    for (const RangeMove &move : moves) {
+        movedAt_ = now;
+        beginMove(move, "hot keys", now);
+    }
+    return !moves.empty();
+}
+
+void RangeDuty::balance(const std::vector<KeySpan> &held, BalanceLimits limits, TimePoint now)
+{
     RangeCandidate self;
     self.holder = *holder();
     self.slots = std::max<uint32_t>(1, monitor_.slots());
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -50,6 +50,8 @@
 class RangeDuty final : public KeyHolding
 {
 public:
+    /** Where a node is told of ranges that it has just been given. */
+    static constexpr std::string_view RangeNewsPath = "/ranges";
     /** How often the other holders of the service are looked at. */
     static constexpr milliseconds WatchEvery{500};
 
@@ -73,6 +75,7 @@
     void probeWith(PeerProbe probe) { probe_ = std::move(probe); }
 
     RequestEnd check(ShardKey key, TimePoint now) const override;
+    std::optional<KeyOwner> ownerOf(ShardKey key) const override;
     void onWork(ShardKey key, Duration busy, TimePoint now) override;
     double demand(TimePoint now) override { return load_.total(now); }
     bool isLeaving() const override { return stopping_ || monitor_.state() != BackendState::Ready; }
@@ -122,6 +125,8 @@
     asio::awaitable<void> sendRelease(ReleaseOrder order);
     asio::awaitable<void> planOnce();
     asio::awaitable<void> writeTable(RangeTable next, StoredTable stored);
+    void tellHolders(const std::set<NodeId> &holders, const StoredRecord &written);
+    asio::awaitable<std::string> onTold(std::string body);
     asio::awaitable<bool> writeRecord(std::string name, RangeRecord record, StoreRevision over);
     StoreRevision knownRevision(const std::string &name) const;
     asio::awaitable<void> refreshTable();
@@ -130,6 +135,7 @@
     asio::awaitable<bool> fenceAtWitnesses(NodeId node, const LeaseRecord &lease);
     asio::awaitable<void> revoke(NodeId node, StoreRevision revision, std::string_view evidence);
     void sendOrders(TimePoint now);
+    bool hasTableWork(const StoredTable &stored, TimePoint now) const;
     std::optional<RangeTable> planTable(const StoredTable &stored, TimePoint now);
     void logChange(std::string_view cause, const RangeTable &before, const RangeTable &after,
                    TimePoint now) const;
@@ -144,6 +150,8 @@
     asio::awaitable<void> checkHolder(NodeId node);
     void startLeaving(TimePoint now);
     void startBalancing(TimePoint now);
+    bool spreadHotKeys(const std::vector<KeySpan> &held, TimePoint now);
+    void balance(const std::vector<KeySpan> &held, BalanceLimits limits, TimePoint now);
     void beginMove(const RangeMove &move, std::string_view cause, TimePoint now);
     RangeHolder targetOf(const KeySpan &span, TimePoint now) const;
     void lostLease();
@@ -156,6 +164,7 @@
     RandomSource &randomSource_;
     RecordStore &store_;
     BackendControl &backend_;
+    PeerCalls &peers_;
     FleetView &view_;
     BackendMonitor &monitor_;
     PeerLoads &loads_;
--- a/src/duty/range_duty_plan.cpp
+++ b/src/duty/range_duty_plan.cpp
@@ -3,8 +3,11 @@
 
 #include "adapter/log/event_log.h"
 #include "duty/range_duty.h"
+#include "wisteriahoist/v1/control.pb.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 namespace wisteriahoist {
 
@@ -27,6 +30,26 @@
  */
 constexpr milliseconds CollisionSpread{100};
 
+/** A change of more holders than this is a new division, which all nodes hear of anyway. */
+constexpr size_t MostTold = 8;
+/** Later the news have come by the watch. */
+constexpr milliseconds TellTimeout{1000};
+
+/** @return Nodes that @p after gives keys which @p before had otherwise, apart from @p self. */
+std::set<NodeId> findReceivers(const RangeTable &before, const RangeTable &after, NodeId self)
+{
+    std::set<NodeId> receivers;
+    for (const RangeEntry &entry : after.entries) {
+        const RangeEntry *earlier = before.find(entry.first);
+        const bool isNew = earlier == nullptr || earlier->fence != entry.fence
+                           || !(earlier->holder == entry.holder);
+        if (isNew && !entry.holder.isNobody() && entry.holder.node != self) {
+            receivers.insert(entry.holder.node);
+        }
+    }
+    return receivers;
+}
+
 } // namespace
 
 RangeHolder RangeDuty::targetOf(const KeySpan &span, TimePoint now) const
@@ -140,8 +163,30 @@
               {"own_grants_run_ms", std::max(left, milliseconds(0)).count()}});
 }
 
+/** Looked at on each turn, when there mostly is nothing; a plan copies the table several times. */
+bool RangeDuty::hasTableWork(const StoredTable &stored, TimePoint now) const
+{
+    const std::vector<RangeEntry> &entries = stored.table.entries;
+    const std::optional<RangeHolder> self = holder();
+    const auto isToAdopt = [this, &self](const RangeEntry &entry) {
+        return entry.holder.node == self_.node && entry.holder != *self;
+    };
+    if (self
+        && (!keeper_.refusedSpans().empty() || !keeper_.releasedRanges(now).empty()
+            || std::any_of(entries.begin(), entries.end(), isToAdopt))) {
+        return true;
+    }
+    const MemberRecord *first = firstOfService(now);
+    return first != nullptr && first->node == self_.node
+           && std::any_of(entries.begin(), entries.end(),
+                          [this](const RangeEntry &entry) { return isFreeForAll(entry.holder); });
+}
+
 std::optional<RangeTable> RangeDuty::planTable(const StoredTable &stored, TimePoint now)
 {
+    if (!hasTableWork(stored, now)) {
+        return std::nullopt;
+    }
     RangeTable next = stored.table;
     const auto change = [&](std::string_view cause, RangeTable changed) {
         logChange(cause, next, changed, now);
@@ -245,9 +290,8 @@
 asio::awaitable<bool> RangeDuty::writeRecord(std::string name, RangeRecord record,
                                              StoreRevision over)
 {
-    std::string content = encodeRangeRecord(record);
-    Result<StoreRevision> written
-            = co_await store_.write(RecordKind::Ranges, name, over, std::move(content));
+    const std::string content = encodeRangeRecord(record);
+    Result<StoreRevision> written = co_await store_.write(RecordKind::Ranges, name, over, content);
     if (!written) {
         // It may have been written all the same, or somebody else was first: read before planning.
         const FailureCode code = written.assume_error().code;
@@ -265,11 +309,50 @@
                                        {"revision", written.assume_value().value()},
                                        {"ranges", record.table.entries.size()},
                                        {"fence", record.table.highestFence.value()}});
+    if (const StoredTable *known = view_.findTable(self_.service)) {
+        tellHolders(findReceivers(known->table, record.table, self_.node),
+                    {name, written.assume_value(), content});
+    }
     view_.onRanges(name, std::move(record), written.assume_value());
     wake();
     co_return true;
 }
 
+/**
+ * Nobody serves a range between its change of hands and the moment at which its new holder hears of
+ * it. In a large fleet the watches gather changes for a good part of a second.
+ */
+void RangeDuty::tellHolders(const std::set<NodeId> &holders, const StoredRecord &written)
+{
+    if (holders.size() > MostTold) {
+        return;
+    }
+    v1::StoreRecord news;
+    news.set_name(written.name);
+    news.set_revision(written.revision.value());
+    news.set_content(written.content);
+    for (const NodeId holder : holders) {
+        const MemberRecord *member = view_.findMember(holder);
+        if (member == nullptr) {
+            continue;
+        }
+        const auto tell = [this, copy = *member,
+                           body = news.SerializeAsString()]() -> asio::awaitable<void> {
+            (void)co_await peers_.call(copy, RangeNewsPath, body, TellTimeout);
+        };
+        asio::co_spawn(context_, tell, asio::detached);
+    }
+}
+
+asio::awaitable<std::string> RangeDuty::onTold(std::string body)
+{
+    v1::StoreRecord news;
+    if (news.ParseFromString(body) && news.revision() != 0) {
+        view_.onRangeRecord({news.name(), StoreRevision(news.revision()), news.content()});
+    }
+    co_return std::string();
+}
+
 StoreRevision RangeDuty::knownRevision(const std::string &name) const
 {
     const StoredTable *stored = view_.findTable(self_.service);
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -6,6 +6,7 @@
 #include "adapter/log/event_log.h"
 #include "duty/ingress_message.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -29,6 +30,9 @@
 constexpr milliseconds RetryLost{1000};
 /** Before other nodes have reported how long they will be full. */
 constexpr milliseconds RetryDefault{200};
+/** Instances that one request is weighed against; to look at each of hundreds costs more than it
+ *  gains over the better of a few. */
+constexpr size_t InstanceSample = 16;
 
 milliseconds leftUntil(TimePoint end, TimePoint now)
 {
@@ -46,6 +50,13 @@
     return end;
 }
 
+/** @return Whether every node that was asked was full. */
+bool isWithoutRoom(const v1::HopReply &reply)
+{
+    return outcomeOf(reply) == Outcome::NotRun
+           && (reply.reason() == "overloaded" || reply.reason() == "patience-over");
+}
+
 } // namespace
 
 RequestRouter::RequestRouter(asio::io_context &context, const Clock &clock,
@@ -99,10 +110,15 @@
         co_return refuse(http::status::bad_request, "malformed-request", "The key is missing.",
                          milliseconds(0));
     }
+    if (!admit(*work)) {
+        co_return makeAnswer(*work,
+                             makeVerdictReply(RequestStage::Received, RequestEnd::Overloaded));
+    }
     ++open_;
     v1::HopReply reply = co_await runAttempts(work);
     --open_;
     work->caller->onGone(nullptr);
+    learnRoom(*work, reply);
     co_return makeAnswer(*work, std::move(reply));
 }
 
@@ -169,6 +185,7 @@
             work->retryAfter
                     = work->retryAfter.count() == 0 ? given : std::min(work->retryAfter, given);
         }
+        const bool hasOwner = end.routingMayChange && learnOwner(*work, reply);
         AttemptStep step = decideNextAttempt(end, work->history, AttemptLimits{});
         if (work->caller->isGone()) {
             step = AttemptStep::Finish;
@@ -183,7 +200,7 @@
             work->history.answered = true;
             work->earlierAnswer = std::move(reply);
         }
-        if (step == AttemptStep::AwaitOwner) {
+        if (step == AttemptStep::AwaitOwner && !hasOwner) {
             co_await awaitRouting(work);
         }
     }
@@ -202,6 +219,43 @@
     return reply;
 }
 
+RequestRouter::RouteRoom &RequestRouter::roomOf(const Work &work)
+{
+    if (roomsVersion_ != work.routes->version()) {
+        roomsVersion_ = work.routes->version();
+        rooms_.clear();
+    }
+    return rooms_[work.route->name];
+}
+
+bool RequestRouter::admit(Work &work)
+{
+    // The room at a key's holder says nothing of the room at others.
+    if (work.history.sharded) {
+        return true;
+    }
+    RouteRoom &room = roomOf(work);
+    const bool admitted = room.throttle.admit(work.startedAt, random());
+    if (!admitted) {
+        ++counters_.throttled;
+        work.retryAfter = room.retryAfter;
+    }
+    return admitted;
+}
+
+void RequestRouter::learnRoom(const Work &work, const v1::HopReply &reply)
+{
+    if (work.history.sharded || work.routes->version() != roomsVersion_) {
+        return;
+    }
+    RouteRoom &room = roomOf(work);
+    const bool accepted = !isWithoutRoom(reply);
+    room.throttle.onEnd(accepted, clock_.now());
+    if (!accepted) {
+        room.retryAfter = work.retryAfter;
+    }
+}
+
 bool RequestRouter::takeRepeat(const Work &work, TimePoint now)
 {
     RepeatBudget &budget
@@ -234,20 +288,34 @@
     }
 }
 
-NodeId RequestRouter::chooseAny(Work &work)
+std::vector<NodeId> RequestRouter::usableNodes(const std::vector<const MemberRecord *> &members,
+                                               const Work &work, TimePoint now) const
 {
-    const TimePoint now = clock_.now();
-    std::vector<NodeId> candidates;
-    uint32_t ready = 0;
-    for (const MemberRecord *member : view_.readyMembers(work.hop.service())) {
-        ++ready;
+    std::vector<NodeId> nodes;
+    for (const MemberRecord *member : members) {
         if (work.asked.count(member->node) == 0 && !loads_.isShunned(member->node, now)) {
-            candidates.push_back(member->node);
+            nodes.push_back(member->node);
         }
     }
-    work.history.candidates = ready;
+    return loads_.outliers().usable(nodes, now);
+}
+
+NodeId RequestRouter::chooseAny(Work &work)
+{
+    const TimePoint now = clock_.now();
+    const std::vector<const MemberRecord *> &ready = view_.readyMembers(work.hop.service());
+    work.history.candidates = static_cast<uint32_t>(ready.size());
+    std::vector<NodeId> nodes;
+    if (ready.size() > InstanceSample) {
+        std::vector<const MemberRecord *> drawn;
+        std::sample(ready.begin(), ready.end(), std::back_inserter(drawn), InstanceSample, random_);
+        nodes = usableNodes(drawn, work, now);
+    }
+    if (nodes.empty()) {
+        nodes = usableNodes(ready, work, now);
+    }
     std::vector<InstanceLoad> instances;
-    for (const NodeId node : loads_.outliers().usable(candidates, now)) {
+    for (const NodeId node : nodes) {
         const MemberRecord &member = *view_.findMember(node);
         instances.push_back(loads_.instanceLoad(node, member.failureDomain, member.slots));
     }
@@ -262,6 +330,19 @@
     return stored == nullptr ? nullptr : stored->table.find(ShardKey(work.hop.shard_key()));
 }
 
+/** @return Whether @p reply names an owner that is newer than what was known here. */
+bool RequestRouter::learnOwner(Work &work, const v1::HopReply &reply) const
+{
+    const KeyOwner told{NodeId(reply.owner_node()), Epoch(reply.epoch())};
+    const RangeEntry *entry = findOwner(work);
+    const bool isNewer = told.node != InvalidNode && (entry == nullptr || told.fence > entry->fence)
+                         && (!work.toldOwner || told.fence > work.toldOwner->fence);
+    if (isNewer) {
+        work.toldOwner = told;
+    }
+    return isNewer;
+}
+
 NodeId RequestRouter::chooseTarget(Work &work)
 {
     if (!work.history.sharded) {
@@ -269,6 +350,9 @@
     }
     const RangeEntry *entry = findOwner(work);
     work.routingSeen = entry == nullptr ? std::nullopt : std::optional<RangeEntry>(*entry);
+    if (work.toldOwner && (entry == nullptr || work.toldOwner->fence > entry->fence)) {
+        return work.toldOwner->node;
+    }
     return entry == nullptr ? InvalidNode : entry->holder.node;
 }
 
@@ -293,24 +377,23 @@
         reply.set_retry_after_ms(RetryLost.count());
         co_return reply;
     }
-    v1::HopRequest hop = work->hop;
+    v1::HopRequest &hop = work->hop;
     hop.set_request_id(++lastRequest_);
-    work->hop.set_request_id(lastRequest_);
     hop.set_deadline_left_ms(leftUntil(work->deadline, now).count());
     hop.set_objective_left_ms(leftUntil(work->objective, now).count());
     const NodeId target = work->target;
     if (target == settings_.node) {
         loads_.onSent(target);
-        v1::HopReply reply = co_await gate_.run(std::move(hop));
+        v1::HopReply reply = co_await gate_.run(hop);
         loads_.onReply(target, reply, true, clock_.now());
         co_return reply;
     }
     ++counters_.forwarded;
     const MemberRecord peer = *member;
-    co_return co_await forward(peer, std::move(hop));
+    co_return co_await forward(peer, hop);
 }
 
-asio::awaitable<v1::HopReply> RequestRouter::forward(MemberRecord member, v1::HopRequest hop)
+asio::awaitable<v1::HopReply> RequestRouter::forward(MemberRecord member, const v1::HopRequest &hop)
 {
     const milliseconds timeout = milliseconds(hop.deadline_left_ms()) + HopGrace;
     loads_.onSent(member.node);
--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -6,6 +6,7 @@
 #include "adapter/http/request_protocol.h"
 #include "adapter/log/line_budget.h"
 #include "adapter/metrics/metric_type.h"
+#include "decision/request/adaptive_throttle.h"
 #include "decision/request/attempt_policy.h"
 #include "decision/request/repeat_budget.h"
 #include "duty/backend_gate.h"
@@ -37,6 +38,7 @@
     uint64_t forwarded = 0; ///< Attempts at other nodes.
     uint64_t repeats = 0;   ///< Attempts that drew on the budget.
     uint64_t callersGone = 0;
+    uint64_t throttled = 0; ///< Refused without asking any node for room.
 };
 
 /**
@@ -83,17 +85,24 @@
         NodeId target; ///< Of the present attempt.
         std::set<NodeId> asked;
         std::optional<RangeEntry> routingSeen; ///< Of its key, when the target was chosen.
+        std::optional<KeyOwner> toldOwner;     ///< By a node that holds the key no more.
         milliseconds retryAfter{0};            ///< The shortest that any node gave.
         v1::HopReply earlierAnswer;            ///< Set if history.answered.
     };
 
+    /** What this node has learned of the room for one route's requests. */
+    struct RouteRoom {
+        AdaptiveThrottle throttle;
+        milliseconds retryAfter{0}; ///< That the latest refusal gave.
+    };
+
     HttpResponse refuse(http::status status, std::string_view type, const std::string &detail,
                         milliseconds retryAfter) const;
     std::shared_ptr<Work> makeWork(const HttpRequest &request, const RequestTerms &terms,
                                    const Route &route, std::shared_ptr<CallerWatch> caller);
     asio::awaitable<v1::HopReply> runAttempts(std::shared_ptr<Work> work);
     asio::awaitable<v1::HopReply> attempt(std::shared_ptr<Work> work);
-    asio::awaitable<v1::HopReply> forward(MemberRecord member, v1::HopRequest hop);
+    asio::awaitable<v1::HopReply> forward(MemberRecord member, const v1::HopRequest &hop);
     asio::awaitable<std::string> onHop(std::string body);
     asio::awaitable<std::string> onProbe();
     void tellNews(v1::HopReply &reply) const;
@@ -101,11 +110,18 @@
     asio::awaitable<void> awaitRouting(std::shared_ptr<Work> work);
     asio::awaitable<void> sendCancel(NodeId target, uint64_t requestId);
     const RangeEntry *findOwner(const Work &work) const;
+    bool learnOwner(Work &work, const v1::HopReply &reply) const;
     void wakeWaiters();
     NodeId chooseTarget(Work &work);
     NodeId chooseAny(Work &work);
+    /** @return Those of @p members that the request has not asked and that are not left out. */
+    std::vector<NodeId> usableNodes(const std::vector<const MemberRecord *> &members,
+                                    const Work &work, TimePoint now) const;
     static v1::HopReply finalReply(Work &work, v1::HopReply reply, const AttemptEnd &end);
     bool takeRepeat(const Work &work, TimePoint now);
+    RouteRoom &roomOf(const Work &work);
+    bool admit(Work &work);
+    void learnRoom(const Work &work, const v1::HopReply &reply);
     HttpResponse makeAnswer(const Work &work, v1::HopReply reply);
     void logEnd(const Work &work, const v1::HopReply &reply, unsigned status);
     double random() { return std::uniform_real_distribution<double>(0, 1)(random_); }
@@ -120,6 +136,8 @@
     PeerLink &peers_;
     TargetPicker targets_;
     std::map<std::string, RepeatBudget> budgets_; ///< By service.
+    std::map<std::string, RouteRoom> rooms_;      ///< By route, of one configuration.
+    uint64_t roomsVersion_ = 0;                   ///< Of that configuration.
     std::mt19937_64 random_;
     RouterCounters counters_;
     /// Lines of about 300 bytes: 60 KB/s at most. A node of the users' sites answers 30 to 60
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -270,6 +270,9 @@
             [&counters]() { return counters.repeats; });
     counter("wisteriahoist_callers_gone_total", "Callers that left before their answer.",
             [&counters]() { return counters.callersGone; });
+    counter("wisteriahoist_throttled_total",
+            "Requests refused on arrival, since their service was full everywhere.",
+            [&counters]() { return counters.throttled; });
     registerStoreCalls();
     counter("wisteriahoist_log_lines_dropped_total", "Lines of requests over the log's budget.",
             [this]() { return router_.droppedLines(); });
--- a/test/unit/range/range_planner_test.cpp
+++ b/test/unit/range/range_planner_test.cpp
@@ -118,3 +118,52 @@
                                    BalanceLimits{});
     cr_assert(moves.size() == BalanceLimits{}.ranges);
 }
+
+// Guards against a holder that sheds hot keys to one receiver after the other: 200 neighbouring
+// keys draw a third of a large service's calls for five seconds.
+Test(range_planner, hot_neighbours_are_spread_over_many)
+{
+    const KeySpan span{ShardKey(1000), ShardKey(1584)};
+    std::vector<KeyRate> rates;
+    for (uint32_t key = 1200; key < 1400; ++key) {
+        rates.push_back({ShardKey(key), 0.4});
+    }
+    const RangeCandidate self = makeCandidate(1, 80);
+    std::vector<RangeCandidate> others;
+    for (uint64_t node = 2; node <= 40; ++node) {
+        others.push_back(makeCandidate(node, node % 2 == 0 ? 4 : 11));
+    }
+    const auto moves = planSpread(self, {span}, rates, others, SpreadLimits{});
+    std::map<NodeId, double> given;
+    for (const RangeMove &move : moves) {
+        for (const KeyRate &rate : rates) {
+            given[move.holder.node] += move.span.contains(rate.key) ? rate.busySlots : 0;
+        }
+    }
+    SECTION("as many take a part as the load needs")
+    {
+        cr_assert_geq(given.size(), 10U);
+    }
+    SECTION("only those with room, and no more than they have room for")
+    {
+        for (const auto &[node, load] : given) {
+            cr_assert_eq(node.value() % 2, 0U);
+            cr_assert_leq(4 + load, 12.0);
+        }
+    }
+    SECTION("the holder keeps a part that it can serve")
+    {
+        double left = 80;
+        for (const auto &[node, load] : given) {
+            left -= load;
+        }
+        cr_assert(left > 0 && left <= 12, "%.1f", left);
+    }
+    SECTION("and keeps all while it is asked for little more than its slots")
+    {
+        for (KeyRate &rate : rates) {
+            rate.busySlots = 0.1;
+        }
+        cr_assert(planSpread(self, {span}, rates, others, SpreadLimits{}).empty());
+    }
+}
