--- a/src/adapter/http2/silence_watch.h
+++ b/src/adapter/http2/silence_watch.h
@@ -28,8 +28,8 @@
 class SilenceWatch : public std::enable_shared_from_this<SilenceWatch>
 {
 public:
-    SilenceWatch(asio::any_io_executor executor, SilenceLimits limits = {})
-        : timer_(std::move(executor)), limits_(limits)
+    explicit SilenceWatch(const asio::any_io_executor &executor, SilenceLimits limits = {})
+        : timer_(executor), limits_(limits)
     { }
 
     /** @param session Calls are under way on it; it is looked at until they have ended. */
--- a/src/decision/range/range_planner.cpp
+++ b/src/decision/range/range_planner.cpp
@@ -230,41 +230,6 @@
 
 } // namespace
 
-std::vector<RangeMove> planSpread(const RangeCandidate &self, const std::vector<KeySpan> &spans,
-                                  const std::vector<KeyRate> &rates,
-                                  std::vector<RangeCandidate> candidates,
-                                  const SpreadLimits &limits)
-{
-    const double most = self.slots * limits.level;
-    const double demand = std::accumulate(rates.begin(), rates.end(), 0.0,
-                                          [most](double sum, const KeyRate &rate) {
-                                              return sum + std::min(rate.busySlots, most);
-                                          });
-    if (demand < limits.demand * self.slots) {
-        return {};
-    }
-    const auto roomOf = [&limits](const RangeCandidate &candidate) {
-        return candidate.slots * limits.level - candidate.busySlots;
-    };
-    std::sort(candidates.begin(), candidates.end(),
-              [&roomOf](const RangeCandidate &left, const RangeCandidate &right) {
-                  return roomOf(left) > roomOf(right);
-              });
-    std::vector<RangeCandidate> takers{self};
-    takers.front().busySlots = 0;
-    double room = roomOf(takers.front());
-    for (const RangeCandidate &candidate : candidates) {
-        if (room >= demand || takers.size() > limits.receivers || roomOf(candidate) <= 0) {
-            break;
-        }
-        takers.push_back(candidate);
-        room += roomOf(candidate);
-    }
-    std::vector<RangeMove> moves = planGiveAway(spans, rates, takers);
-    std::erase_if(moves, [&self](const RangeMove &move) { return move.holder == self.holder; });
-    return moves;
-}
-
 std::optional<RangeMove> planFirstShare(const std::vector<KeySpan> &spans,
                                         const RangeCandidate &newcomer)
 {
--- a/src/decision/range/range_planner.h
+++ b/src/decision/range/range_planner.h
@@ -71,27 +71,6 @@
                                     const std::vector<KeyRate> &rates,
                                     const std::vector<RangeCandidate> &candidates);
 
-/** When a holder gives most of its load away at once. */
-struct SpreadLimits {
-    /** Demand for its keys over its slots: far beyond what one receiver after the other could ease
-     *  while the keys stay hot. Below it, the wait for the releases costs more than it gains. */
-    double demand = 2.5;
-    double level = 0.8;    ///< Share of its slots up to which a receiver is filled.
-    size_t receivers = 48; ///< Each costs a release, a part of a write and a grant.
-};
-
-/**
- * Spreads the keys of a holder that is asked for several times what it can serve over as many
- * candidates as their load needs, those with the most room first. Busy keys are neighbours, so that
- * one holder may have all of them. A key that fills a holder alone fills the next one too, and
- * counts for no more than that.
- * @param rates Of keys in @p spans only, sorted by key. @return Empty if the demand is not so high.
- */
-std::vector<RangeMove> planSpread(const RangeCandidate &self, const std::vector<KeySpan> &spans,
-                                  const std::vector<KeyRate> &rates,
-                                  std::vector<RangeCandidate> candidates,
-                                  const SpreadLimits &limits);
-
 /** @return The half of the widest of @p spans for a candidate without keys, where no load tells
  *          what it should get. */
 std::optional<RangeMove> planFirstShare(const std::vector<KeySpan> &spans,
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -357,7 +357,7 @@
 void RangeDuty::startBalancing(TimePoint now)
 {
     const std::vector<KeySpan> held = keeper_.heldSpans();
-    const BalanceLimits limits;
+    BalanceLimits limits;
     if (keeper_.hasLeaving()) {
         movedAt_ = now; // Load is judged by what comes after a move, however long that takes.
     }
@@ -365,37 +365,6 @@
         || now - std::max(movedAt_, startedAt_) < limits.pause) {
         return;
     }
-    if (!spreadHotKeys(held, now)) {
-        balance(held, limits, now);
-    }
-}
-
-/** @return Whether keys have begun to move. */
-bool RangeDuty::spreadHotKeys(const std::vector<KeySpan> &held, TimePoint now)
-{
-    RangeCandidate self;
-    self.holder = *holder();
-    self.slots = std::max<uint32_t>(1, monitor_.slots());
-    const SpreadLimits limits;
-    if (load_.total(now) < limits.demand * self.slots) {
-        return false;
-    }
-    std::vector<KeyRate> rates;
-    for (const KeySpan &span : held) {
-        const std::vector<KeyRate> found = load_.rates(span, now);
-        rates.insert(rates.end(), found.begin(), found.end());
-    }
-    const std::vector<RangeMove> moves
-            = planSpread(self, held, rates, candidates(now, false), limits);
-    for (const RangeMove &move : moves) {
-        movedAt_ = now;
-        beginMove(move, "hot keys", now);
-    }
-    return !moves.empty();
-}
-
-void RangeDuty::balance(const std::vector<KeySpan> &held, BalanceLimits limits, TimePoint now)
-{
     RangeCandidate self;
     self.holder = *holder();
     self.slots = std::max<uint32_t>(1, monitor_.slots());
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -150,8 +150,6 @@
     asio::awaitable<void> checkHolder(NodeId node);
     void startLeaving(TimePoint now);
     void startBalancing(TimePoint now);
-    bool spreadHotKeys(const std::vector<KeySpan> &held, TimePoint now);
-    void balance(const std::vector<KeySpan> &held, BalanceLimits limits, TimePoint now);
     void beginMove(const RangeMove &move, std::string_view cause, TimePoint now);
     RangeHolder targetOf(const KeySpan &span, TimePoint now) const;
     void lostLease();
--- a/test/unit/range/range_duty_test.cpp
+++ b/test/unit/range/range_duty_test.cpp
@@ -163,6 +163,26 @@
               == "token");
 }
 
+// Guards against keys that nobody serves until the watch of their new holder wakes.
+Test(range_duty, a_new_holder_hears_of_its_keys_from_the_last_one)
+{
+    OwnershipFleet fleet;
+    OwnershipNode &first = fleet.add(1, "b-1");
+    fleet.add(2, "b-2");
+    const auto all = [&]() { return isServedByOne(fleet, Low) && isServedByOne(fleet, High); };
+    cr_assert(fleet.reaches(all, Patience));
+    fleet.holdNews(true);
+    (void)first.monitor.onDeregister("b-1");
+    first.duty.wake();
+    cr_assert(fleet.reaches([&]() { return fleet.admitting(Low) == std::vector<uint64_t>{2}; },
+                            Patience));
+    SECTION("and the last one names it to whoever still asks there")
+    {
+        const std::optional<KeyOwner> owner = first.duty.ownerOf(Low);
+        cr_assert(owner && owner->node == NodeId(2));
+    }
+}
+
 // The answer to the write that divides the service is lost. The node reads the table before it
 // plans again; writing it once more over its own write would be refused for ever.
 Test(range_duty, a_write_without_an_answer_is_read_back)
