--- a/src/duty/range_duty_plan.cpp
+++ b/src/duty/range_duty_plan.cpp
@@ -42,7 +42,7 @@
     for (const RangeEntry &entry : after.entries) {
         const RangeEntry *earlier = before.find(entry.first);
         const bool isNew = earlier == nullptr || earlier->fence != entry.fence
-                           || !(earlier->holder == entry.holder);
+                           || earlier->holder != entry.holder;
         if (isNew && !entry.holder.isNobody() && entry.holder.node != self) {
             receivers.insert(entry.holder.node);
         }
--- a/src/duty/shared_watch.h
+++ b/src/duty/shared_watch.h
@@ -38,7 +38,7 @@
     milliseconds firstShun{2000}; ///< A feeder that failed is left out; doubles with each failure.
     milliseconds longestShun{30000};
     /** With so many feeders left out, a node watches the store itself: it lists after each feeder
-     *  that fails, and what ails two feeders ails the others too. */
+     *  that fails, and what ails so many ails the others too. */
     size_t mostShunned = 3;
     /** A node that takes a lost feeder's place has to list first; its followers wait so long. */
     milliseconds becomeFresh{150};
