Add: [Signals] Each range that is newly granted is named in the log; dropped lines are counted

ranges-offered now takes as many lines as it needs, for grants in answers to heartbeats and by calls; lease-lost says how long the own grants still run; and BoundedEvent ends a row of dropped lines with lines-dropped, which names the event, their number and since when.

Measured: each_range_that_is_newly_granted_is_named (32 ranges, both forms of granting) and a_row_of_dropped_lines_ends_with_one_that_counts_them pass.

--- /dev/null
+++ b/src/adapter/log/bounded_event.h
@@ -0,0 +1,40 @@
+/** @file bounded_event.h An event that may come often: so many lines a second, the rest is counted.
+ */
+
+#pragma once
+
+#include "adapter/log/event_log.h"
+#include "adapter/log/line_budget.h"
+
+namespace wisteriahoist {
+
+/**
+ * Who reads the log later must know where lines are missing, so a row of dropped lines ends with
+ * one that counts them. Used by one thread.
+ */
+class BoundedEvent
+{
+public:
+    /** @param perSecond Lines in the long run. @param burst Lines at once. */
+    BoundedEvent(LogEvent event, double perSecond, double burst)
+        : event_(event), budget_(perSecond, burst)
+    { }
+
+    /** @return Whether a line may be written now, with log(); if not, it counts as dropped. */
+    bool tryTake(TimePoint now);
+
+    void log(LogFields fields) const { logEvent(event_, fields); }
+
+    /** Logs how many lines were dropped, once there is room for a line again. */
+    void tellDropped(TimePoint now);
+
+    uint64_t dropped() const { return budget_.dropped(); }
+
+private:
+    LogEvent event_;
+    LineBudget budget_;
+    uint64_t told_ = 0;                   ///< Of the dropped lines.
+    TimePoint droppingSince_ = NeverTime; ///< First dropped line that is not told yet.
+};
+
+} // namespace wisteriahoist
--- a/src/adapter/log/line_budget.h
+++ b/src/adapter/log/line_budget.h
@@ -21,12 +21,7 @@
     /** @return Whether a line may be written now; if not, it counts as dropped. */
     bool tryTake(TimePoint now)
     {
-        if (filledAt_ != NeverTime) {
-            const std::chrono::duration<double> elapsed = now - filledAt_;
-            tokens_ = std::min(burst_, tokens_ + elapsed.count() * perSecond_);
-        }
-        filledAt_ = now;
-        if (tokens_ < 1) {
+        if (!hasLine(now)) {
             ++dropped_;
             return false;
         }
@@ -34,6 +29,17 @@
         return true;
     }
 
+    /** @return Whether tryTake() would allow a line. */
+    bool hasLine(TimePoint now)
+    {
+        if (filledAt_ != NeverTime) {
+            const std::chrono::duration<double> elapsed = now - filledAt_;
+            tokens_ = std::min(burst_, tokens_ + elapsed.count() * perSecond_);
+        }
+        filledAt_ = now;
+        return tokens_ >= 1;
+    }
+
     uint64_t dropped() const { return dropped_; }
 
 private:
--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -64,6 +64,7 @@
         {LogEvent::StoreRelayed, "store-relayed", LogSeverity::Warning},
         {LogEvent::SettingsReloaded, "settings-reloaded", LogSeverity::Info},
         {LogEvent::SettingsRefused, "settings-refused", LogSeverity::Error},
+        {LogEvent::LinesDropped, "lines-dropped", LogSeverity::Warning},
 }};
 
 constexpr bool isTableInOrder()
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -58,7 +58,7 @@
     LeaseRevoked,     ///< This node has taken another one's lease away.
     RangeLeaving,     ///< A range is being released for another holder.
     RangeGivenOn,     ///< A range is about to go to another holder: on what proof.
-    RangesOffered,    ///< The answer to a heartbeat grants ranges that it did not list.
+    RangesOffered,    ///< Ranges that the backend server did not hold are granted to it.
     RangesChanging,   ///< Why ranges are about to be written to other holders; one line a cause.
     RangesWritten,    ///< This node has changed the table of its service.
     RangesNotWritten, ///< The change failed, or its outcome is not known.
@@ -71,7 +71,8 @@
     StoreRelayed,     ///< The store is reached through another node.
     SettingsReloaded,
     SettingsRefused, ///< The settings file has changed for the worse; the old settings stay.
-    Last = SettingsRefused,
+    LinesDropped,    ///< Lines of an event that comes often were left out.
+    Last = LinesDropped,
 };
 
 /** The value of one field. */
--- a/src/decision/range/range_keeper.cpp
+++ b/src/decision/range/range_keeper.cpp
@@ -164,12 +164,14 @@
     for (Held *due : dueForGrant(now)) {
         Held &held = *due;
         held.granting = true;
+        const bool renews = held.proof.grantedAt != NeverTime;
         held.proof.grantedAt = now;
         // One that was cut short by a split counts as unanswered.
         held.unansweredUntil = std::max(held.unansweredUntil, held.pendingUntil);
         held.pendingUntil = lapseOf(times_, hold, now);
         held.lapsesAt = std::max(held.lapsesAt, held.pendingUntil);
-        orders.push_back({held.span, held.fence, hold, held.handover, now, now + times_.sending});
+        orders.push_back(
+                {held.span, held.fence, hold, held.handover, now, now + times_.sending, renews});
     }
     return orders;
 }
--- a/src/decision/range/range_keeper.h
+++ b/src/decision/range/range_keeper.h
@@ -64,6 +64,7 @@
     std::string handover; ///< Empty: none.
     TimePoint sentAt = NeverTime;
     TimePoint sendBy = NeverTime; ///< Sent later, it would last longer than is noted of it.
+    bool renews = false;          ///< The range was granted under this fence before.
 };
 
 /** A call to the backend server: stop new work on these keys, answer when the old work has ended.
--- a/src/duty/range_duty.cpp
+++ b/src/duty/range_duty.cpp
@@ -201,6 +201,9 @@
             sendOrders(now);
             releaseHeldAnswer(now);
         }
+        leftOutLines_.tellDropped(now);
+        givenOnLines_.tellDropped(now);
+        offeredLines_.tellDropped(now);
         co_await wakeTimer_->wait(sharded ? Tick : IdleTick);
     }
 }
@@ -239,9 +242,16 @@
     if (grantsByHeartbeat() || monitor_.isRefusing()) {
         return;
     }
+    std::vector<HeldKeys> granted;
+    milliseconds hold{0};
     for (GrantOrder &order : keeper_.takeDueGrants(authority_.validUntil(), now)) {
+        if (!order.renews) {
+            granted.push_back({order.span, order.fence});
+            hold = order.hold;
+        }
         spawn(sendGrant(std::move(order)));
     }
+    logGranted(granted, hold, {}, now);
     for (const ReleaseOrder &order : keeper_.takeDueReleases(now)) {
         spawn(sendRelease(order));
     }
@@ -282,7 +292,9 @@
 
 void RangeDuty::lostLease()
 {
-    logEvent(LogEvent::LeaseLost, {{"session", session_.value()}});
+    const auto left = std::chrono::duration_cast<milliseconds>(keeper_.lastLapse() - clock_.now());
+    logEvent(LogEvent::LeaseLost, {{"session", session_.value()},
+                                   {"own_grants_run_ms", std::max<int64_t>(0, left.count())}});
     authority_.onRevoked();
     session_ = drawLife(randomSource_);
 }
--- a/src/duty/range_duty.h
+++ b/src/duty/range_duty.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "adapter/codec/record_codec.h"
-#include "adapter/log/line_budget.h"
+#include "adapter/log/bounded_event.h"
 #include "decision/member/backend_monitor.h"
 #include "decision/range/range_planner.h"
 #include "duty/backend_gate.h"
@@ -101,6 +101,12 @@
     bool hasKeysToGive(TimePoint now) const;
 
 private:
+    /** The heartbeat whose answer grants ranges; none where they are granted by calls. */
+    struct AnsweredReport {
+        uint64_t sequence = 0;
+        Duration heldBackFor{0};
+    };
+
     /** A heartbeat whose answer is held back. */
     struct HeldAnswer {
         const HoldReport *report = nullptr;
@@ -145,6 +151,8 @@
                     const RangeTable &table, TimePoint now);
     void logOffered(const HoldReport &report, const HoldOrder &order, TimePoint receivedAt,
                     TimePoint now);
+    void logGranted(const std::vector<HeldKeys> &granted, milliseconds hold,
+                    const AnsweredReport &answered, TimePoint now);
     bool isFreeForAll(const RangeHolder &holder) const;
     asio::awaitable<void> createTable();
     asio::awaitable<void> checkHolder(NodeId node);
@@ -191,9 +199,10 @@
     bool writing_ = false; ///< Invariant: at most one write of the table is on its way.
     bool renewing_ = false;
     std::optional<HeldAnswer> heldAnswer_; ///< Of the newest heartbeat, while it waits.
-    LineBudget leftOutLines_{1, 5};        ///< Each heartbeat would say the same.
-    LineBudget givenOnLines_{20, 200};     ///< A plan whose write failed is made again.
-    LineBudget offeredLines_{5, 50};
+    BoundedEvent leftOutLines_{LogEvent::RangesLeftOut, 1, 5}; ///< Told with each heartbeat.
+    /// A plan whose write failed is made again.
+    BoundedEvent givenOnLines_{LogEvent::RangeGivenOn, 20, 200};
+    BoundedEvent offeredLines_{LogEvent::RangesOffered, 20, 200};
     uint64_t reports_ = 0; ///< Heartbeats so far; only the newest one is granted to.
     size_t checking_ = 0;  ///< Holders that are being looked at.
     /** A record of ranges whose write failed: not written again before its newest state is known.
--- a/src/duty/range_duty_heartbeat.cpp
+++ b/src/duty/range_duty_heartbeat.cpp
@@ -16,6 +16,12 @@
 constexpr milliseconds AnswerHeldFor{500};
 constexpr size_t SpansInLine = 12; ///< Bounds the length of a line.
 
+std::string heldText(const HeldKeys &held)
+{
+    return std::to_string(held.span.first.value()) + "-" + std::to_string(held.span.last.value())
+           + "@" + std::to_string(held.fence.value());
+}
+
 } // namespace
 
 bool RangeDuty::grantsByHeartbeat() const
@@ -47,8 +53,7 @@
     const TimePoint now = clock_.now();
     std::optional<HoldOrder> order = keeper_.takeHolds(receivedAt, authority_.validUntil(), now);
     if (order && order->leftOut > 0 && leftOutLines_.tryTake(now)) {
-        logEvent(LogEvent::RangesLeftOut,
-                 {{"ranges", order->leftOut}, {"granted", order->rows.size()}});
+        leftOutLines_.log({{"ranges", order->leftOut}, {"granted", order->rows.size()}});
     }
     if (order) {
         logOffered(report, *order, receivedAt, now);
@@ -60,30 +65,38 @@
 void RangeDuty::logOffered(const HoldReport &report, const HoldOrder &order, TimePoint receivedAt,
                            TimePoint now)
 {
-    std::string spans;
-    size_t count = 0;
+    std::vector<HeldKeys> granted;
     for (const OfferedKeys &row : order.rows) {
         const HeldKeys held{row.span, row.fence};
-        if (std::find(report.holds.begin(), report.holds.end(), held) != report.holds.end()) {
+        if (std::find(report.holds.begin(), report.holds.end(), held) == report.holds.end()) {
+            granted.push_back(held);
+        }
+    }
+    logGranted(granted, order.hold, {report.sequence, now - receivedAt}, now);
+}
+
+/** Every range is named, in as many lines as it takes: what is left out could not be traced. */
+void RangeDuty::logGranted(const std::vector<HeldKeys> &granted, milliseconds hold,
+                           const AnsweredReport &answered, TimePoint now)
+{
+    const auto answerHeld = std::chrono::duration_cast<milliseconds>(answered.heldBackFor);
+    const auto authority = std::chrono::duration_cast<milliseconds>(authority_.validUntil() - now);
+    for (size_t first = 0; first < granted.size(); first += SpansInLine) {
+        if (!offeredLines_.tryTake(now)) {
             continue;
         }
-        if (++count <= SpansInLine) {
-            spans += (spans.empty() ? "" : " ") + std::to_string(row.span.first.value()) + "-"
-                     + std::to_string(row.span.last.value()) + "@"
-                     + std::to_string(row.fence.value());
+        const size_t end = std::min(granted.size(), first + SpansInLine);
+        std::string spans;
+        for (size_t index = first; index < end; ++index) {
+            spans += (spans.empty() ? "" : " ") + heldText(granted[index]);
         }
+        offeredLines_.log({{"sequence", answered.sequence},
+                           {"ranges", end - first},
+                           {"spans", spans},
+                           {"hold_ms", hold.count()},
+                           {"answer_held_ms", answerHeld.count()},
+                           {"authority_ms", authority.count()}});
     }
-    if (count == 0 || !offeredLines_.tryTake(now)) {
-        return;
-    }
-    const auto held = std::chrono::duration_cast<milliseconds>(now - receivedAt);
-    const auto authority = std::chrono::duration_cast<milliseconds>(authority_.validUntil() - now);
-    logEvent(LogEvent::RangesOffered, {{"sequence", report.sequence},
-                                       {"ranges", count},
-                                       {"spans", spans},
-                                       {"hold_ms", order.hold.count()},
-                                       {"answer_held_ms", held.count()},
-                                       {"authority_ms", authority.count()}});
 }
 
 /**
--- a/src/duty/range_duty_plan.cpp
+++ b/src/duty/range_duty_plan.cpp
@@ -90,20 +90,20 @@
     };
     const ReleaseProof &proof = released.proof;
     const RangeEntry *entry = table.find(released.span.first);
-    logEvent(LogEvent::RangeGivenOn, {{"first", released.span.first.value()},
-                                      {"last", released.span.last.value()},
-                                      {"fence", released.fence.value()},
-                                      {"table_fence", entry == nullptr ? 0 : entry->fence.value()},
-                                      {"to", holderText(target)},
-                                      {"proof", releaseGroundName(proof.ground)},
-                                      {"confirmed_ms_ago", ago(proof.confirmedAt)},
-                                      {"shown_in", proof.shownIn},
-                                      {"told_in", proof.toldIn},
-                                      {"left_out_of", proof.leftOutOf},
-                                      {"granted_ms_ago", ago(proof.grantedAt)},
-                                      {"grant_runs_ms", left(proof.lapsesAt)},
-                                      {"unanswered_ms", left(proof.unansweredUntil)},
-                                      {"backend_state", static_cast<int64_t>(monitor_.state())}});
+    givenOnLines_.log({{"first", released.span.first.value()},
+                       {"last", released.span.last.value()},
+                       {"fence", released.fence.value()},
+                       {"table_fence", entry == nullptr ? 0 : entry->fence.value()},
+                       {"to", holderText(target)},
+                       {"proof", releaseGroundName(proof.ground)},
+                       {"confirmed_ms_ago", ago(proof.confirmedAt)},
+                       {"shown_in", proof.shownIn},
+                       {"told_in", proof.toldIn},
+                       {"left_out_of", proof.leftOutOf},
+                       {"granted_ms_ago", ago(proof.grantedAt)},
+                       {"grant_runs_ms", left(proof.lapsesAt)},
+                       {"unanswered_ms", left(proof.unansweredUntil)},
+                       {"backend_state", static_cast<int64_t>(monitor_.state())}});
 }
 
 RangeTable RangeDuty::handReleasedOver(RangeTable table, TimePoint now)
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -543,20 +543,19 @@
     if (!lines_.tryTake(now)) {
         return;
     }
-    logEvent(LogEvent::RequestEnded,
-             {{"request", work.hop.attempt_id()},
-              {"route", work.route->name},
-              {"config", work.routes->version()},
-              {"service", work.hop.service()},
-              {"key", work.hop.keyed() ? static_cast<int64_t>(work.hop.shard_key()) : -1},
-              {"node", work.target.value()},
-              {"asked", work.history.asked},
-              {"reached", work.history.reached},
-              {"status", status},
-              {"reason", reply.reason()},
-              {"running", reply.load().running()},
-              {"waiting", reply.load().waiting()},
-              {"ms", took.count()}});
+    lines_.log({{"request", work.hop.attempt_id()},
+                {"route", work.route->name},
+                {"config", work.routes->version()},
+                {"service", work.hop.service()},
+                {"key", work.hop.keyed() ? static_cast<int64_t>(work.hop.shard_key()) : -1},
+                {"node", work.target.value()},
+                {"asked", work.history.asked},
+                {"reached", work.history.reached},
+                {"status", status},
+                {"reason", reply.reason()},
+                {"running", reply.load().running()},
+                {"waiting", reply.load().waiting()},
+                {"ms", took.count()}});
 }
 
 } // namespace wisteriahoist
--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -4,7 +4,7 @@
 
 #include "adapter/http/http_server.h"
 #include "adapter/http/request_protocol.h"
-#include "adapter/log/line_budget.h"
+#include "adapter/log/bounded_event.h"
 #include "adapter/metrics/metric_type.h"
 #include "decision/request/adaptive_throttle.h"
 #include "decision/request/attempt_policy.h"
@@ -142,7 +142,7 @@
     RouterCounters counters_;
     /// Lines of about 300 bytes: 60 KB/s at most. A node of the users' sites answers 30 to 60
     /// requests a second and stays below it.
-    LineBudget lines_{200, 400};
+    BoundedEvent lines_{LogEvent::RequestEnded, 200, 400};
     Histogram *duration_ = nullptr;
     NewsExchange *news_ = nullptr;
     /** A request that waits until its key has another holder. */
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -190,7 +190,7 @@
         const Failure &failure = call.assume_error();
         const bool missing = failure.code == FailureCode::NotFound;
         if (reportLines_.tryTake(receivedAt)) {
-            logEvent(LogEvent::ReportRefused, {{"cause", failure.context}});
+            reportLines_.log({{"cause", failure.context}});
         }
         co_return makeProblemResponse(
                 {missing ? http::status::not_found : http::status::bad_request,
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -5,7 +5,7 @@
 #include "adapter/clock/asio_wake_timers.h"
 #include "adapter/clock/boot_clock_adapter.h"
 #include "adapter/http/http_server.h"
-#include "adapter/log/line_budget.h"
+#include "adapter/log/bounded_event.h"
 #include "adapter/metrics/metric_registry.h"
 #include "adapter/random/mt_random_source.h"
 #include "duty/backend_gate.h"
@@ -118,7 +118,8 @@
     std::shared_ptr<HttpServer> reports_;
     std::shared_ptr<HttpServer> readiness_;
     std::shared_ptr<HttpServer> metricsPage_;
-    LineBudget reportLines_{1, 10}; ///< A foreign writer may repeat itself for ever.
+    BoundedEvent reportLines_{LogEvent::ReportRefused, 1,
+                              10}; ///< A foreign writer may repeat itself for ever.
     bool stopping_ = false;
     bool closing_ = false; ///< The last part of the stop: other nodes send nothing here any more.
     TimePoint stopBegun_ = NeverTime;
--- a/test/unit/range/range_duty_log_test.cpp
+++ b/test/unit/range/range_duty_log_test.cpp
@@ -49,6 +49,31 @@
     return fleet.admitting(ShardKey(5)).size() == 1 && fleet.admitting(ShardKey(65000)).size() == 1;
 }
 
+/** @return The keys of all spans that @p lines name. */
+uint32_t countNamedKeys(const Lines &lines)
+{
+    uint32_t keys = 0;
+    for (const boost::json::object &line : lines) {
+        std::istringstream spans(std::string(line.at("spans").as_string()));
+        for (std::string span; spans >> span;) {
+            const size_t dash = span.find('-');
+            keys += std::stoul(span.substr(dash + 1)) - std::stoul(span) + 1;
+        }
+    }
+    return keys;
+}
+
+/** @return A table that gives @p holder all keys in ranges of 2,048, each under a fence of its own.
+ */
+RangeTable makeManyRanges(const RangeHolder &holder)
+{
+    RangeTable table = makeRangeTable({{holder, 1}});
+    for (uint32_t first = 0; first <= LastShardKey.value(); first += 2048) {
+        table = giveRange(std::move(table), {ShardKey(first), ShardKey(first + 2047)}, holder, {});
+    }
+    return table;
+}
+
 bool hasGivenAll(const OwnershipNode &node)
 {
     return countKeys(node.view.findTable("s")->table, node.record.node) == 0;
@@ -134,6 +159,50 @@
     cr_assert_eq(numberOf(lines.front(), "left_out_of"), sequence);
 }
 
+// Keys held twice whose grant stood in no line, since a line named 12 ranges at most.
+Test(range_duty_log, each_range_that_is_newly_granted_is_named)
+{
+    OwnershipFleet fleet;
+    OwnershipNode &node = fleet.add(1, "b-1");
+    const auto putTable = [&]() {
+        RangeRecord record;
+        record.table = makeManyRanges({NodeId(1), node.duty.session(), node.monitor.backend()});
+        fleet.store().put(RecordKind::Ranges, "s", encodeRangeRecord(record));
+    };
+    SECTION("by calls")
+    {
+        const Lines lines = logged(LogEvent::RangesOffered, [&]() {
+            putTable();
+            cr_assert(fleet.reaches([&]() { return servesAll(fleet); }, Patience));
+            cr_assert(fleet.reaches([&]() { return node.backend.grants() > 64; }, Patience));
+        });
+        cr_assert_eq(countNamedKeys(lines), LastShardKey.value() + 1);
+        cr_assert(numberOf(lines.front(), "hold_ms") > 0);
+    }
+    SECTION("in the answer to a heartbeat")
+    {
+        node.grantByHeartbeat();
+        std::optional<HoldOrder> order;
+        uint64_t sequence = 1;
+        Lines lines = logged(LogEvent::RangesOffered, [&]() {
+            putTable();
+            cr_assert(fleet.reaches(
+                    [&]() {
+                        HoldReport report;
+                        report.sequence = ++sequence;
+                        order = fleet.heartbeat(node, "b-1", sequence, report);
+                        return order.has_value() && order->rows.size() == 32;
+                    },
+                    Patience));
+        });
+        std::erase_if(lines, [&](const boost::json::object &line) {
+            return numberOf(line, "sequence") != sequence;
+        });
+        cr_assert_eq(lines.size(), 3);
+        cr_assert_eq(countNamedKeys(lines), LastShardKey.value() + 1);
+    }
+}
+
 Test(range_duty_log, a_lease_that_is_taken_away_says_on_what_evidence)
 {
     OwnershipFleet fleet;
--- /dev/null
+++ b/test/unit/signals/bounded_event_test.cpp
@@ -0,0 +1,70 @@
+/** @file bounded_event_test.cpp Lines that a budget leaves out are counted in the log. */
+
+#include "adapter/log/bounded_event.h"
+#include "support/json_text.h"
+#include "support/story.h"
+
+#include <sstream>
+
+using namespace wisteriahoist;
+
+namespace {
+
+constexpr TimePoint Start = TimePoint() + std::chrono::hours(1);
+
+/** @return The lines that @p run logs. */
+std::vector<boost::json::object> linesOf(const std::function<void()> &run)
+{
+    std::stringstream stream;
+    {
+        const LogOutput output(stream, LogSeverity::Info);
+        run();
+    }
+    std::vector<boost::json::object> lines;
+    for (std::string line; std::getline(stream, line);) {
+        lines.push_back(boost::json::parse(line).as_object());
+    }
+    return lines;
+}
+
+} // namespace
+
+// A log with lines missing read as if nothing had happened meanwhile.
+Test(signals, a_row_of_dropped_lines_ends_with_one_that_counts_them)
+{
+    BoundedEvent event(LogEvent::RangesOffered, 1, 2);
+    const auto logAt = [&event](TimePoint now) {
+        if (event.tryTake(now)) {
+            event.log({{"ranges", uint64_t(1)}});
+        }
+    };
+    SECTION("nothing is dropped within the budget")
+    {
+        const auto lines = linesOf([&]() {
+            logAt(Start);
+            logAt(Start);
+            event.tellDropped(Start);
+        });
+        cr_assert_eq(lines.size(), 2);
+    }
+    SECTION("beyond it lines are dropped, and nothing is said while there is no room")
+    {
+        const auto lines = linesOf([&]() {
+            logAt(Start + milliseconds(100));
+            logAt(Start + milliseconds(200));
+            event.tellDropped(Start + milliseconds(300));
+        });
+        cr_assert(lines.empty());
+        cr_assert_eq(event.dropped(), 2);
+    }
+    SECTION("with room again, the count comes before the next line, or without one")
+    {
+        const auto lines = linesOf([&]() { logAt(Start + std::chrono::seconds(3)); });
+        cr_assert_eq(lines.size(), 2);
+        cr_assert(lines.front().at("event").as_string() == "lines-dropped");
+        cr_assert(lines.front().at("of").as_string() == "ranges-offered");
+        cr_assert_eq(lines.front().at("lines").to_number<int>(), 2);
+        cr_assert_eq(lines.front().at("since_ms").to_number<int>(), 2900);
+        cr_assert(linesOf([&]() { event.tellDropped(Start + std::chrono::seconds(9)); }).empty());
+    }
+}
