Fix: [Signals] The counts of dropped lines could take the place of the event's own lines

Where more comes than the budget allows for a while, each line that it allows again would have been such a count, and the log would have named no request or range any more.

The counts come besides the budget now, at most one a second.

--- a/src/adapter/log/bounded_event.cpp
+++ b/src/adapter/log/bounded_event.cpp
@@ -4,6 +4,12 @@
 
 namespace wisteriahoist {
 
+namespace {
+/** While lines go on being dropped, each count is for so long, and comes besides the budget: taken
+ *  from it, the counts would leave no room for the event's own lines. */
+constexpr milliseconds TellEvery{1000};
+} // namespace
+
 bool BoundedEvent::tryTake(TimePoint now)
 {
     tellDropped(now);
@@ -18,14 +24,12 @@
 
 void BoundedEvent::tellDropped(TimePoint now)
 {
-    const uint64_t untold = budget_.dropped() - told_;
-    if (untold == 0 || !budget_.hasLine(now)) {
+    if (droppingSince_ == NeverTime || now - droppingSince_ < TellEvery) {
         return;
     }
-    (void)budget_.tryTake(now);
-    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - droppingSince_);
+    const auto since = std::chrono::duration_cast<milliseconds>(now - droppingSince_);
     logEvent(LogEvent::LinesDropped, {{"of", std::string(logEventName(event_))},
-                                      {"lines", untold},
+                                      {"lines", budget_.dropped() - told_},
                                       {"since_ms", since.count()}});
     told_ = budget_.dropped();
     droppingSince_ = NeverTime;
--- a/src/adapter/log/bounded_event.h
+++ b/src/adapter/log/bounded_event.h
@@ -9,8 +9,8 @@
 namespace wisteriahoist {
 
 /**
- * Who reads the log later must know where lines are missing, so a row of dropped lines ends with
- * one that counts them. Used by one thread.
+ * Who reads the log later must know where lines are missing, so those that were dropped are counted
+ * in a line of their own, at most one a second. Used by one thread.
  */
 class BoundedEvent
 {
@@ -25,7 +25,7 @@
 
     void log(LogFields fields) const { logEvent(event_, fields); }
 
-    /** Logs how many lines were dropped, once there is room for a line again. */
+    /** Logs how many lines were dropped, if the first of them was a second ago. */
     void tellDropped(TimePoint now);
 
     uint64_t dropped() const { return budget_.dropped(); }
--- a/src/adapter/log/line_budget.h
+++ b/src/adapter/log/line_budget.h
@@ -20,24 +20,18 @@
 
     /** @return Whether a line may be written now; if not, it counts as dropped. */
     bool tryTake(TimePoint now)
-    {
-        if (!hasLine(now)) {
-            ++dropped_;
-            return false;
-        }
-        tokens_ -= 1;
-        return true;
-    }
-
-    /** @return Whether tryTake() would allow a line. */
-    bool hasLine(TimePoint now)
     {
         if (filledAt_ != NeverTime) {
             const std::chrono::duration<double> elapsed = now - filledAt_;
             tokens_ = std::min(burst_, tokens_ + elapsed.count() * perSecond_);
         }
         filledAt_ = now;
-        return tokens_ >= 1;
+        if (tokens_ < 1) {
+            ++dropped_;
+            return false;
+        }
+        tokens_ -= 1;
+        return true;
     }
 
     uint64_t dropped() const { return dropped_; }
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -118,8 +118,8 @@
     std::shared_ptr<HttpServer> reports_;
     std::shared_ptr<HttpServer> readiness_;
     std::shared_ptr<HttpServer> metricsPage_;
-    BoundedEvent reportLines_{LogEvent::ReportRefused, 1,
-                              10}; ///< A foreign writer may repeat itself for ever.
+    /// A foreign writer may repeat itself for ever.
+    BoundedEvent reportLines_{LogEvent::ReportRefused, 1, 10};
     bool stopping_ = false;
     bool closing_ = false; ///< The last part of the stop: other nodes send nothing here any more.
     TimePoint stopBegun_ = NeverTime;
--- a/test/unit/signals/bounded_event_test.cpp
+++ b/test/unit/signals/bounded_event_test.cpp
@@ -47,7 +47,7 @@
         });
         cr_assert_eq(lines.size(), 2);
     }
-    SECTION("beyond it lines are dropped, and nothing is said while there is no room")
+    SECTION("beyond it lines are dropped, and nothing is said at once")
     {
         const auto lines = linesOf([&]() {
             logAt(Start + milliseconds(100));
@@ -57,7 +57,7 @@
         cr_assert(lines.empty());
         cr_assert_eq(event.dropped(), 2);
     }
-    SECTION("with room again, the count comes before the next line, or without one")
+    SECTION("a second later the count comes before the next line, or without one")
     {
         const auto lines = linesOf([&]() { logAt(Start + std::chrono::seconds(3)); });
         cr_assert_eq(lines.size(), 2);
@@ -67,4 +67,17 @@
         cr_assert_eq(lines.front().at("since_ms").to_number<int>(), 2900);
         cr_assert(linesOf([&]() { event.tellDropped(Start + std::chrono::seconds(9)); }).empty());
     }
+    SECTION("while lines go on being dropped, the counts leave room for the event's own lines")
+    {
+        const auto lines = linesOf([&]() {
+            for (int tenth = 0; tenth < 100; ++tenth) {
+                logAt(Start + std::chrono::seconds(20) + milliseconds(100) * tenth);
+            }
+        });
+        const auto counts = std::count_if(lines.begin(), lines.end(), [](const auto &line) {
+            return line.at("event").as_string() == "lines-dropped";
+        });
+        cr_assert(counts >= 8 && counts <= 10);
+        cr_assert(static_cast<ptrdiff_t>(lines.size()) - counts >= 10);
+    }
 }
