Fix: [Ranges] A plan changes only keys that the table lists under the fence that was released or refused

Cause: a node hands released keys over, the store carries out the write and its answer is lost. When the node reads the record back, it still counts the keys as released under their old fence. The plan took the holder's word for it and assigned the whole span, whoever the table named, so that keys went to a third node while the second one served them. What kept the present code right was only that planOnce() lists the table on the line before; nothing at the write itself did. The ranges whose fence was refused were taken back in the same way.

Change: reassignRange() changes only keys that the table lists under the given fence; a fence identifies one assignment of a key. Both callers that know ranges by their fences use it. refusedSpans() returns the fences too, as refusedRanges(). A hand-over that changes nothing is not logged.

--- a/src/decision/range/grant_manager.cpp
+++ b/src/decision/range/grant_manager.cpp
@@ -492,15 +492,15 @@
     return last;
 }
 
-std::vector<KeySpan> GrantManager::refusedSpans() const
+std::vector<HeldKeys> GrantManager::refusedRanges() const
 {
-    std::vector<KeySpan> spans;
+    std::vector<HeldKeys> refused;
     for (const HeldRange &held : held_) {
         if (held.refused && !held.leaving) {
-            spans.push_back(held.span);
+            refused.push_back({held.span, held.fence});
         }
     }
-    return spans;
+    return refused;
 }
 
 bool GrantManager::hasLeaving() const
--- a/src/decision/range/grant_manager.h
+++ b/src/decision/range/grant_manager.h
@@ -233,7 +233,7 @@
      * @return Ranges whose fences the backend server refused; the table needs higher ones for
      *         them.
      */
-    std::vector<KeySpan> refusedSpans() const;
+    std::vector<HeldKeys> refusedRanges() const;
 
     /** @return The ranges that are held and not being released, in order. */
     std::vector<KeySpan> heldSpans() const;
--- a/src/decision/range/range_table.cpp
+++ b/src/decision/range/range_table.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace wisteriahoist {
 
@@ -43,28 +44,49 @@
     return next == entries.begin() ? nullptr : &*std::prev(next);
 }
 
-RangeTable assignRange(RangeTable table, const KeySpan &span, const RangeHolder &holder,
-                       const std::string &handover)
+namespace {
+
+/**
+ * Assigns the keys of @p span, or only those listed under @p from if it is set, to @p holder under
+ * a new fence.
+ */
+RangeTable assignKeys(RangeTable table, const KeySpan &span, const std::optional<Epoch> &from,
+                      const RangeHolder &holder, const std::string &handover)
 {
-    if (table.entries.empty()) {
-        table.entries.push_back({});
-    }
     splitAt(table, span.first);
     if (span.last != LastShardKey) {
         splitAt(table, ShardKey(span.last.value() + 1));
     }
-    table.highestFence = table.highestFence.next();
+    const Epoch fence = table.highestFence.next();
     for (RangeEntry &entry : table.entries) {
-        if (span.contains(entry.first)) {
+        if (span.contains(entry.first) && (!from || entry.fence == *from)) {
             entry.holder = holder;
-            entry.fence = table.highestFence;
+            entry.fence = fence;
             entry.handover = handover;
+            table.highestFence = fence;
         }
     }
     mergeAdjacent(table);
     return table;
 }
 
+} // namespace
+
+RangeTable assignRange(RangeTable table, const KeySpan &span, const RangeHolder &holder,
+                       const std::string &handover)
+{
+    if (table.entries.empty()) {
+        table.entries.push_back({});
+    }
+    return assignKeys(std::move(table), span, std::nullopt, holder, handover);
+}
+
+RangeTable reassignRange(RangeTable table, const KeySpan &span, Epoch from,
+                         const RangeHolder &holder, const std::string &handover)
+{
+    return assignKeys(std::move(table), span, from, holder, handover);
+}
+
 std::vector<std::pair<KeySpan, RangeHolder>> splitByShares(const KeySpan &span,
                                                            const std::vector<HolderShare> &shares)
 {
--- a/src/decision/range/range_type.h
+++ b/src/decision/range/range_type.h
@@ -90,6 +90,15 @@
 RangeTable assignRange(RangeTable table, const KeySpan &span, const RangeHolder &holder,
                        const std::string &handover);
 
+/**
+ * A fence identifies one assignment of a key, so keys that have been assigned anew since @p from
+ * are not changed.
+ * @return @p table with the keys of @p span that it lists under @p from assigned to @p holder under
+ *         a fence above all earlier ones.
+ */
+RangeTable reassignRange(RangeTable table, const KeySpan &span, Epoch from,
+                         const RangeHolder &holder, const std::string &handover);
+
 /** @return @p span divided into one part per share, in order; empty parts are omitted. */
 std::vector<std::pair<KeySpan, RangeHolder>> splitByShares(const KeySpan &span,
                                                            const std::vector<HolderShare> &shares);
--- a/src/duty/range_controller_plan.cpp
+++ b/src/duty/range_controller_plan.cpp
@@ -117,9 +117,14 @@
 {
     for (const ReleasedRange &released : grantManager_.releasedRanges(now)) {
         const RangeHolder target = targetOf(released.span, now);
-        if (!target.isUnassigned()) {
+        if (target.isUnassigned()) {
+            continue;
+        }
+        RangeTable next
+                = reassignRange(table, released.span, released.fence, target, released.handover);
+        if (next != table) {
             logHandOver(released, target, table, now);
-            table = assignRange(std::move(table), released.span, target, released.handover);
+            table = std::move(next);
         }
     }
     return table;
@@ -182,7 +187,7 @@
         return entry.holder.node == self_.node && entry.holder != *self;
     };
     if (self
-        && (!grantManager_.refusedSpans().empty() || !grantManager_.releasedRanges(now).empty()
+        && (!grantManager_.refusedRanges().empty() || !grantManager_.releasedRanges(now).empty()
             || std::any_of(entries.begin(), entries.end(), isToAdopt))) {
         return true;
     }
@@ -204,8 +209,8 @@
     };
     if (const std::optional<RangeHolder> self = holder()) {
         change("adopted", adoptRanges(next, *self));
-        for (const KeySpan &refused : grantManager_.refusedSpans()) {
-            change("fence refused", assignRange(next, refused, *self, {}));
+        for (const HeldKeys &refused : grantManager_.refusedRanges()) {
+            change("fence refused", reassignRange(next, refused.span, refused.fence, *self, {}));
         }
         change("released", handOverReleased(next, now));
     }
--- a/test/unit/range/grant_manager_test.cpp
+++ b/test/unit/range/grant_manager_test.cpp
@@ -176,11 +176,11 @@
     GrantManager manager = makeManager();
     grantAll(manager, ControlResult::StaleFence, Start);
     cr_assert(manager.takeDueGrants(Forever, Start + milliseconds(5000)).empty());
-    cr_assert(manager.refusedSpans().size() == 1);
+    cr_assert(manager.refusedRanges().size() == 1);
     SECTION("a higher fence is sent")
     {
-        const KeySpan own = manager.refusedSpans().front();
-        manager.onTable(assignRange(makeTable(), own, Self, {}), Self, Start);
+        const HeldKeys own = manager.refusedRanges().front();
+        manager.onTable(reassignRange(makeTable(), own.span, own.fence, Self, {}), Self, Start);
         cr_assert(manager.takeDueGrants(Forever, Start).size() == 1);
     }
 }
--- a/test/unit/range/heartbeat_grants_test.cpp
+++ b/test/unit/range/heartbeat_grants_test.cpp
@@ -82,13 +82,13 @@
     const TimePoint next = Start + milliseconds(870);
     manager.onHeldKeysReport(reportOf({}), next);
     cr_assert(!manager.admits(ShardKey(5), Forever, next));
-    cr_assert(manager.refusedSpans().empty());
+    cr_assert(manager.refusedRanges().empty());
     cr_assert(manager.takeGrantReply(next, Forever, next)->rows.size() == 1);
     SECTION("after the second such heartbeat the fence counts as refused")
     {
         const TimePoint after = next + milliseconds(870);
         const std::optional<GrantReply> reply = answer(manager, reportOf({}), after);
-        cr_assert(manager.refusedSpans() == std::vector<KeySpan>{OwnHalf});
+        cr_assert(manager.refusedRanges() == std::vector<HeldKeys>({{OwnHalf, OwnFence}}));
         cr_assert(reply && reply->rows.empty());
     }
 }
--- a/test/unit/range/range_table_test.cpp
+++ b/test/unit/range/range_table_test.cpp
@@ -53,6 +53,36 @@
     }
 }
 
+// Guards against keys that two backend servers hold: a node that knows a range by its fence must
+// not change keys of it that have another holder by now.
+Test(range_table, only_keys_under_the_known_fence_are_reassigned)
+{
+    const RangeHolder third{NodeId(3), Incarnation(1), "b-3"};
+    const KeySpan known{ShardKey(0), ShardKey(99)};
+    const KeySpan moved{ShardKey(40), ShardKey(59)};
+    const RangeTable before = assignRange(makeRangeTable({{First, 1}}), known, First, {});
+    const Epoch fence = before.find(known.first)->fence;
+    const RangeTable table = assignRange(before, moved, Second, "token");
+    const RangeTable after = reassignRange(table, known, fence, third, {});
+    SECTION("keys that have moved meanwhile stay with their holder, under its fence")
+    {
+        cr_assert(*after.find(ShardKey(40)) == *table.find(ShardKey(40)));
+        cr_assert(*after.find(ShardKey(59)) == *table.find(ShardKey(59)));
+    }
+    SECTION("the others get the new holder, under a fence above all earlier ones")
+    {
+        for (const uint32_t key : {0U, 39U, 60U, 99U}) {
+            cr_assert(after.find(ShardKey(key))->holder == third);
+            cr_assert(after.find(ShardKey(key))->fence > table.highestFence);
+        }
+        cr_assert(isSound(after));
+    }
+    SECTION("a table without keys under the fence stays as it is")
+    {
+        cr_assert(reassignRange(after, known, fence, Second, {}) == after);
+    }
+}
+
 // A node restarts while its backend server still holds its keys: they keep their fence, so that no
 // key changes its holder. If the backend server is a new incarnation, it holds no keys, and the
 // fence of the old incarnation must not be reused.
