Codechange: [Ranges] Grants are brought up to date with the known table in one place

Three copies of the same lines did so; updateGrants() replaces them. It is now also called after a delayed reply to a heartbeat has waited, since the table may have changed meanwhile: until now such a reply relied on the main loop having run before.

--- a/src/duty/range_controller.cpp
+++ b/src/duty/range_controller.cpp
@@ -195,15 +195,20 @@
     return nullptr;
 }
 
+void RangeController::updateGrants(TimePoint now)
+{
+    if (const StoredTable *stored = view_.findTable(self_.service)) {
+        grantManager_.onTable(stored->table, holder(), now);
+    }
+}
+
 asio::awaitable<void> RangeController::tickLoop()
 {
     while (!halted_) {
         const TimePoint now = clock_.now();
         const bool sharded = isSharded();
         if (sharded) {
-            if (const StoredTable *stored = view_.findTable(self_.service)) {
-                grantManager_.onTable(stored->table, holder(), now);
-            }
+            updateGrants(now);
             if (!grantManager_.hasLeaving()) {
                 targets_.clear();
             }
--- a/src/duty/range_controller.h
+++ b/src/duty/range_controller.h
@@ -137,6 +137,12 @@
     const MemberRecord *findCoordinator(TimePoint now) const;
     bool isUnreachable(NodeId node, TimePoint now) const;
 
+    /**
+     * Brings the grants up to date with the known table, which may have changed while a coroutine
+     * was suspended. Called before each decision on grants.
+     */
+    void updateGrants(TimePoint now);
+
     asio::awaitable<void> tickLoop();
     asio::awaitable<void> renewLease();
     asio::awaitable<void> sendGrant(GrantRequest request);
--- a/src/duty/range_controller_heartbeat.cpp
+++ b/src/duty/range_controller_heartbeat.cpp
@@ -36,9 +36,7 @@
 {
     // The heartbeat may be the first of a new incarnation while grants to the previous incarnation
     // are still listed.
-    if (const StoredTable *stored = view_.findTable(self_.service)) {
-        grantManager_.onTable(stored->table, holder(), receivedAt);
-    }
+    updateGrants(receivedAt);
     grantManager_.onHeldKeysReport(report, receivedAt);
     if (grantManager_.hasLeaving()) {
         wake();
@@ -54,6 +52,7 @@
         co_return std::nullopt;
     }
     const TimePoint now = clock_.now();
+    updateGrants(now);
     std::optional<GrantReply> reply
             = grantManager_.takeGrantReply(receivedAt, authority_.validUntil(), now);
     if (reply && reply->omittedRanges > 0 && omittedRangesLog_.tryTake(now)) {
--- a/src/duty/range_controller_plan.cpp
+++ b/src/duty/range_controller_plan.cpp
@@ -237,10 +237,7 @@
         writing_ = false;
         co_return;
     } else {
-        // The table read since the last tick may assign keys to other holders that grantManager_
-        // still counts as its own to hand over. If they were handed over again, both new holders
-        // would hold them.
-        grantManager_.onTable(stored->table, holder(), now);
+        updateGrants(now);
         if (std::optional<RangeTable> next = planTable(*stored, now)) {
             co_await writeTable(std::move(*next), *stored);
         }
