Add: [Test] Keys at work are not granted to a third server after a lost answer

Cause guarded against: a node hands released keys over, the store applies the write and its answer is lost; the node reads the record back and plans on it before its GrantManager has the table, so a third holder gets keys on which the second is at work. The order is forced on the simulated clock (WorldScript: fate of each write of the table, delay of each watch), over 20 seeds and both forms.

--- a/test/support/ownership_world.h
+++ b/test/support/ownership_world.h
@@ -16,12 +16,29 @@
 
 namespace wisteriahoist::testing {
 
+/** What becomes of one write to the store. */
+struct WriteFate {
+    milliseconds appliedAfter{1};
+    bool isAnswerLost = false;
+    bool isDropped = false; ///< Never applied, and fails at once.
+};
+
+/** A forced order of events in place of random faults, load and delays of the store. */
+struct WorldScript {
+    /** Of a write of the table by a node. */
+    std::function<WriteFate(size_t, const RangeTable &)> fateOf
+            = [](size_t, const RangeTable &) { return WriteFate{}; };
+    /** Until the watch of a node has a change. */
+    std::function<milliseconds(size_t)> newsDelay = [](size_t) { return milliseconds(1); };
+};
+
 /** How keys are granted and stored. */
 struct WorldSettings {
     GrantDelivery form = GrantDelivery::Call;
     uint32_t blocks = 1; ///< Number of records that store the table.
     std::function<void(const std::string &)>
             trace; ///< Receives each step, for analysing a failing seed.
+    std::optional<WorldScript> script;
 };
 
 class SimulatedNode;
@@ -57,6 +74,18 @@
      */
     bool recovers(Duration bound);
 
+    /** Runs until @p holds returns true, for at most @p bound. @return Whether it did. */
+    bool reaches(const std::function<bool()> &holds, Duration bound);
+
+    /** The backend server announces that it leaves permanently. */
+    void deregister(size_t index);
+
+    /** A request arrives at the backend server. @return Whether it is accepted. */
+    bool work(size_t index, ShardKey key, milliseconds duration);
+
+    /** @return Whether the backend server accepts requests for @p key. */
+    bool holds(size_t index, ShardKey key) const;
+
     /** @return Description of the violated condition; empty if none. */
     const std::string &violation() const { return violation_; }
 
@@ -88,6 +117,7 @@
     // Calls of the nodes.
     void read(size_t index, RecordKind kind, const std::string &name, ReadDone done);
     void write(size_t index, RecordKind kind, RecordWrite write, const WriteDone &done);
+    WriteFate chooseFate(size_t index, RecordKind kind, const RecordWrite &write);
     void sendGrant(size_t index, const GrantRequest &request, milliseconds timeout,
                    const OrderDone &done);
     void sendRelease(size_t index, const ReleaseRequest &request, milliseconds timeout,
--- /dev/null
+++ b/test/unit/range/forced_order_test.cpp
@@ -0,0 +1,114 @@
+/** @file forced_order_test.cpp Orders of events that once gave keys to a backend server while
+ * another one was still at work on them. */
+
+#include "support/ownership_world.h"
+#include "support/test_section.h"
+
+#include <iostream>
+
+using namespace wisteriahoist;
+using namespace wisteriahoist::testing;
+
+namespace {
+
+constexpr std::chrono::seconds Patience{20};
+/** After this time, grants of an earlier incarnation of the nodes have expired. */
+constexpr std::chrono::seconds SettleTime{6};
+/** Outlasts the reading back of the record, and is shorter than the hold time. */
+constexpr milliseconds LongWork{2500};
+constexpr milliseconds NeverLearned{60000};
+constexpr size_t First = 0;
+constexpr size_t Second = 1;
+constexpr size_t Third = 2;
+constexpr uint64_t Seeds = 20;
+
+/** The answer to the first write that moves keys from the first node to the second is lost. */
+class UnansweredHandOver
+{
+public:
+    UnansweredHandOver(uint64_t seed, GrantDelivery form) : world_(seed, settings(form)) { }
+
+    OwnershipWorld &world() { return world_; }
+
+    /** @return A key that the write moves; empty until it is sent. */
+    std::optional<ShardKey> movedKey() const { return movedKey_; }
+
+private:
+    WorldSettings settings(GrantDelivery form)
+    {
+        WorldSettings settings;
+        settings.form = form;
+        settings.script = WorldScript{
+                [this](size_t node, const RangeTable &table) { return fateOf(node, table); },
+                [](size_t node) { return node == First ? NeverLearned : milliseconds(1); }};
+        return settings;
+    }
+
+    WriteFate fateOf(size_t node, const RangeTable &table)
+    {
+        WriteFate fate;
+        for (const RangeEntry &entry : table.entries) {
+            const bool isMoved = entry.holder.node == NodeId(Second + 1) && !entry.handover.empty();
+            if (node == First && !movedKey_ && isMoved) {
+                movedKey_ = entry.first;
+                fate.isAnswerLost = true;
+            }
+        }
+        return fate;
+    }
+
+    std::optional<ShardKey> movedKey_;
+    OwnershipWorld world_;
+};
+
+/** @return Whether no key was granted while another backend server held it or worked on it. */
+bool isGrantedOnlyWhenFree(uint64_t seed, GrantDelivery form)
+{
+    UnansweredHandOver story(seed, form);
+    OwnershipWorld &world = story.world();
+    cr_assert(world.run(SettleTime));
+    SECTION("the first backend server leaves; the hand-over is written, its answer is lost")
+    {
+        world.deregister(First);
+        cr_assert(world.reaches([&]() { return story.movedKey().has_value(); }, Patience));
+        const ShardKey key = *story.movedKey();
+        SECTION("the second one is granted the keys, works on one of them, and leaves as well")
+        {
+            cr_assert(world.reaches([&]() { return world.holds(Second, key); }, Patience));
+            cr_assert(world.work(Second, key, LongWork));
+            world.deregister(Second);
+            SECTION("the first node reads the record back; the third gets the keys from the second")
+            {
+                if (!world.run(Patience)) {
+                    std::cerr << "seed " << seed << ": " << world.violation() << "\n";
+                    return false;
+                }
+                cr_assert(world.holds(Third, key));
+            }
+        }
+    }
+    return true;
+}
+
+bool isGrantedOnlyWhenFree(GrantDelivery form)
+{
+    bool passed = true;
+    for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+        passed = isGrantedOnlyWhenFree(seed, form) && passed;
+    }
+    return passed;
+}
+
+} // namespace
+
+// Guards against keys that a third backend server is granted while the second is at work on them.
+Test(range_duty, keys_at_work_are_not_granted_to_another_after_a_lost_answer)
+{
+    cr_assert(isGrantedOnlyWhenFree(GrantDelivery::Heartbeat));
+}
+
+// Guards against the same with grants by call.
+Test(range_duty, keys_at_work_are_not_granted_by_call_to_another_after_a_lost_answer)
+{
+    cr_assert(isGrantedOnlyWhenFree(GrantDelivery::Call));
+}
--- a/test/unit/range/ownership_exchange.cpp
+++ b/test/unit/range/ownership_exchange.cpp
@@ -87,8 +87,8 @@
         return;
     }
     lastEndedHeartbeats_[index] = number;
-    const milliseconds pause = backends_[index].isReleasing(events_.now()) ? draws_.between(1, 100)
-                                                                           : draws_.between(1, 500);
+    const bool isQuick = settings_.script || backends_[index].isReleasing(events_.now());
+    const milliseconds pause = draws_.between(1, isQuick ? 100 : 500);
     events_.after(pause, [this, index, life]() { heartbeat(index, life); });
 }
 
--- a/test/unit/range/ownership_faults.cpp
+++ b/test/unit/range/ownership_faults.cpp
@@ -91,8 +91,7 @@
     if (!backends_[index].isAlive() || !nodes_[index]) {
         return;
     }
-    trace("backend server leaves", index);
-    nodes_[index]->onDeregister();
+    deregister(index);
     events_.after(draws_.between(500, 3000), [this, index, life = lives_[index]]() {
         if (lives_[index] == life) {
             crashBackend(index);
--- a/test/unit/range/ownership_world.cpp
+++ b/test/unit/range/ownership_world.cpp
@@ -51,6 +51,11 @@
       faultOdds_(3 + draws_.below(40)), isPeriodic_(draws_.oneIn(2)),
       usualDelay_(isPeriodic_ || draws_.oneIn(3) ? BusyDelay : IdleDelay), events_(Start)
 {
+    if (settings_.script) {
+        faultsEnded_ = true;
+        isPeriodic_ = false;
+        usualDelay_ = IdleDelay;
+    }
     for (size_t index = 0; index < NodeCount; ++index) {
         clockRates_[index] = 1 + NodeDrift * (static_cast<double>(draws_.below(3)) - 1);
         const double share = draws_.oneIn(2) ? MostSlow : 0;
@@ -63,8 +68,10 @@
         startNode(index);
     }
     publishMembers();
-    sendRequests();
-    scheduleFault();
+    if (!settings_.script) {
+        sendRequests();
+        scheduleFault();
+    }
 }
 
 OwnershipWorld::~OwnershipWorld() = default;
@@ -89,6 +96,29 @@
     return violation_.empty();
 }
 
+bool OwnershipWorld::reaches(const std::function<bool()> &holds, Duration bound)
+{
+    const TimePoint end = events_.now() + bound;
+    while (!holds() && step(end)) { }
+    return holds();
+}
+
+void OwnershipWorld::deregister(size_t index)
+{
+    trace("backend server leaves", index);
+    nodes_[index]->onDeregister();
+}
+
+bool OwnershipWorld::work(size_t index, ShardKey key, milliseconds duration)
+{
+    return backends_[index].work(key, duration, events_.now());
+}
+
+bool OwnershipWorld::holds(size_t index, ShardKey key) const
+{
+    return backends_[index].holds(key, events_.now());
+}
+
 void OwnershipWorld::endFaults()
 {
     faultsEnded_ = true;
@@ -177,18 +207,33 @@
     spread(after);
 }
 
+WriteFate OwnershipWorld::chooseFate(size_t index, RecordKind kind, const RecordWrite &write)
+{
+    if (settings_.script) {
+        const bool isTable = kind == RecordKind::Ranges;
+        return isTable ? settings_.script->fateOf(
+                       index, decodeRangeRecord(write.content).assume_value().table)
+                       : WriteFate{};
+    }
+    const bool isFaulty = this->isFaulty();
+    if (isFaulty && draws_.oneIn(2)) {
+        return {drawDelay(), true, true};
+    }
+    const milliseconds reach = isFaulty ? draws_.between(1, LateWriteMs) : drawDelay();
+    return {reach, isFaulty || reach > StoreTimeout, false};
+}
+
 /** A write is applied in time, late or never; its answer may be lost. */
 void OwnershipWorld::write(size_t index, RecordKind kind, RecordWrite write, const WriteDone &done)
 {
     const Failure lost{FailureCode::Ambiguous, write.name};
-    const bool isFaulty = this->isFaulty();
-    if (isFaulty && draws_.oneIn(2)) {
-        events_.after(drawDelay(), [done, lost]() { done(lost); });
+    const WriteFate fate = chooseFate(index, kind, write);
+    if (fate.isDropped) {
+        events_.after(fate.appliedAfter, [done, lost]() { done(lost); });
         return;
     }
-    const milliseconds reach = isFaulty ? draws_.between(1, LateWriteMs) : drawDelay();
-    const bool isLost = isFaulty || reach > StoreTimeout;
-    events_.after(reach, [this, index, kind, write = std::move(write), done, isLost]() {
+    const bool isLost = fate.isAnswerLost;
+    events_.after(fate.appliedAfter, [this, index, kind, write = std::move(write), done, isLost]() {
         const Result<StoreRevision> written = apply(kind, write);
         if (written) {
             trace("its write of " + write.name + " is applied", index);
@@ -224,7 +269,9 @@
 void OwnershipWorld::spread(const StoredRecord &ranges)
 {
     for (size_t index = 0; index < NodeCount; ++index) {
-        const milliseconds lag = isFaulty() ? draws_.between(100, 2000) : draws_.between(1, 100);
+        const milliseconds lag = settings_.script ? settings_.script->newsDelay(index)
+                                 : isFaulty()     ? draws_.between(100, 2000)
+                                                  : draws_.between(1, 100);
         events_.after(lag, [this, index, ranges]() {
             if (nodes_[index]) {
                 nodes_[index]->onRanges(ranges);
@@ -332,7 +379,8 @@
                 if (other != index && held.span.overlaps(part.span) && held.isOccupied(now)) {
                     fail(spanText(part.span) + " are held by backend servers "
                          + std::to_string(index + 1) + " and " + std::to_string(other + 1) + " at "
-                         + timeText(now) + " ms");
+                         + timeText(now) + " ms"
+                         + (held.isHeld(now) ? "" : "; the latter is only at work on them"));
                 }
             }
         }
