Add: [Test] Keys at work are not granted to another on the report of a release

Cause guarded against: a heartbeat reports a release, with its token, while it still lists the keys since a request runs for them; the token alone counted as the end.

--- a/test/unit/range/forced_order_test.cpp
+++ b/test/unit/range/forced_order_test.cpp
@@ -90,6 +90,31 @@
     return true;
 }
 
+/** @return The same for a backend server that leaves while it is at work. */
+bool isHandedOverAfterWork(uint64_t seed)
+{
+    const ShardKey key;
+    WorldSettings settings;
+    settings.form = GrantDelivery::Heartbeat;
+    settings.script = WorldScript{};
+    OwnershipWorld world(seed, settings);
+    cr_assert(world.run(SettleTime));
+    SECTION("a backend server leaves at work, and reports the release before its work has ended")
+    {
+        cr_assert(world.work(First, key, LongWork));
+        world.deregister(First);
+        SECTION("the next one gets the keys when the work has ended")
+        {
+            if (!world.run(Patience)) {
+                std::cerr << "seed " << seed << ": " << world.violation() << "\n";
+                return false;
+            }
+            cr_assert(world.holds(Second, key) || world.holds(Third, key));
+        }
+    }
+    return true;
+}
+
 bool isGrantedOnlyWhenFree(GrantDelivery form)
 {
     bool passed = true;
@@ -112,3 +137,13 @@
 {
     cr_assert(isGrantedOnlyWhenFree(GrantDelivery::Call));
 }
+
+// Guards against keys that move on the report of their release while requests still run for them.
+Test(range_duty, keys_at_work_are_not_granted_to_another_on_the_report_of_a_release)
+{
+    bool passed = true;
+    for (uint64_t seed = 1; seed <= Seeds; ++seed) {
+        passed = isHandedOverAfterWork(seed) && passed;
+    }
+    cr_assert(passed);
+}
