Fix: [Ranges] A range that counted as released and is listed again is not released

What callers would see: a key is granted to a backend server while another one holds it.

Cause: a heartbeat that reports a release and does not list the range ends the holding for good. The report may tell of an earlier release under the same fence (the node has restarted since) while a reply that grants the range again is in flight. The next heartbeat lists it, and it was handed over all the same once no reply could be applied any more.

Change: a listed range takes such a release back; it then has to be reported anew, or its grants have to expire. It can only delay a move.

heartbeat_grants/range_that_is_listed_again_is_not_released fails without the change (its first assertion), the other eight of the suite pass either way.

--- a/src/decision/range/grant_manager.cpp
+++ b/src/decision/range/grant_manager.cpp
@@ -345,7 +345,13 @@
     for (HeldRange &held : held_) {
         if (!held.leaving) {
             recordListed(held, areListed(report.holds, held.span, held.fence));
-        } else if (!isAnyListed(report.holds, held.span)) {
+        } else if (isAnyListed(report.holds, held.span)) {
+            // The release was an earlier one, and the keys have been taken again since.
+            if (held.released && held.proof.evidence == ReleaseEvidence::NotListed) {
+                held.released = false;
+                held.releaseReported = false;
+            }
+        } else {
             // A released range is also listed while requests for it are still running. A range
             // that is neither listed nor reported as released may still be taken, or may have been
             // taken since: the heartbeat may have been sent before the reply with the grant was
--- a/test/unit/range/heartbeat_grants_test.cpp
+++ b/test/unit/range/heartbeat_grants_test.cpp
@@ -195,6 +195,30 @@
     }
 }
 
+// Guards against two backend servers holding the same keys. A heartbeat tells of an earlier release
+// while a reply that grants the range again is in flight; the next heartbeat lists the range.
+Test(heartbeat_grants, range_that_is_listed_again_is_not_released)
+{
+    TimePoint now = Start;
+    GrantManager manager = makeManagerWithGrants(now);
+    manager.beginRelease(OwnHalf);
+    manager.onHeldKeysReport(reportOf({}, {{OwnHalf, "before"}}), now + milliseconds(100));
+    manager.onHeldKeysReport(reportOf({{OwnHalf, OwnFence}}), now + milliseconds(200));
+    now += GrantTimes{}.replyValidity;
+    cr_assert(manager.releasedRanges(now).empty());
+    SECTION("a heartbeat that omits it without telling of another release proves nothing")
+    {
+        manager.onHeldKeysReport(reportOf({}), now);
+        cr_assert(manager.releasedRanges(now).empty());
+    }
+    SECTION("it is released once a heartbeat tells so and no longer lists it")
+    {
+        manager.onHeldKeysReport(reportOf({}, {{OwnHalf, "present"}}), now);
+        const std::vector<ReleasedRange> released = manager.releasedRanges(now);
+        cr_assert(released.size() == 1 && released.front().handover == "present");
+    }
+}
+
 // A backend server that has restarted under its old id holds nothing. The table gets a new holder
 // with a new fence, and the range is granted again instead of being taken as still listed.
 Test(heartbeat_grants, new_incarnation_under_the_same_id_is_granted_again)
