--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -49,6 +49,8 @@
     if build/test/tool/soak/wisteriahoist-soak --seeds="$seeds" --jobs=3 --node_binary="$WISTERIAHOIST_BIN" \
         --directory="build/test/$name" "$@" >"build/test/$name.log" 2>&1; then
         passed=$((passed + 1))
+    elif [ -n "$known_red" ] && grep -qxF "$name" <<<"$known_red"; then
+        echo "known red: $name"
     else
         failed=$((failed + 1))
         echo "not ok $name $seeds"
@@ -58,5 +60,7 @@
 }
 soak soak "$(grep -v '^#' tool/soak/regression_seeds.txt | cut -d' ' -f1 | paste -sd, -)"
 soak soak-by-heartbeat 1..3 --by_heartbeat
+# Guards against requests that crash one backend server after the other.
+soak soak-crashing-requests 1..2 --crashing_requests
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
--- a/test/unit/soak/soak_audit_test.cpp
+++ b/test/unit/soak/soak_audit_test.cpp
@@ -53,6 +53,27 @@
         audit.onRequestStarted("a", service, arrived, now);
     }
 
+    /** The same request again, under which the backend server of node 0 crashes. */
+    void crash(const std::string &attempt, TimePoint now)
+    {
+        SentRequest sent;
+        sent.attempt = attempt;
+        sent.node = 1;
+        sent.callerService = "two";
+        sent.method = "GET";
+        sent.path = "/x/crash";
+        sent.mayRepeat = true;
+        sent.at = now;
+        audit.onSent(sent);
+        platform::ArrivedRequest arrived;
+        arrived.attempt = attempt;
+        arrived.callerService = "two";
+        arrived.method = "GET";
+        arrived.target = "/x/crash";
+        audit.onRequestStarted("a", "one", arrived, now);
+        audit.onCrashed("a", arrived, now + milliseconds(20));
+    }
+
     void answer(const std::string &attempt, unsigned status, TimePoint now)
     {
         platform::CallerAnswer answer;
@@ -254,3 +275,36 @@
     fixture.answer("r", 200, at(2150));
     cr_assert(fixture.broke(Promise::Leaving));
 }
+
+Test(soak_audit, a_request_that_crashed_three_servers_reaches_others)
+{
+    Fixture fixture;
+    for (int64_t crash = 0; crash < 3; ++crash) {
+        fixture.crash("first-" + std::to_string(crash), at(crash * 10));
+    }
+    SECTION("before the others can know, and three times afterwards")
+    {
+        for (int64_t crash = 0; crash < 5; ++crash) {
+            fixture.crash("soon-" + std::to_string(crash), at(1000 + crash * 100));
+        }
+        for (int64_t crash = 0; crash < 3; ++crash) {
+            fixture.crash("later-" + std::to_string(crash), at(10000 + crash * 5000));
+        }
+        cr_assert(fixture.brokeNothing());
+    }
+    SECTION("once more than that")
+    {
+        for (int64_t crash = 0; crash < 4; ++crash) {
+            fixture.crash("later-" + std::to_string(crash), at(10000 + crash * 5000));
+        }
+        cr_assert(fixture.broke(Promise::CrashLimit));
+    }
+    SECTION("from a node that was disturbed")
+    {
+        fixture.audit.onDisturbance(1, at(10000), at(40000));
+        for (int64_t crash = 0; crash < 4; ++crash) {
+            fixture.crash("later-" + std::to_string(crash), at(10000 + crash * 5000));
+        }
+        cr_assert(fixture.brokeNothing());
+    }
+}
--- a/tool/soak/soak_audit.cpp
+++ b/tool/soak/soak_audit.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 14> Names{
+constexpr std::array<std::string_view, 15> Names{
         "sole-owner",      "rising-fence",    "at-most-once", "not-run-is-true", "own-answer",
         "known-request",   "attempt-limit",   "time-left",    "leaving",         "planned-work",
-        "config-in-force", "config-not-back", "work-ends",    "recovery"};
+        "config-in-force", "config-not-back", "work-ends",    "recovery",        "crash-limit"};
 constexpr size_t KeyCount = LastShardKey.value() + 1;
 /** Work that goes on after its caller has left is a pattern from so many cases on. */
 constexpr uint64_t LateWorkCases = 4;
@@ -41,10 +41,12 @@
     violations_.push_back({promise, now, what});
 }
 
-bool SoakAudit::isCalm(std::optional<size_t> node, TimePoint from, TimePoint until) const
+bool SoakAudit::isCalm(std::optional<size_t> node, TimePoint from, TimePoint until,
+                       bool withCrashes) const
 {
     return std::none_of(disturbances_.begin(), disturbances_.end(), [&](const Disturbance &one) {
-        const bool concerns = !node || !one.node || *one.node == *node;
+        const bool concerns
+                = (!node || !one.node || *one.node == *node) && (withCrashes || !one.crash);
         return concerns && one.from <= until && one.until + bounds_.settle >= from;
     });
 }
@@ -103,6 +105,16 @@
     onReleased(backend, {ShardKey(0), LastShardKey});
 }
 
+void SoakAudit::onCrashed(const std::string &backend, const platform::ArrivedRequest &request,
+                          TimePoint now)
+{
+    CrashHistory &history = crashes_[identityOf(request)];
+    if (++history.crashes == bounds_.crashes) {
+        history.lastOfLimit = now;
+    }
+    disturbances_.push_back({nodeOf_[backend], now, now + bounds_.restart, true});
+}
+
 void SoakAudit::onDrainAcknowledged(const std::string &backend, TimePoint now)
 {
     leavingSince_.emplace(backend, now);
@@ -150,9 +162,32 @@
         && isCalm(sent.node, sent.at, now)) {
         report(Promise::Leaving, now, sent.attempt + " ran at " + backend + ", which has left");
     }
+    checkCrashLimit(sent, arrived, backend, now);
     checkRouting(request, service, now);
 }
 
+SoakAudit::RequestIdentity SoakAudit::identityOf(const platform::ArrivedRequest &request)
+{
+    return {request.method, request.target, request.callerService, request.key};
+}
+
+void SoakAudit::checkCrashLimit(const SentRequest &sent, const platform::ArrivedRequest &arrived,
+                                const std::string &backend, TimePoint now)
+{
+    const auto found = crashes_.find(identityOf(arrived));
+    if (found == crashes_.end() || found->second.crashes < bounds_.crashes) {
+        return;
+    }
+    CrashHistory &history = found->second;
+    const bool late = sent.at > history.lastOfLimit + bounds_.settle;
+    if (late && isCalm(sent.node, sent.at, now, false)
+        && ++history.laterRuns > bounds_.runsAfterCrashes) {
+        report(Promise::CrashLimit, now,
+               sent.attempt + " reached " + backend + ", run " + std::to_string(history.laterRuns)
+                       + " of a request that has crashed " + std::to_string(history.crashes));
+    }
+}
+
 void SoakAudit::checkRouting(const Request &request, const std::string &service, TimePoint now)
 {
     const SentRequest &sent = request.sent;
--- a/tool/soak/soak_audit.h
+++ b/tool/soak/soak_audit.h
@@ -5,6 +5,7 @@
 #include "platform/standin/backend_server_type.h"
 #include "platform/standin/caller_standin.h"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <set>
@@ -29,6 +30,7 @@
     ConfigNotBack, ///< A node does not go back to an older one.
     WorkEnds,      ///< Work ends soon after its caller has left.
     Recovery,      ///< Everything is served again soon after the last fault.
+    CrashLimit,    ///< A request that has crashed several backend servers reaches hardly any more.
 };
 
 std::string_view promiseName(Promise promise);
@@ -63,6 +65,9 @@
     milliseconds timeLeft{500};     ///< That a backend server may be given too much.
     milliseconds thaw{300};         ///< Orders of a node that has just been woken don't count.
     milliseconds unread{200};       ///< A request cut sooner may have crossed the node's close.
+    uint32_t crashes{3};            ///< After so many a request counts as one that crashes servers.
+    uint32_t runsAfterCrashes{3};   ///< Later ones that it may still reach.
+    milliseconds restart{1500};     ///< From a crash to the next start of the backend server.
 };
 
 /**
@@ -88,6 +93,8 @@
     void onRequestFinished(const std::string &attempt, TimePoint now, TimePoint planned) override;
     void onDrainAcknowledged(const std::string &backend, TimePoint now) override;
     void onTerminated(const std::string &backend) override;
+    void onCrashed(const std::string &backend, const platform::ArrivedRequest &request,
+                   TimePoint now) override;
 
     // What is done to the fleet.
     /** @param node Empty: all nodes. */
@@ -122,14 +129,27 @@
         std::optional<size_t> node;
         TimePoint from;
         TimePoint until;
+        bool crash = false; ///< Only the node's backend server crashed, under a request.
     };
+    /** What a request did, over all attempts of its callers. */
+    struct CrashHistory {
+        uint32_t crashes = 0;
+        TimePoint lastOfLimit = NeverTime; ///< Of the crash after which few more runs are allowed.
+        uint32_t laterRuns = 0;
+    };
+    /** What makes two attempts the same request: method, target, service of the caller, key. */
+    using RequestIdentity = std::array<std::string, 4>;
     struct Routing {
         TimePoint at;
         std::string service;
     };
 
     void report(Promise promise, TimePoint now, const std::string &what);
-    bool isCalm(std::optional<size_t> node, TimePoint from, TimePoint until) const;
+    bool isCalm(std::optional<size_t> node, TimePoint from, TimePoint until,
+                bool withCrashes = true) const;
+    static RequestIdentity identityOf(const platform::ArrivedRequest &request);
+    void checkCrashLimit(const SentRequest &sent, const platform::ArrivedRequest &arrived,
+                         const std::string &backend, TimePoint now);
     void checkRouting(const Request &request, const std::string &service, TimePoint now);
     void checkAnswer(const Request &request, TimePoint now);
     void checkNotFound(const Request &request, TimePoint now);
@@ -143,6 +163,7 @@
     std::map<std::string, TimePoint> leavingSince_; ///< By backend server's life.
     std::map<std::string, size_t> nodeOf_;          ///< Of each backend server's life.
     std::map<size_t, TimePoint> thawedAt_;
+    std::map<RequestIdentity, CrashHistory> crashes_;
     std::map<std::string, std::vector<Routing>> routings_;         ///< By path prefix.
     std::map<size_t, std::map<std::string, TimePoint>> seenPaths_; ///< Served by a node's life.
     std::vector<Violation> violations_;
--- a/tool/soak/soak_callers.cpp
+++ b/tool/soak/soak_callers.cpp
@@ -18,6 +18,9 @@
 constexpr uint64_t PauseSpread = 40;       ///< Milliseconds.
 constexpr milliseconds LongestReturn{300}; ///< What Retry-After asks for, up to this.
 constexpr uint64_t KeyCount = LastShardKey.value() + 1;
+constexpr milliseconds CrashPause{1000};    ///< Between two crashing requests of one caller.
+constexpr uint64_t CrashPauseSpread = 2000; ///< Milliseconds.
+constexpr ShardKey CrashingKey(4242);
 constexpr uint64_t ProbedKeys = 16; ///< Spread evenly, so that every holder is asked.
 
 TimePoint presentTime()
@@ -38,6 +41,11 @@
     }
 }
 
+void SoakCallers::addCrashingCaller(size_t index, SoakNode &node)
+{
+    startTask(context_, crashLoop(index, node));
+}
+
 SentRequest SoakCallers::makeRequest(size_t index, const SoakNode &node, const RequestShape &shape)
 {
     SentRequest request;
@@ -89,6 +97,21 @@
     }
 }
 
+asio::awaitable<void> SoakCallers::crashLoop(size_t index, SoakNode &node)
+{
+    HttpClient client(context_.get_executor(), node.callers().ip, node.callers().port);
+    const std::vector<RequestShape> shapes{{"/look/", true, false}, {"/keyed/", true, true}};
+    while (!stopping_) {
+        co_await sleepFor(CrashPause
+                          + milliseconds(static_cast<int64_t>(random_() % CrashPauseSpread)));
+        const RequestShape &shape = shapes[random_() % shapes.size()];
+        SentRequest request = makeRequest(index, node, shape);
+        request.path = shape.path + std::string(CrashingTarget) + "1";
+        const auto key = shape.keyed ? std::optional(CrashingKey) : std::nullopt;
+        (void)co_await send(client, std::move(request), key);
+    }
+}
+
 asio::awaitable<std::string> SoakCallers::probe(size_t index, SoakNode &node)
 {
     HttpClient client(context_.get_executor(), node.callers().ip, node.callers().port);
--- a/tool/soak/soak_callers.h
+++ b/tool/soak/soak_callers.h
@@ -26,6 +26,9 @@
 
     void setShapes(std::vector<RequestShape> shapes) { shapes_ = std::move(shapes); }
     void addCallers(size_t index, SoakNode &node);
+    /** Adds a caller that repeats two requests under which backend servers crash. */
+    void addCrashingCaller(size_t index, SoakNode &node);
+
     /** They leave early from now on, or no more. */
     void setImpatient(bool impatient) { impatient_ = impatient; }
     /** No request is sent any more. */
@@ -37,6 +40,7 @@
 
 private:
     asio::awaitable<void> callLoop(size_t index, SoakNode &node);
+    asio::awaitable<void> crashLoop(size_t index, SoakNode &node);
     SentRequest makeRequest(size_t index, const SoakNode &node, const RequestShape &shape);
     asio::awaitable<platform::CallerAnswer> send(HttpClient &client, SentRequest request,
                                                  std::optional<ShardKey> key);
--- a/tool/soak/soak_fleet.cpp
+++ b/tool/soak/soak_fleet.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds Step{50};
 /** A node that has been told to end is killed then. */
 constexpr milliseconds EndBound{8000};
+/** A backend server that has crashed under a request is down for so long. */
+constexpr milliseconds CrashDownTime{1500};
 
 } // namespace
 
@@ -103,11 +105,20 @@
                                       clock_.now());
                 startNode(index);
             }
+            restartCrashedBackend(index);
         }
         co_await sleepFor(Step);
     }
 }
 
+void SoakFleet::restartCrashedBackend(size_t index)
+{
+    const std::optional<TimePoint> crashedAt = nodes_[index]->backend().crashedAt();
+    if (crashedAt && clock_.now() - *crashedAt >= CrashDownTime) {
+        startBackend(index);
+    }
+}
+
 void SoakFleet::killAll()
 {
     for (auto &node : nodes_) {
--- a/tool/soak/soak_fleet.h
+++ b/tool/soak/soak_fleet.h
@@ -47,6 +47,7 @@
     void killAll();
 
 private:
+    void restartCrashedBackend(size_t index);
     void note(const std::string &text) { log_.note(text, clock_.now()); }
 
     SoakAudit &audit_;
--- a/tool/soak/soak_main.cpp
+++ b/tool/soak/soak_main.cpp
@@ -25,6 +25,8 @@
 ABSL_FLAG(bool, by_heartbeat, false,
           "keys are granted in the answers to heartbeats, and backend servers start again under "
           "their ids");
+ABSL_FLAG(bool, crashing_requests, false,
+          "some callers repeat requests under which backend servers crash");
 ABSL_FLAG(bool, keep, false, "keep the logs of clean seeds as well");
 
 namespace wisteriahoist::soak {
@@ -78,6 +80,7 @@
             settings.nodes = absl::GetFlag(FLAGS_nodes);
             settings.slot = slot;
             settings.grantsByHeartbeat = absl::GetFlag(FLAGS_by_heartbeat);
+            settings.crashingRequests = absl::GetFlag(FLAGS_crashing_requests);
             SoakRun run(settings);
             record(run.run(), settings.directory);
         }
--- a/tool/soak/soak_node.cpp
+++ b/tool/soak/soak_node.cpp
@@ -80,6 +80,9 @@
       backend_(context, makeIdentity(settings, settings_, index, sharded), observer,
                settings.seed + index)
 {
+    if (settings.crashingRequests) {
+        backend_.faults().crashingTarget = CrashingTarget;
+    }
     settings_.store = storeLink_.address();
     std::ofstream file(directory_ + "/" + settings_.name + ".toml");
     file << platform::encodeSettings(settings_);
--- a/tool/soak/soak_node.h
+++ b/tool/soak/soak_node.h
@@ -13,6 +13,9 @@
 
 namespace wisteriahoist::soak {
 
+/** Part of the target of requests under which backend servers crash. */
+inline constexpr std::string_view CrashingTarget = "crash-";
+
 /** Where one soak runs; several may run side by side. */
 struct SoakSettings {
     std::string nodeBinary;
@@ -20,6 +23,7 @@
     uint64_t seed = 1;
     size_t nodes = 8;
     bool grantsByHeartbeat = false; ///< And backend servers start again under their ids.
+    bool crashingRequests = false;  ///< Some callers repeat requests that crash backend servers.
     uint8_t slot = 20; ///< Second number of all its loopback addresses; unique on the machine.
 };
 
--- a/tool/soak/soak_run.cpp
+++ b/tool/soak/soak_run.cpp
@@ -78,6 +78,7 @@
     for (size_t index = 0; index < fleet_.size(); ++index) {
         callers_.addCallers(index, fleet_.node(index));
     }
+    addCrashingCallers();
     co_await driver_.carryOutAll(plan_);
     note("healed");
     fleet_.heal();
@@ -99,6 +100,17 @@
     }
 }
 
+/** Only at the nodes of one service: the same request of another service's caller counts as another
+ *  one. */
+void SoakRun::addCrashingCallers()
+{
+    for (size_t index = 0; settings_.crashingRequests && index < fleet_.size(); ++index) {
+        if (fleet_.node(index).service() == fleet_.node(0).service()) {
+            callers_.addCrashingCaller(index, fleet_.node(index));
+        }
+    }
+}
+
 asio::awaitable<void> SoakRun::endLoad()
 {
     callers_.stop();
--- a/tool/soak/soak_run.h
+++ b/tool/soak/soak_run.h
@@ -31,6 +31,7 @@
     /** From the first start to the last check. */
     asio::awaitable<void> play();
     void startAll();
+    void addCrashingCallers();
     /** Ends the load and waits for the last answers; what was refused may not run even then. */
     asio::awaitable<void> endLoad();
     SoakResult makeResult();
