Fix: [Request] A request that has crashed three backend servers is refused

Callers saw 502 for such a request and, with each crash, for all that ran beside it; keys of the crashed server were unserved for seconds, again and again, as long as the request was repeated. Cause: limits on repeats belong to one attempt (max_attempts) or to a service (retry budget). A caller that repeats a request has a new attempt id, so nothing linked the runs; no node knew that a server had ended under it before. Class: a limit that is kept per attempt where the harm is done per content. Change: the gate reports what was running when its server's incarnation ended (CrashLedger); nodes tell each other in their member records; after three incarnations, without an answer since, router and gate refuse the request as not run. An answer refutes the reports. Logs crash-suspected and crashes-refused, two metrics.

--- a/src/adapter/codec/record_codec.cpp
+++ b/src/adapter/codec/record_codec.cpp
@@ -77,6 +77,12 @@
     message.set_slots(member.slots);
     message.set_stopping(member.stopping);
     message.set_cpu_share(member.cpuShare);
+    for (const CrashReport &report : member.crashes) {
+        v1::CrashReport *crash = message.add_crashes();
+        crash->set_request(report.request.value());
+        crash->set_backend(report.backend.value());
+        crash->set_refuted(report.refuted);
+    }
     return toJson(message);
 }
 
@@ -103,6 +109,10 @@
     member.slots = message.slots();
     member.stopping = message.stopping();
     member.cpuShare = message.cpu_share();
+    for (const v1::CrashReport &crash : message.crashes()) {
+        member.crashes.push_back({RequestFingerprint(crash.request()),
+                                  IncarnationHash(crash.backend()), crash.refuted()});
+    }
     return member;
 }
 
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -71,6 +71,9 @@
     WatchSilent,  ///< Other nodes know of changes that this node's watch has not delivered.
     FeederLost,   ///< The node that forwarded store changes to this one has stopped doing so.
     StoreRelayed, ///< The store is accessed through another node.
+    CrashSuspected, ///< A backend server ended while this request was running there.
+    CrashesRefused, ///< This request is no longer sent to backend servers, since several have ended
+                    ///< under it.
     SettingsReloaded,
     SettingsRefused, ///< The changed settings file is invalid; the old settings stay in force.
     LinesDropped,    ///< Log lines of a frequent event were dropped by its rate limit.
--- a/src/decision/member/backend_monitor.h
+++ b/src/decision/member/backend_monitor.h
@@ -98,6 +98,13 @@
     /** @return Whether it is down because its address refuses connections. */
     bool refusesConnections() const { return refusing_; }
 
+    /** @return Whether @p backend has ended: another incarnation is current, or it refuses
+     *          connections. */
+    bool isOver(const BackendIncarnation &backend) const
+    {
+        return backend != backend_ || (state_ == BackendState::Down && refusing_);
+    }
+
     BackendEvidence evidence() const { return evidence_; }
 
     /** @return Number of refused connections, over all incarnations. */
--- a/src/decision/request/attempt_policy.cpp
+++ b/src/decision/request/attempt_policy.cpp
@@ -32,7 +32,7 @@
                               const AttemptLimits &limits)
 {
     const bool served = end.outcome == Outcome::Done && end.status < 500;
-    if (served || history.timeLeft < limits.minTimeLeft) {
+    if (served || end.refusedEverywhere || history.timeLeft < limits.minTimeLeft) {
         return AttemptStep::Finish;
     }
     const bool notRun = end.outcome == Outcome::NotRun;
--- a/src/decision/request/attempt_policy.h
+++ b/src/decision/request/attempt_policy.h
@@ -15,6 +15,7 @@
     bool reachedBackend = false;     ///< The request was sent to the backend server.
     bool routingMayChange = false;   ///< The key is being handed over to another owner.
     bool backendUnavailable = false; ///< The owner's backend server is down or draining.
+    bool refusedEverywhere = false;  ///< No node may run it, whatever its load.
 };
 
 /** State of the request over all of its attempts. */
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -2,6 +2,7 @@
 
 #include "duty/backend_gate.h"
 
+#include "adapter/log/event_log.h"
 #include "core/hash_func.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -23,6 +24,12 @@
 /** A request with less time than this left is refused: its response would arrive too late. */
 constexpr milliseconds MinTimeLeft{10};
 
+/** Longest time from the loss of a connection until the end of its backend server is noticed: by a
+ *  refused connection or by the first heartbeat of the next incarnation. */
+constexpr milliseconds CrashNoticeTime{5000};
+/** Bounds the memory; more than run at once. */
+constexpr size_t MaxLostRuns = 256;
+
 PoolLimits makePoolLimits()
 {
     PoolLimits limits;
@@ -46,9 +53,10 @@
 
 BackendGate::BackendGate(asio::io_context &context, const Clock &clock,
                          const RequestProtocol &protocol, const std::string &ip, uint16_t port,
-                         BackendMonitor &monitor, KeyOwnership &ownership)
+                         BackendMonitor &monitor, KeyOwnership &ownership, CrashLedger &crashes)
     : context_(context), clock_(clock), protocol_(protocol), monitor_(monitor),
-      ownership_(ownership), client_(context.get_executor(), ip, port, makePoolLimits())
+      ownership_(ownership), crashes_(crashes),
+      client_(context.get_executor(), ip, port, makePoolLimits())
 {
     monitor_.setBusyCheck([this]() { return isWorking(); });
 }
@@ -63,6 +71,7 @@
 void BackendGate::onBackendChange()
 {
     admission_.onSlots(monitor_.slots());
+    reportCrashes(clock_.now());
     wakeNext();
 }
 
@@ -98,6 +107,9 @@
     if (now + MinTimeLeft >= call.deadline) {
         return RequestEnd::DeadlineOver;
     }
+    if (crashes_.isRefused(call.fingerprint, now)) {
+        return RequestEnd::CrashesBackend;
+    }
     return request.keyed() ? ownership_.check(ShardKey(request.shard_key()), now)
                            : RequestEnd::None;
 }
@@ -108,6 +120,7 @@
     const CallId name{request.origin_node(), request.request_id()};
     auto call = std::make_shared<Call>(context_);
     call->deadline = clock_.now() + milliseconds(request.deadline_left_ms());
+    call->fingerprint = fingerprintOf(request);
     calls_[name] = call;
     co_await serve(request, call, reply);
     const auto found = calls_.find(name);
@@ -123,8 +136,7 @@
 {
     RequestEnd refusal = check(request, *call, clock_.now());
     if (refusal != RequestEnd::None) {
-        fillOutcome(reply, RequestStage::Received, refusal);
-        nameOwner(request, refusal, reply);
+        fillRefusal(request, RequestStage::Received, refusal, reply);
         co_return;
     }
     if (!breaker_.allow(clock_.now())) {
@@ -143,21 +155,28 @@
     refusal = check(request, *call, clock_.now());
     if (refusal != RequestEnd::None) {
         admission_.onEnd(kindOf(request), std::nullopt);
-        fillOutcome(reply, RequestStage::Queued, refusal);
-        nameOwner(request, refusal, reply);
+        fillRefusal(request, RequestStage::Queued, refusal, reply);
         wakeNext();
         co_return;
     }
     co_await sendToBackend(request, *call, reply);
 }
 
-/** Names the owner, so that an ingress node with an older table can retry there without waiting. */
-void BackendGate::nameOwner(const v1::HopRequest &request, RequestEnd refusal,
-                            v1::HopReply &reply) const
+void BackendGate::fillRefusal(const v1::HopRequest &request, RequestStage stage, RequestEnd refusal,
+                              v1::HopReply &reply) const
 {
-    if (refusal != RequestEnd::NotOwner) {
-        return;
+    fillOutcome(reply, stage, refusal);
+    if (refusal == RequestEnd::NotOwner) {
+        nameOwner(request, reply);
+    }
+    if (refusal == RequestEnd::CrashesBackend) {
+        reply.set_retry_after_ms(crashes_.refusedFor(fingerprintOf(request), clock_.now()).count());
     }
+}
+
+/** Names the owner, so that an ingress node with an older table can retry there without waiting. */
+void BackendGate::nameOwner(const v1::HopRequest &request, v1::HopReply &reply) const
+{
     if (const std::optional<KeyOwner> owner = ownership_.ownerOf(ShardKey(request.shard_key()))) {
         reply.set_owner_node(owner->node.value());
         reply.set_epoch(owner->fence.value());
@@ -212,6 +231,7 @@
         return protocol_.classifyResponse(response, attemptId) != ResponseKind::WrongRequest;
     });
     const std::shared_ptr<ExchangeControl> control = call.control;
+    const BackendIncarnation backend = monitor_.backend();
     Result<HttpResponse> answer
             = co_await client_.exchange(std::move(forwarded), metadata.timeLeft, control);
     const TimePoint now = clock_.now();
@@ -225,13 +245,61 @@
             duration_->observe(std::chrono::duration<double>(now - startedAt).count());
         }
         fillFromResponse(request, std::move(answer.assume_value()), reply);
+        if (reply.outcome() == v1::HOP_OUTCOME_DONE) {
+            recordAnswer(call, now);
+        }
     } else {
         admission_.onEnd(kindOf(request), std::nullopt);
-        fillFromFailure(answer.assume_error(), call, reply);
+        const RequestEnd end = fillFromFailure(answer.assume_error(), call, reply);
+        if (end == RequestEnd::ConnectionLost) {
+            recordLostRun(request, call, backend, now);
+        }
     }
     wakeNext();
 }
 
+void BackendGate::recordAnswer(const Call &call, TimePoint now)
+{
+    if (crashes_.onAnswered(call.fingerprint, now) && crashReported_) {
+        crashReported_();
+    }
+}
+
+/** The end of a backend server that leaves is planned, and no evidence against what runs there. */
+void BackendGate::recordLostRun(const v1::HopRequest &request, const Call &call,
+                                const BackendIncarnation &backend, TimePoint now)
+{
+    if (monitor_.state() == BackendState::Draining || lostRuns_.size() >= MaxLostRuns) {
+        return;
+    }
+    lostRuns_.push_back({call.fingerprint, request.attempt_id(), backend, now});
+    reportCrashes(now);
+}
+
+void BackendGate::reportCrashes(TimePoint now)
+{
+    bool reported = false;
+    std::erase_if(lostRuns_, [&](const LostRun &run) {
+        if (!monitor_.isOver(run.backend)) {
+            return now - run.at > CrashNoticeTime;
+        }
+        if (crashes_.onCrash(run.fingerprint, hashIncarnation(run.backend), now)) {
+            reported = true;
+            const uint32_t crashes = crashes_.crashesOf(run.fingerprint);
+            logEvent(crashes_.isRefused(run.fingerprint, now) ? LogEvent::CrashesRefused
+                                                              : LogEvent::CrashSuspected,
+                     {{"request", run.attemptId},
+                      {"fingerprint", run.fingerprint.value()},
+                      {"backend", run.backend.text()},
+                      {"crashes", crashes}});
+        }
+        return true;
+    });
+    if (reported && crashReported_) {
+        crashReported_();
+    }
+}
+
 void BackendGate::fillFromResponse(const v1::HopRequest &request, HttpResponse answer,
                                    v1::HopReply &reply)
 {
@@ -254,11 +322,13 @@
     reply.set_reached_backend(true);
 }
 
-void BackendGate::fillFromFailure(const Failure &failure, const Call &call, v1::HopReply &reply)
+RequestEnd BackendGate::fillFromFailure(const Failure &failure, const Call &call,
+                                        v1::HopReply &reply)
 {
     const bool neverSent = failure.code == FailureCode::Unavailable;
     const RequestStage stage = neverSent ? RequestStage::Queued : call.control->stage();
-    fillOutcome(reply, stage, requestEndOfExchange(failure.code, call.control->isCancelled()));
+    const RequestEnd end = requestEndOfExchange(failure.code, call.control->isCancelled());
+    fillOutcome(reply, stage, end);
     reply.set_reached_backend(!neverSent);
     if (call.control->isRefused()) {
         notifyMonitorChange(monitor_.onRefusedConnection());
@@ -266,6 +336,7 @@
     if (connectionFailed_ && !call.control->isCancelled()) {
         connectionFailed_();
     }
+    return end;
 }
 
 void BackendGate::wakeNext()
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -8,11 +8,13 @@
 #include "decision/member/backend_monitor.h"
 #include "decision/request/admission_control.h"
 #include "decision/request/circuit_breaker.h"
+#include "decision/request/crash_ledger.h"
 #include "duty/gate_message.h"
 #include "port/clock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -58,7 +60,7 @@
 public:
     BackendGate(asio::io_context &context, const Clock &clock, const RequestProtocol &protocol,
                 const std::string &ip, uint16_t port, BackendMonitor &monitor,
-                KeyOwnership &ownership);
+                KeyOwnership &ownership, CrashLedger &crashes);
 
     /** Runs one request or refuses it. */
     asio::awaitable<v1::HopReply> run(v1::HopRequest request);
@@ -69,6 +71,9 @@
     /** Applies the monitor's state after a report. */
     void onBackendChange();
 
+    /** @param action Called when this node has something new to tell about crashes. */
+    void onCrashReport(std::function<void()> action) { crashReported_ = std::move(action); }
+
     /**
      * This node stops soon: from now on requests without a key are refused, since other nodes can
      * serve them. Requests with a key are still admitted while this node owns the key.
@@ -104,14 +109,24 @@
         asio::steady_timer timer; ///< Runs while the request waits for a slot.
         std::shared_ptr<ExchangeControl> control = std::make_shared<ExchangeControl>();
         TimePoint deadline;
+        RequestFingerprint fingerprint;
         bool granted = false;
         bool cancelled = false;
     };
+    /** A request whose connection was lost while it may have been running. */
+    struct LostRun {
+        RequestFingerprint fingerprint;
+        std::string attemptId;
+        BackendIncarnation backend;
+        TimePoint at;
+    };
     using CallId = std::pair<uint64_t, uint64_t>; ///< Originating node and its request id.
 
     RequestEnd check(const v1::HopRequest &request, const Call &call, TimePoint now) const;
     bool isWorking() const;
-    void nameOwner(const v1::HopRequest &request, RequestEnd refusal, v1::HopReply &reply) const;
+    void fillRefusal(const v1::HopRequest &request, RequestStage stage, RequestEnd refusal,
+                     v1::HopReply &reply) const;
+    void nameOwner(const v1::HopRequest &request, v1::HopReply &reply) const;
     asio::awaitable<RequestEnd> awaitSlot(const v1::HopRequest &request, std::shared_ptr<Call> call,
                                           v1::HopReply &reply);
     asio::awaitable<void> serve(const v1::HopRequest &request, std::shared_ptr<Call> call,
@@ -119,7 +134,11 @@
     asio::awaitable<void> sendToBackend(const v1::HopRequest &request, Call &call,
                                         v1::HopReply &reply);
     void fillFromResponse(const v1::HopRequest &request, HttpResponse answer, v1::HopReply &reply);
-    void fillFromFailure(const Failure &failure, const Call &call, v1::HopReply &reply);
+    RequestEnd fillFromFailure(const Failure &failure, const Call &call, v1::HopReply &reply);
+    void recordLostRun(const v1::HopRequest &request, const Call &call,
+                       const BackendIncarnation &backend, TimePoint now);
+    void reportCrashes(TimePoint now);
+    void recordAnswer(const Call &call, TimePoint now);
     void wakeNext();
     void notifyMonitorChange(bool changed);
 
@@ -128,6 +147,7 @@
     const RequestProtocol &protocol_;
     BackendMonitor &monitor_;
     KeyOwnership &ownership_;
+    CrashLedger &crashes_;
     HttpClient client_;
     AdmissionControl admission_{AdmissionLimits{}};
     CircuitBreaker breaker_;
@@ -138,6 +158,8 @@
     std::optional<TimePoint> shutdownDeadline_; ///< Latest end of the process, if it is stopping.
     std::function<void()> monitorChanged_;
     std::function<void()> connectionFailed_;
+    std::function<void()> crashReported_;
+    std::deque<LostRun> lostRuns_; ///< Of the last seconds; their backend server may have ended.
     Histogram *duration_ = nullptr;
 };
 
--- a/src/duty/fleet_view.cpp
+++ b/src/duty/fleet_view.cpp
@@ -49,6 +49,9 @@
     known = revision;
     members_[member.node] = member;
     ready_.clear();
+    for (const auto &action : memberActions_) {
+        action(member);
+    }
     notify();
 }
 
--- a/src/duty/fleet_view.h
+++ b/src/duty/fleet_view.h
@@ -43,6 +43,13 @@
     /** @param action Called after each change, for the lifetime of this object. */
     void onChange(std::function<void()> action) { actions_.push_back(std::move(action)); }
 
+    /** @param action Called with each newer record of a member, before the actions of onChange().
+     */
+    void onMemberRecord(std::function<void(const MemberRecord &)> action)
+    {
+        memberActions_.push_back(std::move(action));
+    }
+
     const RouteTable &routes() const { return *config_.table(); }
     std::shared_ptr<const RouteTable> routesPtr() const { return config_.table(); }
 
@@ -75,6 +82,7 @@
     mutable std::map<std::string, std::vector<const MemberRecord *>> ready_;
     std::map<std::string, RangeRecords> tables_;
     std::vector<std::function<void()>> actions_;
+    std::vector<std::function<void(const MemberRecord &)>> memberActions_;
     uint64_t changes_ = 0;
 };
 
--- a/src/duty/gate_message.cpp
+++ b/src/duty/gate_message.cpp
@@ -19,6 +19,24 @@
     return forwarded;
 }
 
+RequestFingerprint fingerprintOf(const v1::HopRequest &request)
+{
+    RequestContent content;
+    content.method = request.method();
+    content.target = request.target();
+    content.callerService = request.caller_service();
+    content.body = request.body();
+    if (request.keyed()) {
+        content.key = request.shard_key();
+    }
+    for (const v1::HeaderField &field : request.headers()) {
+        if (beast::iequals(field.name(), "Host")) {
+            content.host = field.value();
+        }
+    }
+    return fingerprintOf(content);
+}
+
 HttpRequest makeBackendRequest(const v1::HopRequest &request, const BackendGrant &grant)
 {
     HttpRequest forwarded = makeForwardedRequest(request);
--- a/src/duty/gate_message.h
+++ b/src/duty/gate_message.h
@@ -6,6 +6,7 @@
 #include "core/failure_type.h"
 #include "decision/request/deduplication_table.h"
 #include "decision/request/outcome_table.h"
+#include "decision/request/request_fingerprint.h"
 #include "wisteriahoist/v1/control.pb.h"
 
 namespace wisteriahoist {
@@ -20,6 +21,9 @@
 /** @return The request as its caller sent it, without hop-by-hop headers. */
 HttpRequest makeForwardedRequest(const v1::HopRequest &request);
 
+/** @return What identifies @p request over all attempts of its callers. */
+RequestFingerprint fingerprintOf(const v1::HopRequest &request);
+
 /** @return The request as it is sent to the backend server. */
 HttpRequest makeBackendRequest(const v1::HopRequest &request, const BackendGrant &grant);
 
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -4,6 +4,7 @@
 
 #include "adapter/http/header_rules.h"
 #include "adapter/log/event_log.h"
+#include "duty/gate_message.h"
 #include "duty/ingress_message.h"
 
 #include <algorithm>
@@ -48,6 +49,7 @@
     end.reachedBackend = reply.reached_backend();
     end.routingMayChange = reply.reason() == "not-owner";
     end.backendUnavailable = reply.reason() == "no-backend";
+    end.refusedEverywhere = reply.reason() == "crashes-backend";
     return end;
 }
 
@@ -62,9 +64,11 @@
 
 RequestRouter::RequestRouter(asio::io_context &context, const Clock &clock,
                              const RequestProtocol &protocol, FleetView &view, PeerLoads &loads,
-                             BackendGate &gate, PeerLink &peers, RouterSettings settings)
+                             BackendGate &gate, PeerLink &peers, const CrashLedger &crashes,
+                             RouterSettings settings)
     : context_(context), clock_(clock), protocol_(protocol), view_(view), loads_(loads),
-      gate_(gate), settings_(std::move(settings)), peers_(peers), random_(std::random_device{}())
+      gate_(gate), crashes_(crashes), settings_(std::move(settings)), peers_(peers),
+      random_(std::random_device{}())
 {
     // Request ids of a restarted node must differ from those of its earlier incarnation: the gate
     // may still run one of those, and a cancellation would cancel the wrong request.
@@ -113,6 +117,11 @@
                          "The route requires a shard key, but the request has none.",
                          milliseconds(0));
     }
+    if (crashes_.isRefused(state->fingerprint, state->startedAt)) {
+        v1::HopReply reply = refuseCrashing(*state, state->startedAt);
+        state->retryAfter = milliseconds(reply.retry_after_ms());
+        co_return makeResponse(*state, std::move(reply));
+    }
     if (!admit(*state)) {
         co_return makeResponse(*state,
                                makeOutcomeReply(RequestStage::Received, RequestEnd::Overloaded));
@@ -162,10 +171,19 @@
         hop.set_keyed(true);
         hop.set_shard_key(metadata.shardKey->value());
     }
+    state->fingerprint = fingerprintOf(hop);
     budgets_.try_emplace(hop.service(), settings_.retries).first->second.onRequest(now);
     return state;
 }
 
+v1::HopReply RequestRouter::refuseCrashing(const RequestState &state, TimePoint now)
+{
+    ++counters_.crashing;
+    v1::HopReply reply = makeOutcomeReply(RequestStage::Received, RequestEnd::CrashesBackend);
+    reply.set_retry_after_ms(crashes_.refusedFor(state.fingerprint, now).count());
+    return reply;
+}
+
 asio::awaitable<v1::HopReply> RequestRouter::runAttempts(std::shared_ptr<RequestState> state)
 {
     state->caller->onDisconnect([this, state]() {
@@ -184,8 +202,8 @@
         state->history.mayHaveRun |= end.outcome == Outcome::Unknown;
         if (reply.retry_after_ms() > 0) {
             const milliseconds given(reply.retry_after_ms());
-            state->retryAfter
-                    = state->retryAfter.count() == 0 ? given : std::min(state->retryAfter, given);
+            const bool replaces = state->retryAfter.count() == 0 || end.refusedEverywhere;
+            state->retryAfter = replaces ? given : std::min(state->retryAfter, given);
         }
         const bool hasOwner = end.routingMayChange && recordNamedOwner(*state, reply);
         AttemptStep step = decideNextAttempt(end, state->history, AttemptLimits{});
@@ -364,6 +382,9 @@
 asio::awaitable<v1::HopReply> RequestRouter::attempt(std::shared_ptr<RequestState> state)
 {
     const TimePoint now = clock_.now();
+    if (crashes_.isRefused(state->fingerprint, now)) {
+        co_return refuseCrashing(*state, now);
+    }
     state->target = chooseTarget(*state);
     ++state->history.tried;
     const MemberRecord *member = view_.findMember(state->target);
--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -39,6 +39,7 @@
     uint64_t retries = 0;   ///< Attempts that used the retry budget.
     uint64_t callersDisconnected = 0;
     uint64_t throttled = 0; ///< Refused without asking any node for a slot.
+    uint64_t crashing = 0;  ///< Refused because backend servers have ended under the same request.
 };
 
 /**
@@ -50,7 +51,7 @@
 public:
     RequestRouter(asio::io_context &context, const Clock &clock, const RequestProtocol &protocol,
                   FleetView &view, PeerLoads &loads, BackendGate &gate, PeerLink &peers,
-                  RouterSettings settings);
+                  const CrashLedger &crashes, RouterSettings settings);
 
     asio::awaitable<HttpResponse> onRequest(HttpRequest request,
                                             std::shared_ptr<DisconnectSignal> caller);
@@ -78,6 +79,7 @@
         std::shared_ptr<const RouteTable> routes; ///< Keeps route alive.
         const Route *route = nullptr;
         v1::HopRequest hop;
+        RequestFingerprint fingerprint;
         std::shared_ptr<DisconnectSignal> caller;
         AttemptHistory history;
         TimePoint startedAt;
@@ -124,6 +126,7 @@
     bool takeRetry(const RequestState &state, TimePoint now);
     RouteCapacity &capacityOf(const RequestState &state);
     bool admit(RequestState &state);
+    v1::HopReply refuseCrashing(const RequestState &state, TimePoint now);
     void recordCapacity(const RequestState &state, const v1::HopReply &reply);
     HttpResponse makeResponse(const RequestState &state, v1::HopReply reply);
     void logEnd(const RequestState &state, const v1::HopReply &reply, unsigned status);
@@ -135,6 +138,7 @@
     FleetView &view_;
     PeerLoads &loads_;
     BackendGate &gate_;
+    const CrashLedger &crashes_;
     RouterSettings settings_;
     PeerLink &peers_;
     TargetPicker targets_;
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -98,8 +98,8 @@
       ranges_({context, clock_, timers_, random_, store_, ports.backend, peers_}, view_, monitor_,
               loads_, makeSelf(settings, node_), makeGrantTimes(settings)),
       gate_(context, clock_, ports.protocol, settings.backend.ip, settings.backend.port, monitor_,
-            ranges_),
-      router_(context, clock_, ports.protocol, view_, loads_, gate_, peers_,
+            ranges_, crashes_),
+      router_(context, clock_, ports.protocol, view_, loads_, gate_, peers_, crashes_,
               makeRouterSettings(settings, node_)),
       sync_(context, store_, view_, ports.configName, ports.decodeConfig),
       publisher_(
@@ -116,7 +116,14 @@
                 view_.routes().config() ? view_.routes().config()->limits : CallerLimits{}));
         ranges_.wake();
     });
+    view_.onMemberRecord([this](const MemberRecord &member) {
+        if (crashes_.onReports(member.crashes, clock_.now())) {
+            publisher_.wake();
+        }
+    });
+    gate_.onCrashReport([this]() { publisher_.wake(); });
     publisher_.onPreviousRecord([this](const MemberRecord &earlier) {
+        crashes_.onOwnReports(earlier.crashes, clock_.now());
         // An acknowledged deregistration or drain from the previous run of this process is still
         // binding.
         if (earlier.state == BackendState::Draining && monitor_.onDeregister(earlier.backend)) {
@@ -170,6 +177,7 @@
     self.state = monitor_.state();
     self.slots = monitor_.slots();
     self.stopping = closing_;
+    self.crashes = crashes_.published(clock_.now());
     if (!monitor_.service().empty()) {
         self.service = monitor_.service();
     }
@@ -279,6 +287,12 @@
     counter("wisteriahoist_throttled_total",
             "Requests rejected on arrival because their service had no free capacity on any node.",
             [&counters]() { return counters.throttled; });
+    counter("wisteriahoist_crashing_refused_total",
+            "Requests rejected because backend servers have crashed under the same request.",
+            [&counters]() { return counters.crashing; });
+    gauge("wisteriahoist_crashing_requests",
+          "Different requests that are rejected because backend servers have crashed under them.",
+          [this]() { return crashes_.refusedRequests(clock_.now()); });
     registerStoreCalls();
     counter("wisteriahoist_log_lines_dropped_total", "Request log lines dropped by the rate limit.",
             [this]() { return router_.droppedLines(); });
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -103,6 +103,7 @@
     FleetView view_;
     BackendMonitor monitor_{MonitorLimits{}};
     PeerLoads loads_;
+    CrashLedger crashes_;
     PeerLink peers_;
     RelayedStore relay_;
     SharedWatch store_;
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -73,9 +73,21 @@
         view.onRanges("one", std::move(record), StoreRevision(1));
     }
 
-    HttpResponse ask()
+    /** The next incarnation of the backend server has reported. */
+    void startNextIncarnation()
     {
-        HttpRequest request(http::verb::get, "/x", 11);
+        BackendReport report;
+        report.backend = BackendIncarnation("b-" + std::to_string(++incarnations));
+        report.service = "one";
+        report.slots = 4;
+        report.sequence = 1;
+        (void)monitor.onReport(report, clock.now());
+        gate.onBackendChange();
+    }
+
+    HttpResponse ask(const std::string &target = "/x")
+    {
+        HttpRequest request(http::verb::get, target, 11);
         request.set("X-Wisteriahoist-Shard-Key", "7");
         request.set(http::field::host, "a.example");
         request.set("X-Wisteriahoist-Attempt-Id", "q");
@@ -83,6 +95,7 @@
                         router.onRequest(std::move(request), std::make_shared<DisconnectSignal>()));
     }
 
+    int incarnations = 1;
     asio::io_context context;
     std::shared_ptr<ScriptedBackend> backend;
     BootClockAdapter clock;
@@ -92,9 +105,12 @@
     FleetView view;
     PeerLoads loads;
     PeerLink peers{context, "127.0.0.1", 0};
-    BackendGate gate{context, clock, protocol, "127.0.0.1", backend->port(), monitor, keys};
-    RequestRouter router{context, clock, protocol, view,
-                         loads,   gate,  peers,    {NodeId(1), "domain", "one", {}}};
+    CrashLedger crashes;
+    BackendGate gate{context,         clock,   protocol, "127.0.0.1",
+                     backend->port(), monitor, keys,     crashes};
+    RequestRouter router{context, clock,   protocol,
+                         view,    loads,   gate,
+                         peers,   crashes, {NodeId(1), "domain", "one", {}}};
 };
 
 /** Another node with a ready backend server; that of the first node is draining. */
@@ -139,6 +155,25 @@
     std::optional<KeyOwner> newOwner; ///< If set, the node that owns its keys now.
 };
 
+const BackendScript LostAnswer{"", milliseconds(0), true};
+
+/** Three incarnations of the only backend server have ended under the same request. */
+struct CrashedServers {
+    CrashedServers()
+    {
+        for (int crashes = 0; crashes < 3; ++crashes) {
+            cr_assert_eq(fixture.ask().result_int(), 502U);
+            fixture.startNextIncarnation();
+        }
+        reached = reachedNow();
+    }
+
+    size_t reachedNow() const { return fixture.backend->requests().size(); }
+
+    Fixture fixture{{LostAnswer}};
+    size_t reached = 0;
+};
+
 std::string answerWith(const std::string &status)
 {
     return "HTTP/1.1 " + status
@@ -224,3 +259,74 @@
     Fixture fixture({{"", milliseconds(0), true}});
     cr_assert_eq(fixture.ask().result_int(), 502U);
 }
+
+// Guards against a request that crashes one backend server after the other: each attempt of its
+// callers counted as a new request.
+Test(request_router, a_request_that_has_crashed_three_servers_is_refused)
+{
+    SECTION("at the node that its caller is connected to, with the time until it is allowed again")
+    {
+        CrashedServers crashed;
+        const HttpResponse response = crashed.fixture.ask();
+        cr_assert_eq(response.result_int(), 503U);
+        cr_assert_gt(std::stod(std::string(response[http::field::retry_after])), 3000);
+        cr_assert_eq(crashed.reachedNow(), crashed.reached);
+    }
+    SECTION("at the node beside the server, for a node that does not know of it")
+    {
+        CrashedServers crashed;
+        v1::HopRequest hop;
+        hop.set_service("one");
+        hop.set_method("GET");
+        hop.set_target("/x");
+        hop.set_caller_service("one");
+        hop.set_deadline_left_ms(LongTime.count());
+        v1::HeaderField *host = hop.add_headers();
+        host->set_name("Host");
+        host->set_value("a.example");
+        const v1::HopReply reply = runUntil(crashed.fixture.context, crashed.fixture.gate.run(hop));
+        cr_assert(reply.outcome() == v1::HOP_OUTCOME_NOT_RUN);
+        cr_assert(reply.reason() == "crashes-backend");
+        cr_assert_eq(crashed.reachedNow(), crashed.reached);
+    }
+    SECTION("but not another one, and this one not once it was answered elsewhere")
+    {
+        CrashedServers crashed;
+        cr_assert_eq(crashed.fixture.ask("/y").result_int(), 502U);
+        CrashLedger &ledger = crashed.fixture.crashes;
+        std::vector<CrashReport> answered = ledger.published(crashed.fixture.clock.now());
+        for (CrashReport &report : answered) {
+            report.refuted = true;
+        }
+        (void)ledger.onReports(answered, crashed.fixture.clock.now());
+        cr_assert_eq(crashed.fixture.ask().result_int(), 502U);
+    }
+}
+
+// Guards against blame for requests whose backend server was lost by plan, or not at all.
+Test(request_router, a_lost_connection_alone_is_no_crash)
+{
+    SECTION("as long as the incarnation goes on")
+    {
+        Fixture fixture({LostAnswer});
+        (void)fixture.ask();
+        cr_assert(fixture.crashes.empty());
+    }
+    SECTION("nor at a server that has deregistered meanwhile")
+    {
+        Fixture fixture({{"", milliseconds(50), true}});
+        asio::steady_timer timer(fixture.context, milliseconds(20));
+        timer.async_wait([&](boost::system::error_code) { fixture.monitor.onDeregister("b-1"); });
+        (void)fixture.ask();
+        cr_assert_eq(fixture.backend->requests().size(), 1U);
+        fixture.startNextIncarnation();
+        cr_assert(fixture.crashes.empty());
+    }
+    SECTION("but if its next incarnation reports")
+    {
+        Fixture fixture({LostAnswer});
+        (void)fixture.ask();
+        fixture.startNextIncarnation();
+        cr_assert(!fixture.crashes.empty());
+    }
+}
--- a/test/unit/soak/soak_audit_test.cpp
+++ b/test/unit/soak/soak_audit_test.cpp
@@ -74,6 +74,13 @@
         audit.onCrashed("a", arrived, now + milliseconds(20));
     }
 
+    void crashThreeTimes()
+    {
+        for (int64_t number = 0; number < 3; ++number) {
+            crash("first-" + std::to_string(number), at(number * 10));
+        }
+    }
+
     void answer(const std::string &attempt, unsigned status, TimePoint now)
     {
         platform::CallerAnswer answer;
@@ -278,12 +285,10 @@
 
 Test(soak_audit, a_request_that_crashed_three_servers_reaches_others)
 {
-    Fixture fixture;
-    for (int64_t crash = 0; crash < 3; ++crash) {
-        fixture.crash("first-" + std::to_string(crash), at(crash * 10));
-    }
     SECTION("before the others can know, and three times afterwards")
     {
+        Fixture fixture;
+        fixture.crashThreeTimes();
         for (int64_t crash = 0; crash < 5; ++crash) {
             fixture.crash("soon-" + std::to_string(crash), at(1000 + crash * 100));
         }
@@ -294,6 +299,8 @@
     }
     SECTION("once more than that")
     {
+        Fixture fixture;
+        fixture.crashThreeTimes();
         for (int64_t crash = 0; crash < 4; ++crash) {
             fixture.crash("later-" + std::to_string(crash), at(10000 + crash * 5000));
         }
@@ -301,6 +308,8 @@
     }
     SECTION("from a node that was disturbed")
     {
+        Fixture fixture;
+        fixture.crashThreeTimes();
         fixture.audit.onDisturbance(1, at(10000), at(40000));
         for (int64_t crash = 0; crash < 4; ++crash) {
             fixture.crash("later-" + std::to_string(crash), at(10000 + crash * 5000));
