--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -62,5 +62,7 @@
 soak soak-by-heartbeat 1..3 --by_heartbeat
 # Guards against requests that crash one backend server after the other.
 soak soak-crashing-requests 1..2 --crashing_requests
+# Guards against more requests at a backend server than the limit that it names.
+soak soak-named-limits 1..2 --named_limits
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
--- a/test/unit/soak/soak_audit_test.cpp
+++ b/test/unit/soak/soak_audit_test.cpp
@@ -317,3 +317,59 @@
         cr_assert(fixture.brokeNothing());
     }
 }
+
+Test(soak_audit, a_server_gets_more_than_the_limit_that_it_names)
+{
+    const auto ask = [](Fixture &fixture, size_t count, TimePoint from) {
+        for (size_t number = 0; number < count; ++number) {
+            const std::string attempt = std::to_string(from.time_since_epoch().count()) + "-"
+                                        + std::to_string(number);
+            const TimePoint now = from + milliseconds(10 * number);
+            fixture.send(attempt, true, now);
+            fixture.run(attempt, true, now);
+        }
+    };
+    const auto tell = [](Fixture &fixture) {
+        fixture.audit.onLimitNamed("a", 2, at(0));
+        fixture.send("told", true, at(100));
+        fixture.run("told", true, at(100));
+        platform::CallerAnswer answer;
+        answer.status = 200;
+        answer.answeredAttempt = "told";
+        answer.serverSeal = "a";
+        answer.body = "ran told at one";
+        answer.namesLimit = true;
+        fixture.audit.onAnswered("told", answer, at(110));
+    };
+    SECTION("from a node that was told")
+    {
+        Fixture fixture;
+        tell(fixture);
+        ask(fixture, 18, at(4000));
+        cr_assert(fixture.broke(Promise::RequestLimit));
+    }
+    SECTION("no more than allowed")
+    {
+        Fixture fixture;
+        tell(fixture);
+        ask(fixture, 17, at(4000));
+        ask(fixture, 17, at(8200));
+        cr_assert(fixture.brokeNothing());
+    }
+    SECTION("by nodes that cannot know: too soon, never told, or restarted")
+    {
+        Fixture soon;
+        tell(soon);
+        ask(soon, 100, at(1000));
+        cr_assert(soon.brokeNothing());
+        Fixture untold;
+        untold.audit.onLimitNamed("a", 2, at(0));
+        ask(untold, 100, at(4000));
+        cr_assert(untold.brokeNothing());
+        Fixture restarted;
+        tell(restarted);
+        restarted.audit.onNodeStarted(0);
+        ask(restarted, 100, at(4000));
+        cr_assert(restarted.brokeNothing());
+    }
+}
--- a/tool/soak/soak_audit.cpp
+++ b/tool/soak/soak_audit.cpp
@@ -11,10 +11,11 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 15> Names{
-        "sole-owner",      "rising-fence",    "at-most-once", "not-run-is-true", "own-answer",
-        "known-request",   "attempt-limit",   "time-left",    "leaving",         "planned-work",
-        "config-in-force", "config-not-back", "work-ends",    "recovery",        "crash-limit"};
+constexpr std::array<std::string_view, 16> Names{
+        "sole-owner", "rising-fence",  "at-most-once",    "not-run-is-true",
+        "own-answer", "known-request", "attempt-limit",   "time-left",
+        "leaving",    "planned-work",  "config-in-force", "config-not-back",
+        "work-ends",  "recovery",      "crash-limit",     "request-limit"};
 constexpr size_t KeyCount = LastShardKey.value() + 1;
 /** Work that goes on after its caller has left is a pattern from so many cases on. */
 constexpr uint64_t LateWorkCases = 4;
@@ -163,6 +164,7 @@
         report(Promise::Leaving, now, sent.attempt + " ran at " + backend + ", which has left");
     }
     checkCrashLimit(sent, arrived, backend, now);
+    checkRequestLimit(sent, backend, now);
     checkRouting(request, service, now);
 }
 
@@ -171,6 +173,50 @@
     return {request.method, request.target, request.callerService, request.key};
 }
 
+void SoakAudit::onNodeStarted(size_t node)
+{
+    seenPaths_[node].clear();
+    for (auto &[backend, named] : limits_) {
+        named.toldAt.erase(node);
+    }
+}
+
+void SoakAudit::onLimitNamed(const std::string &backend, std::optional<double> limit, TimePoint now)
+{
+    if (limit) {
+        limits_[backend] = {*limit, now, {}, {}};
+    } else {
+        limits_.erase(backend);
+    }
+}
+
+void SoakAudit::checkRequestLimit(const SentRequest &sent, const std::string &backend,
+                                  TimePoint now)
+{
+    const auto found = limits_.find(backend);
+    if (found == limits_.end()) {
+        return;
+    }
+    NamedLimit &named = found->second;
+    const auto told = named.toldAt.find(sent.node);
+    if (told == named.toldAt.end() || now < told->second + bounds_.told
+        || now < named.since + bounds_.settle || !isCalm(sent.node, sent.at, now, false)) {
+        return;
+    }
+    named.counted.push_back(now);
+    while (now - named.counted.front() > bounds_.limitWindow) {
+        named.counted.pop_front();
+    }
+    const double seconds = std::chrono::duration<double>(bounds_.limitWindow).count();
+    const double most = bounds_.limitExcess * named.limit * seconds + bounds_.limitSlack;
+    if (static_cast<double>(named.counted.size()) > most) {
+        report(Promise::RequestLimit, now,
+               backend + " got " + std::to_string(named.counted.size())
+                       + " requests with a limit of " + std::to_string(named.limit) + " a second");
+        named.counted.clear();
+    }
+}
+
 void SoakAudit::checkCrashLimit(const SentRequest &sent, const platform::ArrivedRequest &arrived,
                                 const std::string &backend, TimePoint now)
 {
@@ -230,6 +276,10 @@
     request.endedAt = now;
     if (answer.status / 100 == 2) {
         ++answered_;
+        const auto limit = limits_.find(answer.serverSeal);
+        if (answer.namesLimit && limit != limits_.end()) {
+            limit->second.toldAt.emplace(request.sent.node, now);
+        }
         seenPaths_[request.sent.node].emplace(prefixOf(request.sent.path), now);
     }
     checkAnswer(request, now);
--- a/tool/soak/soak_audit.h
+++ b/tool/soak/soak_audit.h
@@ -6,6 +6,7 @@
 #include "platform/standin/caller_standin.h"
 
 #include <array>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -31,6 +32,7 @@
     WorkEnds,      ///< Work ends soon after its caller has left.
     Recovery,      ///< Everything is served again soon after the last fault.
     CrashLimit,    ///< A request that has crashed several backend servers reaches hardly any more.
+    RequestLimit,  ///< A backend server gets hardly more requests than the limit that it names.
 };
 
 std::string_view promiseName(Promise promise);
@@ -67,6 +69,10 @@
     milliseconds unread{200};       ///< A request cut sooner may have crossed the node's close.
     uint32_t crashes{3};            ///< After so many a request counts as one that crashes servers.
     uint32_t runsAfterCrashes{3};   ///< Later ones that it may still reach.
+    milliseconds limitWindow{4000}; ///< In which the requests at a backend server are counted.
+    double limitExcess{1.5};        ///< Times what its limit allows in that time.
+    double limitSlack{5};           ///< Requests that are allowed beyond that.
+    milliseconds told{500};         ///< A node knows a limit so long after an answer that named it.
     milliseconds restart{1500};     ///< From a crash to the next start of the backend server.
 };
 
@@ -99,7 +105,9 @@
     // What is done to the fleet.
     /** @param node Empty: all nodes. */
     void onDisturbance(std::optional<size_t> node, TimePoint from, TimePoint until);
-    void onNodeStarted(size_t node) { seenPaths_[node].clear(); }
+    void onNodeStarted(size_t node);
+    /** The backend server names a limit from now on, in requests per second, or none any more. */
+    void onLimitNamed(const std::string &backend, std::optional<double> limit, TimePoint now);
     void onNodeThawed(size_t node, TimePoint now) { thawedAt_[node] = now; }
     void onBackendStarted(const std::string &backend, size_t node) { nodeOf_[backend] = node; }
     /** Requests on @p path go to @p service from now on; in force everywhere within the bound. */
@@ -137,6 +145,13 @@
         TimePoint lastOfLimit = NeverTime; ///< Of the crash after which few more runs are allowed.
         uint32_t laterRuns = 0;
     };
+    /** A backend server that names a limit. */
+    struct NamedLimit {
+        double limit = 0; ///< Requests per second.
+        TimePoint since;
+        std::map<size_t, TimePoint> toldAt; ///< By node: its first answer that named the limit.
+        std::deque<TimePoint> counted;      ///< Requests from nodes that were told.
+    };
     /** What makes two attempts the same request: method, target, service of the caller, key. */
     using RequestIdentity = std::array<std::string, 4>;
     struct Routing {
@@ -148,6 +163,7 @@
     bool isCalm(std::optional<size_t> node, TimePoint from, TimePoint until,
                 bool withCrashes = true) const;
     static RequestIdentity identityOf(const platform::ArrivedRequest &request);
+    void checkRequestLimit(const SentRequest &sent, const std::string &backend, TimePoint now);
     void checkCrashLimit(const SentRequest &sent, const platform::ArrivedRequest &arrived,
                          const std::string &backend, TimePoint now);
     void checkRouting(const Request &request, const std::string &service, TimePoint now);
@@ -164,6 +180,7 @@
     std::map<std::string, size_t> nodeOf_;          ///< Of each backend server's life.
     std::map<size_t, TimePoint> thawedAt_;
     std::map<RequestIdentity, CrashHistory> crashes_;
+    std::map<std::string, NamedLimit> limits_;                     ///< By backend server's life.
     std::map<std::string, std::vector<Routing>> routings_;         ///< By path prefix.
     std::map<size_t, std::map<std::string, TimePoint>> seenPaths_; ///< Served by a node's life.
     std::vector<Violation> violations_;
--- a/tool/soak/soak_main.cpp
+++ b/tool/soak/soak_main.cpp
@@ -27,6 +27,8 @@
           "their ids");
 ABSL_FLAG(bool, crashing_requests, false,
           "some callers repeat requests under which backend servers crash");
+ABSL_FLAG(bool, named_limits, false,
+          "backend servers name limits of requests per second, one after the other");
 ABSL_FLAG(bool, keep, false, "keep the logs of clean seeds as well");
 
 namespace wisteriahoist::soak {
@@ -80,6 +82,7 @@
             settings.nodes = absl::GetFlag(FLAGS_nodes);
             settings.slot = slot;
             settings.grantsByHeartbeat = absl::GetFlag(FLAGS_by_heartbeat);
+            settings.namedLimits = absl::GetFlag(FLAGS_named_limits);
             settings.crashingRequests = absl::GetFlag(FLAGS_crashing_requests);
             SoakRun run(settings);
             record(run.run(), settings.directory);
--- a/tool/soak/soak_node.h
+++ b/tool/soak/soak_node.h
@@ -24,6 +24,7 @@
     size_t nodes = 8;
     bool grantsByHeartbeat = false; ///< And backend servers start again under their ids.
     bool crashingRequests = false;  ///< Some callers repeat requests that crash backend servers.
+    bool namedLimits = false;       ///< Some backend servers name a limit of requests per second.
     uint8_t slot = 20; ///< Second number of all its loopback addresses; unique on the machine.
 };
 
--- a/tool/soak/soak_run.cpp
+++ b/tool/soak/soak_run.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds LastWrites{4000};
 constexpr milliseconds LastAnswers{8000}; ///< Requests that take longer are not waited for.
 constexpr milliseconds Step{50};
+constexpr milliseconds LimitTime{7000}; ///< For which one backend server names its limit.
+constexpr double LeastLimit = 2;        ///< Requests per second.
+constexpr uint64_t LimitSpread = 8;
 constexpr milliseconds ProbePause{250};
 
 SoakSettings withEmptyDirectory(SoakSettings settings)
@@ -39,7 +42,9 @@
       callers_(context_, audit_, settings_.seed),
       plan_(makeFaultPlan(settings_.seed, settings_.nodes)),
       configuration_(settings_.grantsByHeartbeat),
-      driver_(context_, fleet_, store_, callers_, audit_, clock_, log_, [this]() { reconfigure(); })
+      driver_(context_, fleet_, store_, callers_, audit_, clock_, log_,
+              [this]() { reconfigure(); }),
+      random_(settings_.seed)
 { }
 
 SoakResult SoakRun::run()
@@ -79,8 +84,12 @@
         callers_.addCallers(index, fleet_.node(index));
     }
     addCrashingCallers();
+    if (settings_.namedLimits) {
+        startTask(context_, nameLimits());
+    }
     co_await driver_.carryOutAll(plan_);
     note("healed");
+    healed_ = true;
     fleet_.heal();
     co_await sleepFor(LastWrites);
     const bool served = co_await waitServed(RecoveryBound);
@@ -111,6 +120,28 @@
     }
 }
 
+asio::awaitable<void> SoakRun::nameLimits()
+{
+    while (!healed_) {
+        const size_t index = random_() % fleet_.size();
+        nameLimit(index, LeastLimit + static_cast<double>(random_() % LimitSpread));
+        const TimePoint begun = clock_.now();
+        while (!healed_ && clock_.now() - begun < LimitTime) {
+            co_await sleepFor(Step);
+        }
+        nameLimit(index, std::nullopt);
+    }
+}
+
+void SoakRun::nameLimit(size_t index, std::optional<double> limit)
+{
+    platform::BackendServerStandin &backend = fleet_.node(index).backend();
+    backend.faults().requestLimit = limit;
+    audit_.onLimitNamed(backend.id(), limit, clock_.now());
+    note(backend.id()
+         + (limit ? " names a limit of " + std::to_string(*limit) : " names no limit"));
+}
+
 asio::awaitable<void> SoakRun::endLoad()
 {
     callers_.stop();
--- a/tool/soak/soak_run.h
+++ b/tool/soak/soak_run.h
@@ -32,6 +32,9 @@
     asio::awaitable<void> play();
     void startAll();
     void addCrashingCallers();
+    /** One backend server after the other names a limit for a while, until the load ends. */
+    asio::awaitable<void> nameLimits();
+    void nameLimit(size_t index, std::optional<double> limit);
     /** Ends the load and waits for the last answers; what was refused may not run even then. */
     asio::awaitable<void> endLoad();
     SoakResult makeResult();
@@ -54,6 +57,8 @@
     FaultPlan plan_;
     SoakConfiguration configuration_;
     FaultDriver driver_;
+    std::mt19937_64 random_; ///< Of what the plan does not hold.
+    bool healed_ = false;
 };
 
 } // namespace wisteriahoist::soak
