Fix: [Gate] A backend server that names a limit gets no more requests than that

What callers saw: servers in need got up to ten times what they had asked for; their requests waited there and timed out, while others had room. Cause: no code read the header; admission bounds how many requests run at once, never how many are sent in a second. Class: a signal of the other side that nobody reads. Change: the gate beside the server, which all requests to it pass, keeps a token bucket at the named rate; what is beyond it is refused at once as not run with a time at which it can be served. The load told to other nodes and the slots that the range planner counts follow the limit. It is in the member record, so that a restarted gate goes on with it. Log lines and metrics for it.

--- a/src/adapter/codec/record_codec.cpp
+++ b/src/adapter/codec/record_codec.cpp
@@ -77,6 +77,9 @@
     message.set_slots(member.slots);
     message.set_stopping(member.stopping);
     message.set_cpu_share(member.cpuShare);
+    if (member.requestLimit) {
+        message.set_request_limit(*member.requestLimit);
+    }
     for (const CrashReport &report : member.crashes) {
         v1::CrashReport *crash = message.add_crashes();
         crash->set_request(report.request.value());
@@ -109,6 +112,9 @@
     member.slots = message.slots();
     member.stopping = message.stopping();
     member.cpuShare = message.cpu_share();
+    if (message.has_request_limit()) {
+        member.requestLimit = message.request_limit();
+    }
     for (const v1::CrashReport &crash : message.crashes()) {
         member.crashes.push_back({RequestFingerprint(crash.request()),
                                   IncarnationHash(crash.backend()), crash.refuted()});
--- a/src/adapter/http/request_protocol.h
+++ b/src/adapter/http/request_protocol.h
@@ -26,6 +26,12 @@
     std::string callerService; ///< Service local to the node at which the request was made.
 };
 
+/** What a backend server tells of itself in a response. */
+struct BackendSignals {
+    std::optional<double> requestLimit; ///< Requests per second that it takes from all nodes.
+    bool malformedLimit = false;        ///< It names a limit that cannot be understood.
+};
+
 /** Classification of a backend server's response. */
 enum class ResponseKind {
     Complete,         ///< Complete response to the request, with any status.
@@ -68,6 +74,8 @@
     virtual ResponseKind classifyResponse(const HttpResponse &response,
                                           const std::string &attemptId) const = 0;
 
+    virtual BackendSignals readSignals(const HttpResponse &response) const = 0;
+
     /** Sets the time that the caller must wait before a retry. */
     virtual void setRetryAfter(HttpResponse &response, milliseconds wait) const = 0;
 
--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -62,6 +62,8 @@
         {LogEvent::WatchSilent, "watch-silent", LogSeverity::Warning},
         {LogEvent::FeederLost, "feeder-lost", LogSeverity::Warning},
         {LogEvent::StoreRelayed, "store-relayed", LogSeverity::Warning},
+        {LogEvent::BackendLimitChanged, "backend-limit-changed", LogSeverity::Info},
+        {LogEvent::BackendLimitMalformed, "backend-limit-malformed", LogSeverity::Warning},
         {LogEvent::CrashSuspected, "crash-suspected", LogSeverity::Warning},
         {LogEvent::CrashesRefused, "crashes-refused", LogSeverity::Error},
         {LogEvent::SettingsReloaded, "settings-reloaded", LogSeverity::Info},
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -71,7 +71,10 @@
     WatchSilent,  ///< Other nodes know of changes that this node's watch has not delivered.
     FeederLost,   ///< The node that forwarded store changes to this one has stopped doing so.
     StoreRelayed, ///< The store is accessed through another node.
-    CrashSuspected, ///< A backend server ended while this request was running there.
+    BackendLimitChanged,   ///< The backend server names a limit of requests per second, or none any
+                           ///< more.
+    BackendLimitMalformed, ///< A limit in a response cannot be understood and is ignored.
+    CrashSuspected,        ///< A backend server ended while this request was running there.
     CrashesRefused, ///< This request is no longer sent to backend servers, since several have ended
                     ///< under it.
     SettingsReloaded,
--- a/src/decision/member/member_type.h
+++ b/src/decision/member/member_type.h
@@ -33,10 +33,11 @@
     std::string service;        ///< Service of the backend server.
     BackendIncarnation backend; ///< Empty while Absent.
     BackendState state = BackendState::Absent;
-    uint32_t slots = 0;               ///< Requests that the backend server runs concurrently.
-    bool stopping = false;            ///< The node's process is shutting down.
-    double cpuShare = 0;              ///< CPU cores that the node may use; 0: not known.
-    std::vector<CrashReport> crashes; ///< Requests under which backend servers have ended.
+    uint32_t slots = 0;                 ///< Requests that the backend server runs concurrently.
+    bool stopping = false;              ///< The node's process is shutting down.
+    double cpuShare = 0;                ///< CPU cores that the node may use; 0: not known.
+    std::optional<double> requestLimit; ///< Requests per second that the backend server takes.
+    std::vector<CrashReport> crashes;   ///< Requests under which backend servers have ended.
     bool operator==(const MemberRecord &) const = default;
 
     bool acceptsRequests() const { return state == BackendState::Ready && !stopping; }
--- a/src/decision/request/outcome_table.cpp
+++ b/src/decision/request/outcome_table.cpp
@@ -49,6 +49,8 @@
         return "idempotency-key-in-progress";
     case RequestEnd::IdempotencyOutcomeUnknown:
         return "idempotency-key-outcome-lost";
+    case RequestEnd::RateLimited:
+        return "rate-limited";
     case RequestEnd::CrashesBackend:
         return "crashes-backend";
     case RequestEnd::IdempotencyKeyTooOld:
--- a/src/decision/request/outcome_table.h
+++ b/src/decision/request/outcome_table.h
@@ -42,11 +42,12 @@
     IdempotencyKeyInProgress,  ///< The first request with this idempotency key is still running.
     IdempotencyOutcomeUnknown, ///< The first request with this idempotency key ended with unknown
                                ///< outcome.
+    RateLimited,               ///< The backend server takes no more requests a second.
     CrashesBackend,            ///< Several backend servers have ended under the same request.
     IdempotencyKeyTooOld, ///< The idempotency key predates this ownership; a previous owner may
                           ///< have run the request.
 };
-inline constexpr size_t RequestEndCount = 20;
+inline constexpr size_t RequestEndCount = 21;
 
 /** What is known about whether a request ran. */
 enum class Outcome {
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -72,6 +72,7 @@
 {
     admission_.onSlots(monitor_.slots());
     reportCrashes(clock_.now());
+    followIncarnation(clock_.now());
     wakeNext();
 }
 
@@ -79,8 +80,10 @@
 {
     v1::BackendLoad load;
     load.set_running(admission_.running());
-    // While the breaker is open, the reported load is full, so that other nodes avoid the server.
-    const uint32_t blockedSlots = breaker_.isOpen(now) ? admission_.slots() : 0;
+    // While the breaker is open or the limit is reached, the reported load is full, so that other
+    // nodes avoid the server.
+    const bool blocked = breaker_.isOpen(now) || !limiter_.hasRoom(admission_.waiting(), now);
+    const uint32_t blockedSlots = blocked ? admission_.slots() : 0;
     load.set_waiting(static_cast<uint32_t>(admission_.waiting()) + blockedSlots);
     load.set_slots(admission_.slots());
     const auto service = std::chrono::duration_cast<milliseconds>(admission_.serviceTime());
@@ -143,6 +146,10 @@
         fillOutcome(reply, RequestStage::Received, RequestEnd::Overloaded);
         co_return;
     }
+    if (!limiter_.hasRoom(admission_.waiting(), clock_.now())) {
+        fillRateLimited(request, RequestStage::Received, reply);
+        co_return;
+    }
     refusal = co_await awaitSlot(request, call, reply);
     if (refusal != RequestEnd::None) {
         const int64_t retryAfter = reply.retry_after_ms();
@@ -159,9 +166,28 @@
         wakeNext();
         co_return;
     }
+    // The limit may have been named while the request waited.
+    if (!limiter_.tryTake(clock_.now())) {
+        admission_.onEnd(kindOf(request), std::nullopt);
+        fillRateLimited(request, RequestStage::Queued, reply);
+        wakeNext();
+        co_return;
+    }
     co_await sendToBackend(request, *call, reply);
 }
 
+void BackendGate::fillRateLimited(const v1::HopRequest &request, RequestStage stage,
+                                  v1::HopReply &reply)
+{
+    ++rateLimited_;
+    const TimePoint now = clock_.now();
+    fillOutcome(reply, stage, RequestEnd::RateLimited);
+    reply.set_retry_after_ms(limiter_.reject(now).count());
+    if (request.keyed()) {
+        ownership_.recordBusyTime(ShardKey(request.shard_key()), admission_.serviceTime(), now);
+    }
+}
+
 void BackendGate::fillRefusal(const v1::HopRequest &request, RequestStage stage, RequestEnd refusal,
                               v1::HopReply &reply) const
 {
@@ -239,6 +265,7 @@
         ownership_.recordBusyTime(ShardKey(request.shard_key()), now - startedAt, now);
     }
     if (answer) {
+        readSignals(request, answer.assume_value(), backend, startedAt, now);
         notifyMonitorChange(monitor_.onAnswer(now));
         admission_.onEnd(kindOf(request), now - startedAt);
         if (duration_ != nullptr) {
@@ -258,6 +285,70 @@
     wakeNext();
 }
 
+void BackendGate::readSignals(const v1::HopRequest &request, const HttpResponse &answer,
+                              const BackendIncarnation &backend, TimePoint sentAt, TimePoint now)
+{
+    const ResponseKind kind = protocol_.classifyResponse(answer, request.attempt_id());
+    if (kind == ResponseKind::WrongIncarnation || backend != monitor_.backend()) {
+        return;
+    }
+    const BackendSignals signals = protocol_.readSignals(answer);
+    if (signals.malformedLimit) {
+        ++malformedLimits_;
+        if (malformedLog_.tryTake(now)) {
+            malformedLog_.log({{"backend", backend.text()}});
+        }
+    }
+    updateLimit([&]() {
+        if (signals.requestLimit) {
+            limiter_.onNamed(*signals.requestLimit, now);
+        } else if (!signals.malformedLimit) {
+            limiter_.onNoneNamed(sentAt);
+        }
+    });
+}
+
+void BackendGate::updateLimit(const std::function<void()> &change)
+{
+    const std::optional<double> before = publishedLimit();
+    change();
+    const std::optional<double> after = publishedLimit();
+    if (after == before) {
+        return;
+    }
+    logEvent(LogEvent::BackendLimitChanged, {{"backend", monitor_.backend().text()},
+                                             {"limited", after.has_value()},
+                                             {"per_second", limiter_.limit().value_or(0)}});
+    if (limitChanged_) {
+        limitChanged_();
+    }
+}
+
+std::optional<double> BackendGate::publishedLimit() const
+{
+    const std::optional<double> &limit = limiter_.limit();
+    return limit ? std::optional(roundLimit(*limit)) : std::nullopt;
+}
+
+void BackendGate::adoptLimit(const BackendIncarnation &backend, double limit)
+{
+    adoptedBackend_ = backend;
+    adoptedLimit_ = limit;
+    followIncarnation(clock_.now());
+}
+
+void BackendGate::followIncarnation(TimePoint now)
+{
+    if (limitedBackend_ != monitor_.backend()) {
+        limitedBackend_ = monitor_.backend();
+        updateLimit([&]() { limiter_.clear(); });
+    }
+    if (adoptedLimit_ && !limiter_.limit() && adoptedBackend_ == monitor_.backend()) {
+        updateLimit([&]() { limiter_.onNamed(*adoptedLimit_, now); });
+        adoptedLimit_.reset();
+    }
+}
+
 void BackendGate::recordAnswer(const Call &call, TimePoint now)
 {
     if (crashes_.onAnswered(call.fingerprint, now) && crashReported_) {
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -4,11 +4,13 @@
 
 #include "adapter/http/http_client.h"
 #include "adapter/http/request_protocol.h"
+#include "adapter/log/rate_limited_event.h"
 #include "adapter/metrics/metric_type.h"
 #include "decision/member/backend_monitor.h"
 #include "decision/request/admission_control.h"
 #include "decision/request/circuit_breaker.h"
 #include "decision/request/crash_ledger.h"
+#include "decision/request/request_rate_limiter.h"
 #include "duty/gate_message.h"
 #include "port/clock.h"
 
@@ -71,6 +73,19 @@
     /** Applies the monitor's state after a report. */
     void onBackendChange();
 
+    /** @param action Called when the limit that the backend server names has changed. */
+    void onLimitChange(std::function<void()> action) { limitChanged_ = std::move(action); }
+
+    /** Keeps to @p limit, which @p backend had named before this process was started, until it
+     *  answers. */
+    void adoptLimit(const BackendIncarnation &backend, double limit);
+
+    /** @return The limit in requests per second that the backend server names, in steps. */
+    std::optional<double> publishedLimit() const;
+
+    uint64_t rateLimited() const { return rateLimited_; }
+    uint64_t malformedLimits() const { return malformedLimits_; }
+
     /** @param action Called when this node has something new to tell about crashes. */
     void onCrashReport(std::function<void()> action) { crashReported_ = std::move(action); }
 
@@ -135,6 +150,13 @@
                                         v1::HopReply &reply);
     void fillFromResponse(const v1::HopRequest &request, HttpResponse answer, v1::HopReply &reply);
     RequestEnd fillFromFailure(const Failure &failure, const Call &call, v1::HopReply &reply);
+    /** Takes over what the backend server told of itself in @p answer to a request that was sent at
+     *  @p sentAt. */
+    void readSignals(const v1::HopRequest &request, const HttpResponse &answer,
+                     const BackendIncarnation &backend, TimePoint sentAt, TimePoint now);
+    void updateLimit(const std::function<void()> &change);
+    void followIncarnation(TimePoint now);
+    void fillRateLimited(const v1::HopRequest &request, RequestStage stage, v1::HopReply &reply);
     void recordLostRun(const v1::HopRequest &request, const Call &call,
                        const BackendIncarnation &backend, TimePoint now);
     void reportCrashes(TimePoint now);
@@ -159,6 +181,14 @@
     std::function<void()> monitorChanged_;
     std::function<void()> connectionFailed_;
     std::function<void()> crashReported_;
+    std::function<void()> limitChanged_;
+    RequestRateLimiter limiter_;
+    BackendIncarnation limitedBackend_;  ///< Incarnation that limiter_ is about.
+    std::optional<double> adoptedLimit_; ///< Of adoptedBackend_, until that one reports.
+    BackendIncarnation adoptedBackend_;
+    uint64_t rateLimited_ = 0;     ///< Requests rejected because of the limit.
+    uint64_t malformedLimits_ = 0; ///< Answers with a limit that could not be understood.
+    RateLimitedEvent malformedLog_{LogEvent::BackendLimitMalformed, 1, 5};
     std::deque<LostRun> lostRuns_; ///< Of the last seconds; their backend server may have ended.
     Histogram *duration_ = nullptr;
 };
--- a/src/duty/range_controller.cpp
+++ b/src/duty/range_controller.cpp
@@ -4,6 +4,7 @@
 #include "duty/range_controller.h"
 
 #include "adapter/log/event_log.h"
+#include "decision/request/request_rate_limiter.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -176,9 +177,10 @@
         }
         RangeCandidate candidate;
         candidate.holder = {member->node, member->life, member->backend};
-        candidate.slots = std::max<uint32_t>(1, member->slots);
         candidate.busySlots = loads_.busySlots(member->node, now);
         candidate.serviceTime = loads_.serviceTime(member->node);
+        candidate.slots = usableSlots(std::max<uint32_t>(1, member->slots), member->requestLimit,
+                                      candidate.serviceTime);
         candidate.keys = keys[member->node];
         found.push_back(std::move(candidate));
     }
@@ -400,9 +402,11 @@
     }
     RangeCandidate self;
     self.holder = *holder();
-    self.slots = std::max<uint32_t>(1, monitor_.slots());
     self.busySlots = load_.total(now);
     self.serviceTime = loads_.serviceTime(self_.node);
+    const MemberRecord *own = view_.findMember(self_.node);
+    self.slots = usableSlots(std::max<uint32_t>(1, monitor_.slots()),
+                             own == nullptr ? std::nullopt : own->requestLimit, self.serviceTime);
     std::vector<RangeCandidate> others = candidates(now, false);
     std::vector<RangeCandidate> newcomers;
     bool busiest = true;
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -57,7 +57,8 @@
 bool isCapacityRefusal(const v1::HopReply &reply)
 {
     return outcomeOf(reply) == Outcome::NotRun
-           && (reply.reason() == "overloaded" || reply.reason() == "patience-over");
+           && (reply.reason() == "overloaded" || reply.reason() == "patience-over"
+               || reply.reason() == "rate-limited");
 }
 
 } // namespace
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -121,9 +121,13 @@
             publisher_.wake();
         }
     });
+    gate_.onLimitChange([this]() { publisher_.wake(); });
     gate_.onCrashReport([this]() { publisher_.wake(); });
     publisher_.onPreviousRecord([this](const MemberRecord &earlier) {
         crashes_.onOwnReports(earlier.crashes, clock_.now());
+        if (earlier.requestLimit) {
+            gate_.adoptLimit(earlier.backend, *earlier.requestLimit);
+        }
         // An acknowledged deregistration or drain from the previous run of this process is still
         // binding.
         if (earlier.state == BackendState::Draining && monitor_.onDeregister(earlier.backend)) {
@@ -177,6 +181,7 @@
     self.state = monitor_.state();
     self.slots = monitor_.slots();
     self.stopping = closing_;
+    self.requestLimit = gate_.publishedLimit();
     self.crashes = crashes_.published(clock_.now());
     if (!monitor_.service().empty()) {
         self.service = monitor_.service();
@@ -287,6 +292,15 @@
     counter("wisteriahoist_throttled_total",
             "Requests rejected on arrival because their service had no free capacity on any node.",
             [&counters]() { return counters.throttled; });
+    counter("wisteriahoist_rate_limited_total",
+            "Requests rejected because of the limit that the backend server names.",
+            [this]() { return gate_.rateLimited(); });
+    counter("wisteriahoist_malformed_limits_total",
+            "Responses of the backend server that name a limit which cannot be understood.",
+            [this]() { return gate_.malformedLimits(); });
+    gauge("wisteriahoist_backend_request_limit",
+          "Requests per second that the backend server takes, as it names them; -1: no limit.",
+          [this]() { return gate_.publishedLimit().value_or(-1); });
     counter("wisteriahoist_crashing_refused_total",
             "Requests rejected because backend servers have crashed under the same request.",
             [&counters]() { return counters.crashing; });
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -174,10 +174,10 @@
     size_t reached = 0;
 };
 
-std::string answerWith(const std::string &status)
+std::string answerWith(const std::string &status, const std::string &fields = "")
 {
-    return "HTTP/1.1 " + status
-           + "\r\nX-Wisteriahoist-Attempt-Id: q\r\nX-Wisteriahoist-Server-Seal: s\r\n"
+    return "HTTP/1.1 " + status + "\r\n" + fields
+           + "X-Wisteriahoist-Attempt-Id: q\r\nX-Wisteriahoist-Server-Seal: s\r\n"
            + "Content-Length: 4\r\n\r\nbody";
 }
 
@@ -330,3 +330,54 @@
         cr_assert(!fixture.crashes.empty());
     }
 }
+
+// Guards against more requests at a backend server than it takes: the limit in its answers was not
+// read.
+Test(request_router, a_server_gets_no_more_requests_than_the_limit_that_it_names)
+{
+    SECTION("those beyond it are refused at once, with the time at which they can be served")
+    {
+        Fixture fixture({{answerWith("200 OK", "Server-Limit: 0.5\r\n")}});
+        cr_assert_eq(fixture.ask().result_int(), 200U);
+        cr_assert_eq(fixture.ask().result_int(), 200U);
+        const HttpResponse refused = fixture.ask();
+        cr_assert_eq(refused.result_int(), 503U);
+        cr_assert_geq(std::stod(std::string(refused[http::field::retry_after])), 2.0);
+        cr_assert_eq(fixture.backend->requests().size(), 2U);
+        cr_assert_eq(fixture.gate.load(fixture.clock.now()).waiting(), 4U, "others go elsewhere");
+    }
+    SECTION("until it names none any more, or another incarnation is there")
+    {
+        Fixture fixture({{answerWith("200 OK", "Server-Limit: 1000\r\n")},
+                         {answerWith("200 OK")},
+                         {answerWith("200 OK", "Server-Limit: 0.01\r\n")}});
+        (void)fixture.ask();
+        cr_assert(fixture.gate.publishedLimit().has_value());
+        (void)fixture.ask();
+        cr_assert(!fixture.gate.publishedLimit().has_value());
+        (void)fixture.ask();
+        cr_assert(fixture.gate.publishedLimit().has_value());
+        fixture.startNextIncarnation();
+        cr_assert(!fixture.gate.publishedLimit().has_value());
+    }
+    SECTION("a limit that is no number changes nothing")
+    {
+        for (const char *value : {"x", "-1", "1e3", "inf", "nan", "", "1 2"}) {
+            Fixture fixture(
+                    {{answerWith("200 OK", "Server-Limit: 7\r\n")},
+                     {answerWith("200 OK", std::string("Server-Limit: ") + value + "\r\n")}});
+            (void)fixture.ask();
+            (void)fixture.ask();
+            cr_assert(fixture.gate.publishedLimit().has_value(), "%s", value);
+            cr_assert_eq(fixture.gate.malformedLimits(), 1U, "%s", value);
+        }
+    }
+    SECTION("the limit outlives the process that was told it")
+    {
+        Fixture fixture({{answerWith("200 OK", "Server-Limit: 1\r\n")}});
+        fixture.gate.adoptLimit("b-2", 1);
+        cr_assert(!fixture.gate.publishedLimit().has_value());
+        fixture.startNextIncarnation();
+        cr_assert(fixture.gate.publishedLimit().has_value());
+    }
+}
