--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -64,5 +64,7 @@
 soak soak-crashing-requests 1..2 --crashing_requests
 # Guards against more requests at a backend server than the limit that it names.
 soak soak-named-limits 1..2 --named_limits
+# Guards against requests to a backend server that has said in its answers that it leaves.
+soak soak-announced-leaving 1..2 --announced_leaving
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
--- a/test/unit/soak/soak_audit_test.cpp
+++ b/test/unit/soak/soak_audit_test.cpp
@@ -373,3 +373,41 @@
         cr_assert(restarted.brokeNothing());
     }
 }
+
+Test(soak_audit, a_server_that_has_said_that_it_leaves_gets_requests)
+{
+    const auto tell = [](Fixture &fixture) {
+        fixture.send("told", true, at(0));
+        fixture.run("told", true, at(10));
+        platform::CallerAnswer answer;
+        answer.status = 200;
+        answer.answeredAttempt = "told";
+        answer.serverSeal = "a";
+        answer.body = "ran told at one";
+        answer.namesLeaving = true;
+        fixture.audit.onAnswered("told", answer, at(50));
+    };
+    SECTION("for too long, in touch or not")
+    {
+        Fixture fixture;
+        tell(fixture);
+        fixture.audit.onDisturbance(std::nullopt, at(0), at(9000));
+        fixture.send("late", true, at(2100));
+        fixture.run("late", true, at(2110));
+        cr_assert(fixture.broke(Promise::Leaving));
+    }
+    SECTION("for a while, or from a node that was restarted or stopped")
+    {
+        Fixture soon;
+        tell(soon);
+        soon.send("soon", true, at(2040));
+        soon.run("soon", true, at(2100));
+        cr_assert(soon.brokeNothing());
+        Fixture restarted;
+        tell(restarted);
+        restarted.audit.onNodeStarted(0);
+        restarted.send("late", true, at(2100));
+        restarted.run("late", true, at(2110));
+        cr_assert(restarted.brokeNothing());
+    }
+}
--- a/tool/soak/soak_audit.cpp
+++ b/tool/soak/soak_audit.cpp
@@ -165,6 +165,7 @@
     }
     checkCrashLimit(sent, arrived, backend, now);
     checkRequestLimit(sent, backend, now);
+    checkToldLeaving(sent, backend, now);
     checkRouting(request, service, now);
 }
 
@@ -179,6 +180,32 @@
     for (auto &[backend, named] : limits_) {
         named.toldAt.erase(node);
     }
+    forgetLeaving(node);
+}
+
+void SoakAudit::onNodeThawed(size_t node, TimePoint now)
+{
+    thawedAt_[node] = now;
+    forgetLeaving(node);
+}
+
+/** What a node was told binds it until it is restarted or stopped for a while. */
+void SoakAudit::forgetLeaving(size_t node)
+{
+    for (auto &[backend, told] : leavingToldAt_) {
+        told.erase(node);
+    }
+}
+
+void SoakAudit::checkToldLeaving(const SentRequest &sent, const std::string &backend, TimePoint now)
+{
+    const auto &told = leavingToldAt_[backend];
+    const auto found = told.find(sent.node);
+    if (found != told.end() && sent.at > found->second + bounds_.leaving) {
+        report(Promise::Leaving, now,
+               sent.attempt + " ran at " + backend
+                       + ", which had said in an answer that it leaves");
+    }
 }
 
 void SoakAudit::onLimitNamed(const std::string &backend, std::optional<double> limit, TimePoint now)
@@ -276,6 +303,9 @@
     request.endedAt = now;
     if (answer.status / 100 == 2) {
         ++answered_;
+        if (answer.namesLeaving) {
+            leavingToldAt_[answer.serverSeal].emplace(request.sent.node, now);
+        }
         const auto limit = limits_.find(answer.serverSeal);
         if (answer.namesLimit && limit != limits_.end()) {
             limit->second.toldAt.emplace(request.sent.node, now);
--- a/tool/soak/soak_audit.h
+++ b/tool/soak/soak_audit.h
@@ -108,7 +108,7 @@
     void onNodeStarted(size_t node);
     /** The backend server names a limit from now on, in requests per second, or none any more. */
     void onLimitNamed(const std::string &backend, std::optional<double> limit, TimePoint now);
-    void onNodeThawed(size_t node, TimePoint now) { thawedAt_[node] = now; }
+    void onNodeThawed(size_t node, TimePoint now);
     void onBackendStarted(const std::string &backend, size_t node) { nodeOf_[backend] = node; }
     /** Requests on @p path go to @p service from now on; in force everywhere within the bound. */
     void onRouted(const std::string &path, const std::string &service, TimePoint now);
@@ -164,6 +164,8 @@
                 bool withCrashes = true) const;
     static RequestIdentity identityOf(const platform::ArrivedRequest &request);
     void checkRequestLimit(const SentRequest &sent, const std::string &backend, TimePoint now);
+    void forgetLeaving(size_t node);
+    void checkToldLeaving(const SentRequest &sent, const std::string &backend, TimePoint now);
     void checkCrashLimit(const SentRequest &sent, const platform::ArrivedRequest &arrived,
                          const std::string &backend, TimePoint now);
     void checkRouting(const Request &request, const std::string &service, TimePoint now);
@@ -180,7 +182,9 @@
     std::map<std::string, size_t> nodeOf_;          ///< Of each backend server's life.
     std::map<size_t, TimePoint> thawedAt_;
     std::map<RequestIdentity, CrashHistory> crashes_;
-    std::map<std::string, NamedLimit> limits_;                     ///< By backend server's life.
+    std::map<std::string, NamedLimit> limits_; ///< By backend server's life.
+    /// By backend server's life and node: the first answer passed on that said it leaves.
+    std::map<std::string, std::map<size_t, TimePoint>> leavingToldAt_;
     std::map<std::string, std::vector<Routing>> routings_;         ///< By path prefix.
     std::map<size_t, std::map<std::string, TimePoint>> seenPaths_; ///< Served by a node's life.
     std::vector<Violation> violations_;
--- a/tool/soak/soak_main.cpp
+++ b/tool/soak/soak_main.cpp
@@ -29,6 +29,8 @@
           "some callers repeat requests under which backend servers crash");
 ABSL_FLAG(bool, named_limits, false,
           "backend servers name limits of requests per second, one after the other");
+ABSL_FLAG(bool, announced_leaving, false,
+          "backend servers leave, one after the other, that say so first in their answers");
 ABSL_FLAG(bool, keep, false, "keep the logs of clean seeds as well");
 
 namespace wisteriahoist::soak {
@@ -83,6 +85,7 @@
             settings.slot = slot;
             settings.grantsByHeartbeat = absl::GetFlag(FLAGS_by_heartbeat);
             settings.namedLimits = absl::GetFlag(FLAGS_named_limits);
+            settings.announcedLeaving = absl::GetFlag(FLAGS_announced_leaving);
             settings.crashingRequests = absl::GetFlag(FLAGS_crashing_requests);
             SoakRun run(settings);
             record(run.run(), settings.directory);
--- a/tool/soak/soak_node.h
+++ b/tool/soak/soak_node.h
@@ -25,6 +25,7 @@
     bool grantsByHeartbeat = false; ///< And backend servers start again under their ids.
     bool crashingRequests = false;  ///< Some callers repeat requests that crash backend servers.
     bool namedLimits = false;       ///< Some backend servers name a limit of requests per second.
+    bool announcedLeaving = false;  ///< Backend servers leave that say so first in their answers.
     uint8_t slot = 20; ///< Second number of all its loopback addresses; unique on the machine.
 };
 
--- a/tool/soak/soak_run.cpp
+++ b/tool/soak/soak_run.cpp
@@ -22,7 +22,10 @@
 constexpr milliseconds LastAnswers{8000}; ///< Requests that take longer are not waited for.
 constexpr milliseconds Step{50};
 constexpr milliseconds LimitTime{7000}; ///< For which one backend server names its limit.
-constexpr double LeastLimit = 2;        ///< Requests per second.
+/** From a leaving server's first answer that says so to its heartbeat that does, and from that one
+ *  to the next start there. */
+constexpr milliseconds AnnouncedLeaveTime{4000};
+constexpr double LeastLimit = 2; ///< Requests per second.
 constexpr uint64_t LimitSpread = 8;
 constexpr milliseconds ProbePause{250};
 
@@ -87,6 +90,9 @@
     if (settings_.namedLimits) {
         startTask(context_, nameLimits());
     }
+    if (settings_.announcedLeaving) {
+        startTask(context_, announceLeaving());
+    }
     co_await driver_.carryOutAll(plan_);
     note("healed");
     healed_ = true;
@@ -125,14 +131,33 @@
     while (!healed_) {
         const size_t index = random_() % fleet_.size();
         nameLimit(index, LeastLimit + static_cast<double>(random_() % LimitSpread));
-        const TimePoint begun = clock_.now();
-        while (!healed_ && clock_.now() - begun < LimitTime) {
-            co_await sleepFor(Step);
-        }
+        co_await waitUnlessHealed(LimitTime);
         nameLimit(index, std::nullopt);
     }
 }
 
+asio::awaitable<void> SoakRun::announceLeaving()
+{
+    while (!healed_) {
+        const size_t index = random_() % fleet_.size();
+        platform::BackendServerStandin &backend = fleet_.node(index).backend();
+        note(backend.id() + " says in its answers that it leaves");
+        backend.announceLeaving();
+        co_await waitUnlessHealed(AnnouncedLeaveTime);
+        backend.leave();
+        co_await waitUnlessHealed(AnnouncedLeaveTime);
+        fleet_.startBackend(index);
+    }
+}
+
+asio::awaitable<void> SoakRun::waitUnlessHealed(milliseconds length)
+{
+    const TimePoint begun = clock_.now();
+    while (!healed_ && clock_.now() - begun < length) {
+        co_await sleepFor(Step);
+    }
+}
+
 void SoakRun::nameLimit(size_t index, std::optional<double> limit)
 {
     platform::BackendServerStandin &backend = fleet_.node(index).backend();
--- a/tool/soak/soak_run.h
+++ b/tool/soak/soak_run.h
@@ -34,6 +34,9 @@
     void addCrashingCallers();
     /** One backend server after the other names a limit for a while, until the load ends. */
     asio::awaitable<void> nameLimits();
+    /** One backend server after the other says in its answers that it leaves, and leaves later. */
+    asio::awaitable<void> announceLeaving();
+    asio::awaitable<void> waitUnlessHealed(milliseconds length);
     void nameLimit(size_t index, std::optional<double> limit);
     /** Ends the load and waits for the last answers; what was refused may not run even then. */
     asio::awaitable<void> endLoad();
