Fix: [Gate] A backend server that says in an answer that it leaves gets no more requests

What callers saw: requests that reached a server in its last seconds were cut off with it, and may have run. Cause: no code read the header; leaving was known from heartbeats and deregistrations alone. Class: a signal of the other side that nobody reads.

--- a/src/adapter/http/request_protocol.h
+++ b/src/adapter/http/request_protocol.h
@@ -30,6 +30,7 @@
 struct BackendSignals {
     std::optional<double> requestLimit; ///< Requests per second that it takes from all nodes.
     bool malformedLimit = false;        ///< It names a limit that cannot be understood.
+    bool leaving = false;               ///< It ends soon and takes no new requests.
 };
 
 /** Classification of a backend server's response. */
--- a/src/decision/member/backend_monitor.cpp
+++ b/src/decision/member/backend_monitor.cpp
@@ -15,6 +15,8 @@
         return "report";
     case BackendEvidence::Deregistration:
         return "deregistration";
+    case BackendEvidence::AnnouncedLeaving:
+        return "announced-leaving";
     case BackendEvidence::OtherIncarnation:
         return "other-life";
     case BackendEvidence::RefusedConnections:
@@ -119,6 +121,17 @@
     return true;
 }
 
+bool BackendMonitor::onAnnouncedLeaving()
+{
+    if (leaving_) {
+        return false;
+    }
+    leaving_ = true;
+    evidence_ = BackendEvidence::AnnouncedLeaving;
+    state_ = BackendState::Draining;
+    return true;
+}
+
 bool BackendMonitor::onOtherIncarnation(const std::string &backend, TimePoint now)
 {
     const auto isNamed = [&backend](const BackendIncarnation &incarnation) {
--- a/src/decision/member/backend_monitor.h
+++ b/src/decision/member/backend_monitor.h
@@ -16,6 +16,7 @@
     Nothing,
     Report,
     Deregistration,
+    AnnouncedLeaving,   ///< Stated in a response.
     OtherIncarnation,   ///< Another incarnation answered at its address.
     RefusedConnections, ///< Several in succession.
     Answer,             ///< Answered a request or control call after it was down.
@@ -58,6 +59,10 @@
      */
     bool onDeregister(const BackendIncarnation &backend);
 
+    /** The current incarnation has said in a response that it leaves, which may be before its
+     *  heartbeats do. @return Whether it was not known to leave. */
+    bool onAnnouncedLeaving();
+
     /** Another incarnation answered at its address or was named in a response.
      *  @return Whether anything changed. */
     bool onOtherIncarnation(const std::string &backend, TimePoint now);
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -293,6 +293,9 @@
         return;
     }
     const BackendSignals signals = protocol_.readSignals(answer);
+    if (signals.leaving) {
+        notifyMonitorChange(monitor_.onAnnouncedLeaving());
+    }
     if (signals.malformedLimit) {
         ++malformedLimits_;
         if (malformedLog_.tryTake(now)) {
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -381,3 +381,44 @@
         cr_assert(fixture.gate.publishedLimit().has_value());
     }
 }
+
+// Guards against requests at a backend server that has said in an answer that it leaves, but not
+// yet in a heartbeat.
+Test(request_router, a_server_that_says_that_it_leaves_gets_no_more_requests)
+{
+    SECTION("from its first answer that says so")
+    {
+        for (const char *field : {"Server-Leaving", "X-Wisteriahoist-Server-Leaving"}) {
+            Fixture fixture({{answerWith("200 OK", std::string(field) + ": 1\r\n")}});
+            cr_assert_eq(fixture.ask().result_int(), 200U);
+            cr_assert(fixture.monitor.state() == BackendState::Draining);
+            cr_assert_eq(fixture.ask().result_int(), 503U);
+            cr_assert_eq(fixture.backend->requests().size(), 1U);
+        }
+    }
+    SECTION("also when a late heartbeat says that it is ready")
+    {
+        Fixture fixture({{answerWith("200 OK", "Server-Leaving: 1\r\n")}});
+        (void)fixture.ask();
+        BackendReport report;
+        report.backend = "b-1";
+        report.service = "one";
+        report.slots = 4;
+        report.sequence = 2;
+        (void)fixture.monitor.onReport(report, fixture.clock.now());
+        cr_assert(fixture.monitor.state() == BackendState::Draining);
+    }
+    SECTION("but the next incarnation does")
+    {
+        Fixture fixture({{answerWith("200 OK", "Server-Leaving: 1\r\n")}, {answerWith("200 OK")}});
+        (void)fixture.ask();
+        fixture.startNextIncarnation();
+        cr_assert_eq(fixture.ask().result_int(), 200U);
+    }
+    SECTION("and 0 says nothing")
+    {
+        Fixture fixture({{answerWith("200 OK", "Server-Leaving: 0\r\n")}});
+        (void)fixture.ask();
+        cr_assert(fixture.monitor.state() == BackendState::Ready);
+    }
+}
