Fix: [Gate] A request that this node gave up is a suspect too if its backend server ends right afterwards

Found on reading: a caller that leaves, or whose time is over, shortly before the crash kept its request from being reported, since only lost connections were. A caller with little patience could crash servers without end. Change: each request that reached the server and got no answer is a suspect: for 5 s after a lost connection, for 1 s after this node gave it up. A run whose time as a suspect is over is dropped even if its server has ended meanwhile. Measured: request_router/a_lost_connection_alone_is_no_crash failed in its new section on the code before and passes.

--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -27,6 +27,9 @@
 /** Longest time from the loss of a connection until the end of its backend server is noticed: by a
  *  refused connection or by the first heartbeat of the next incarnation. */
 constexpr milliseconds CrashNoticeTime{5000};
+/** The same for a request that this node itself gave up, since its caller left or its time was
+ *  over: the backend server may have gone on with it. */
+constexpr milliseconds AbandonedCrashTime{1000};
 /** Bounds the memory; more than run at once. */
 constexpr size_t MaxLostRuns = 256;
 
@@ -278,8 +281,10 @@
     } else {
         admission_.onEnd(kindOf(request), std::nullopt);
         const RequestEnd end = fillFromFailure(answer.assume_error(), call, reply);
-        if (end == RequestEnd::ConnectionLost) {
-            recordLostRun(request, call, backend, now);
+        if (reply.reached_backend()) {
+            const bool lost = end == RequestEnd::ConnectionLost;
+            recordLostRun(request, call, backend,
+                          now + (lost ? CrashNoticeTime : AbandonedCrashTime));
         }
     }
     wakeNext();
@@ -361,21 +366,24 @@
 
 /** The end of a backend server that leaves is planned, and no evidence against what runs there. */
 void BackendGate::recordLostRun(const v1::HopRequest &request, const Call &call,
-                                const BackendIncarnation &backend, TimePoint now)
+                                const BackendIncarnation &backend, TimePoint suspectUntil)
 {
     if (monitor_.state() == BackendState::Draining || lostRuns_.size() >= MaxLostRuns) {
         return;
     }
-    lostRuns_.push_back({call.fingerprint, request.attempt_id(), backend, now});
-    reportCrashes(now);
+    lostRuns_.push_back({call.fingerprint, request.attempt_id(), backend, suspectUntil});
+    reportCrashes(clock_.now());
 }
 
 void BackendGate::reportCrashes(TimePoint now)
 {
     bool reported = false;
     std::erase_if(lostRuns_, [&](const LostRun &run) {
+        if (now > run.suspectUntil) {
+            return true;
+        }
         if (!monitor_.isOver(run.backend)) {
-            return now - run.at > CrashNoticeTime;
+            return false;
         }
         if (crashes_.onCrash(run.fingerprint, hashIncarnation(run.backend), now)) {
             reported = true;
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -128,12 +128,12 @@
         bool granted = false;
         bool cancelled = false;
     };
-    /** A request whose connection was lost while it may have been running. */
+    /** A request that got no answer while it may have been running. */
     struct LostRun {
         RequestFingerprint fingerprint;
         std::string attemptId;
         BackendIncarnation backend;
-        TimePoint at;
+        TimePoint suspectUntil; ///< It is a suspect if the incarnation ends until then.
     };
     using CallId = std::pair<uint64_t, uint64_t>; ///< Originating node and its request id.
 
@@ -158,7 +158,7 @@
     void followIncarnation(TimePoint now);
     void fillRateLimited(const v1::HopRequest &request, RequestStage stage, v1::HopReply &reply);
     void recordLostRun(const v1::HopRequest &request, const Call &call,
-                       const BackendIncarnation &backend, TimePoint now);
+                       const BackendIncarnation &backend, TimePoint suspectUntil);
     void reportCrashes(TimePoint now);
     void recordAnswer(const Call &call, TimePoint now);
     void wakeNext();
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -85,12 +85,13 @@
         gate.onBackendChange();
     }
 
-    HttpResponse ask(const std::string &target = "/x")
+    HttpResponse ask(const std::string &target = "/x", milliseconds timeLeft = LongTime)
     {
         HttpRequest request(http::verb::get, target, 11);
         request.set("X-Wisteriahoist-Shard-Key", "7");
         request.set(http::field::host, "a.example");
         request.set("X-Wisteriahoist-Attempt-Id", "q");
+        request.set("X-Wisteriahoist-Deadline-Ms", std::to_string(timeLeft.count()));
         return runUntil(context,
                         router.onRequest(std::move(request), std::make_shared<DisconnectSignal>()));
     }
@@ -322,6 +323,19 @@
         fixture.startNextIncarnation();
         cr_assert(fixture.crashes.empty());
     }
+    SECTION("nor a request whose time ends at a server that goes on")
+    {
+        Fixture fixture({{"", milliseconds(0), false, true}});
+        (void)fixture.ask("/x", milliseconds(50));
+        cr_assert(fixture.crashes.empty());
+    }
+    SECTION("but that one is a suspect if the server ends right afterwards")
+    {
+        Fixture fixture({{"", milliseconds(0), false, true}});
+        (void)fixture.ask("/x", milliseconds(50));
+        fixture.startNextIncarnation();
+        cr_assert(!fixture.crashes.empty());
+    }
     SECTION("but if its next incarnation reports")
     {
         Fixture fixture({LostAnswer});
