Fix: [Request] Old answers and refuted reports hide no later crash; a request that was never sent is no suspect

Change: answers older than the memory are dropped; refuted reports make room; only a request with unknown outcome is a suspect; the gate no longer computes a fingerprint twice.

--- a/src/decision/request/crash_ledger.cpp
+++ b/src/decision/request/crash_ledger.cpp
@@ -16,7 +16,7 @@
 
 uint32_t CrashLedger::Entry::count() const
 {
-    return static_cast<uint32_t>(std::count_if(refuted.begin(), refuted.end(),
+    return static_cast<uint32_t>(std::count_if(reports.begin(), reports.end(),
                                                [](const auto &report) { return !report.second; }));
 }
 
@@ -109,7 +109,7 @@
               [](const auto *left, const auto *right) { return left->first < right->first; });
     std::vector<CrashReport> reports;
     for (const auto *item : chosen) {
-        for (const auto &[backend, refuted] : item->second.refuted) {
+        for (const auto &[backend, refuted] : item->second.reports) {
             reports.push_back({item->first, backend, refuted});
         }
     }
@@ -132,16 +132,23 @@
 /** @return Whether @p report was not known. */
 bool CrashLedger::add(Entry &entry, const CrashReport &report, TimePoint now) const
 {
-    const auto found = entry.refuted.find(report.backend);
-    if (found != entry.refuted.end()) {
+    const auto found = entry.reports.find(report.backend);
+    if (found != entry.reports.end()) {
         const bool changed = report.refuted && !found->second;
         found->second = found->second || report.refuted;
         return changed;
     }
-    if (entry.refuted.size() >= limits_.maxIncarnations) {
-        return false;
+    if (entry.reports.size() >= limits_.maxIncarnations) {
+        // Refuted reports make room, so that a request that was answered for long can still be
+        // found to crash servers.
+        const auto refuted = std::find_if(entry.reports.begin(), entry.reports.end(),
+                                          [](const auto &known) { return known.second; });
+        if (refuted == entry.reports.end()) {
+            return false;
+        }
+        entry.reports.erase(refuted);
     }
-    entry.refuted[report.backend] = report.refuted;
+    entry.reports[report.backend] = report.refuted;
     entry.latest = now;
     return true;
 }
@@ -152,12 +159,12 @@
     if (entry.count() == 0) {
         return false;
     }
-    for (auto &report : entry.refuted) {
+    for (auto &report : entry.reports) {
         report.second = true;
     }
     // With fewer reports nothing would be refused soon, and each record told costs all nodes a
     // message.
-    entry.publishes = entry.publishes || entry.refuted.size() + 1 >= limits_.crashes;
+    entry.publishes = entry.publishes || entry.reports.size() + 1 >= limits_.crashes;
     return entry.publishes;
 }
 
@@ -186,8 +193,11 @@
 
 void CrashLedger::rememberAnswer(RequestFingerprint request, TimePoint now)
 {
-    const bool over = now - halfBegan_ >= Duration(limits_.answerMemory) / 2;
-    if (over || answered_.size() >= limits_.maxAnswered) {
+    const Duration since = now - halfBegan_;
+    if (since >= limits_.answerMemory) {
+        answered_.clear();
+    }
+    if (since >= Duration(limits_.answerMemory) / 2 || answered_.size() >= limits_.maxAnswered) {
         answeredBefore_ = std::move(answered_);
         answered_.clear();
         halfBegan_ = now;
--- a/src/decision/request/crash_ledger.h
+++ b/src/decision/request/crash_ledger.h
@@ -75,7 +75,7 @@
 private:
     /** The reports for one request. */
     struct Entry {
-        std::map<IncarnationHash, bool> refuted; ///< By incarnation: whether an answer refutes it.
+        std::map<IncarnationHash, bool> reports; ///< By incarnation: whether an answer refutes it.
         TimePoint latest = NeverTime;            ///< When the newest report was learned.
         bool publishes = false;                  ///< This node tells others of it.
 
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -142,7 +142,7 @@
 {
     RequestEnd refusal = check(request, *call, clock_.now());
     if (refusal != RequestEnd::None) {
-        fillRefusal(request, RequestStage::Received, refusal, reply);
+        fillRefusal(request, *call, RequestStage::Received, refusal, reply);
         co_return;
     }
     if (!breaker_.allow(clock_.now())) {
@@ -165,7 +165,7 @@
     refusal = check(request, *call, clock_.now());
     if (refusal != RequestEnd::None) {
         admission_.onEnd(kindOf(request), std::nullopt);
-        fillRefusal(request, RequestStage::Queued, refusal, reply);
+        fillRefusal(request, *call, RequestStage::Queued, refusal, reply);
         wakeNext();
         co_return;
     }
@@ -191,15 +191,15 @@
     }
 }
 
-void BackendGate::fillRefusal(const v1::HopRequest &request, RequestStage stage, RequestEnd refusal,
-                              v1::HopReply &reply) const
+void BackendGate::fillRefusal(const v1::HopRequest &request, const Call &call, RequestStage stage,
+                              RequestEnd refusal, v1::HopReply &reply) const
 {
     fillOutcome(reply, stage, refusal);
     if (refusal == RequestEnd::NotOwner) {
         nameOwner(request, reply);
     }
     if (refusal == RequestEnd::CrashesBackend) {
-        reply.set_retry_after_ms(crashes_.refusedFor(fingerprintOf(request), clock_.now()).count());
+        reply.set_retry_after_ms(crashes_.refusedFor(call.fingerprint, clock_.now()).count());
     }
 }
 
@@ -281,7 +281,7 @@
     } else {
         admission_.onEnd(kindOf(request), std::nullopt);
         const RequestEnd end = fillFromFailure(answer.assume_error(), call, reply);
-        if (reply.reached_backend()) {
+        if (reply.outcome() == v1::HOP_OUTCOME_UNKNOWN) {
             const bool lost = end == RequestEnd::ConnectionLost;
             recordLostRun(request, call, backend,
                           now + (lost ? CrashNoticeTime : AbandonedCrashTime));
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -139,8 +139,8 @@
 
     RequestEnd check(const v1::HopRequest &request, const Call &call, TimePoint now) const;
     bool isWorking() const;
-    void fillRefusal(const v1::HopRequest &request, RequestStage stage, RequestEnd refusal,
-                     v1::HopReply &reply) const;
+    void fillRefusal(const v1::HopRequest &request, const Call &call, RequestStage stage,
+                     RequestEnd refusal, v1::HopReply &reply) const;
     void nameOwner(const v1::HopRequest &request, v1::HopReply &reply) const;
     asio::awaitable<RequestEnd> awaitSlot(const v1::HopRequest &request, std::shared_ptr<Call> call,
                                           v1::HopReply &reply);
--- a/test/unit/request/crash_ledger_test.cpp
+++ b/test/unit/request/crash_ledger_test.cpp
@@ -140,6 +140,27 @@
         crash(ledger, Popular, 3);
         cr_assert(ledger.isRefused(Popular, at(4)));
     }
+    SECTION("nor one of long ago that another answer follows")
+    {
+        CrashLedger ledger;
+        ledger.onAnswered(Popular, at(-600));
+        ledger.onAnswered(Crashing, at(0));
+        crash(ledger, Popular, 3);
+        cr_assert(ledger.isRefused(Popular, at(4)));
+    }
+    SECTION("many refuted reports do not hide later crashes")
+    {
+        CrashLedger ledger;
+        for (uint64_t backend = 1; backend <= 20; ++backend) {
+            ledger.onCrash(Popular, IncarnationHash(backend),
+                           at(static_cast<int64_t>(backend) * 60));
+            (void)ledger.onAnswered(Popular, at(static_cast<int64_t>(backend) * 60 + 10));
+        }
+        for (uint64_t backend = 31; backend <= 33; ++backend) {
+            ledger.onCrash(Popular, IncarnationHash(backend), at(2000));
+        }
+        cr_assert(ledger.isRefused(Popular, at(2000)));
+    }
     SECTION("later crashes count anew")
     {
         CrashLedger ledger;
