--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,8 @@
 JOBS ?= 3
 # BY_HEARTBEAT=true: keys are granted in the answers to heartbeats, lives keep their ids.
 BY_HEARTBEAT ?= false
+# Like --crashing_requests --named_limits --announced_leaving; docs/design/soak.md.
+FLAGS ?=
 soak: release
 	@cmake --build build/release --target wisteriahoist-soak
-	@build/release/tool/soak/wisteriahoist-soak --seeds=$(SEEDS) --jobs=$(JOBS) --by_heartbeat=$(BY_HEARTBEAT) --node_binary=build/release/wisteriahoist
+	@build/release/tool/soak/wisteriahoist-soak --seeds=$(SEEDS) --jobs=$(JOBS) --by_heartbeat=$(BY_HEARTBEAT) --node_binary=build/release/wisteriahoist $(FLAGS)
