--- a/test/support/ownership_world.h
+++ b/test/support/ownership_world.h
@@ -21,6 +21,8 @@
     milliseconds appliedAfter{1};
     bool isAnswerLost = false;
     bool isDropped = false; ///< Never applied, and fails at once.
+    /** Sent again after it was applied; the answer is the conflict of the second write. */
+    bool isRepeated = false;
 };
 
 /** A forced order of events in place of random faults, load and delays of the store. */
--- a/test/unit/range/forced_order_test.cpp
+++ b/test/unit/range/forced_order_test.cpp
@@ -21,12 +21,17 @@
 constexpr size_t Second = 1;
 constexpr size_t Third = 2;
 constexpr uint64_t Seeds = 20;
+constexpr WriteFate AnswerLost{.isAnswerLost = true};
+constexpr WriteFate Repeated{.isRepeated = true};
 
-/** The answer to the first write that moves keys from the first node to the second is lost. */
+/** The first node does not learn that its first write that moves keys to the second was applied. */
 class UnansweredHandOver
 {
 public:
-    UnansweredHandOver(uint64_t seed, GrantDelivery form) : world_(seed, settings(form)) { }
+    /** @param fate Of that write. */
+    UnansweredHandOver(uint64_t seed, GrantDelivery form, const WriteFate &fate)
+        : fate_(fate), world_(seed, settings(form))
+    { }
 
     OwnershipWorld &world() { return world_; }
 
@@ -51,23 +56,24 @@
             const bool isMoved = entry.holder.node == NodeId(Second + 1) && !entry.handover.empty();
             if (node == First && !movedKey_ && isMoved) {
                 movedKey_ = entry.first;
-                fate.isAnswerLost = true;
+                fate = fate_;
             }
         }
         return fate;
     }
 
+    WriteFate fate_;
     std::optional<ShardKey> movedKey_;
     OwnershipWorld world_;
 };
 
 /** @return Whether no key was granted while another backend server held it or worked on it. */
-bool isGrantedOnlyWhenFree(uint64_t seed, GrantDelivery form)
+bool isGrantedOnlyWhenFree(uint64_t seed, GrantDelivery form, const WriteFate &fate)
 {
-    UnansweredHandOver story(seed, form);
+    UnansweredHandOver story(seed, form, fate);
     OwnershipWorld &world = story.world();
     cr_assert(world.run(SettleTime));
-    SECTION("the first backend server leaves; the hand-over is written, its answer is lost")
+    SECTION("the first backend server leaves; the hand-over is written, which it does not learn")
     {
         world.deregister(First);
         cr_assert(world.reaches([&]() { return story.movedKey().has_value(); }, Patience));
@@ -115,11 +121,11 @@
     return true;
 }
 
-bool isGrantedOnlyWhenFree(GrantDelivery form)
+bool isGrantedOnlyWhenFree(GrantDelivery form, const WriteFate &fate)
 {
     bool passed = true;
     for (uint64_t seed = 1; seed <= Seeds; ++seed) {
-        passed = isGrantedOnlyWhenFree(seed, form) && passed;
+        passed = isGrantedOnlyWhenFree(seed, form, fate) && passed;
     }
     return passed;
 }
@@ -129,13 +135,25 @@
 // Guards against keys that a third backend server is granted while the second is at work on them.
 Test(range_duty, keys_at_work_are_not_granted_to_another_after_a_lost_answer)
 {
-    cr_assert(isGrantedOnlyWhenFree(GrantDelivery::Heartbeat));
+    cr_assert(isGrantedOnlyWhenFree(GrantDelivery::Heartbeat, AnswerLost));
 }
 
 // Guards against the same with grants by call.
 Test(range_duty, keys_at_work_are_not_granted_by_call_to_another_after_a_lost_answer)
 {
-    cr_assert(isGrantedOnlyWhenFree(GrantDelivery::Call));
+    cr_assert(isGrantedOnlyWhenFree(GrantDelivery::Call, AnswerLost));
+}
+
+// Guards against keys that two backend servers hold after a conflict of a node with its own write.
+Test(range_duty, keys_at_work_are_not_granted_to_another_after_a_repeated_write)
+{
+    cr_assert(isGrantedOnlyWhenFree(GrantDelivery::Heartbeat, Repeated));
+}
+
+// Guards against the same with grants by call.
+Test(range_duty, keys_at_work_are_not_granted_by_call_to_another_after_a_repeated_write)
+{
+    cr_assert(isGrantedOnlyWhenFree(GrantDelivery::Call, Repeated));
 }
 
 // Guards against keys that move on the report of their release while requests still run for them.
--- a/test/unit/range/ownership_world.cpp
+++ b/test/unit/range/ownership_world.cpp
@@ -232,17 +232,19 @@
         events_.after(fate.appliedAfter, [done, lost]() { done(lost); });
         return;
     }
-    const bool isLost = fate.isAnswerLost;
-    events_.after(fate.appliedAfter, [this, index, kind, write = std::move(write), done, isLost]() {
-        const Result<StoreRevision> written = apply(kind, write);
+    events_.after(fate.appliedAfter, [this, index, kind, write = std::move(write), done, fate]() {
+        Result<StoreRevision> written = apply(kind, write);
         if (written) {
             trace("its write of " + write.name + " is applied", index);
         }
-        if (!isLost) {
+        if (fate.isRepeated) {
+            written = apply(kind, write);
+        }
+        if (!fate.isAnswerLost) {
             events_.after(drawDelay(), [done, written]() { done(written); });
         }
     });
-    if (isLost) {
+    if (fate.isAnswerLost) {
         events_.after(StoreTimeout, [done, lost]() { done(lost); });
     }
 }
