Add: [Signals] A line for each hand-over that a table read back has prevented

Two backend servers once held the same keys since their node handed them over again from a table that had been replaced.

Change: after a table has been read back and before the grants follow it, each released or refused range that it lists under another fence is logged as hand-over-prevented, with both fences and the holder in the table (20 lines a second, dropped lines counted).

No decision changes.

--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -51,6 +51,7 @@
         {LogEvent::LeaseRevoked, "lease-revoked", LogSeverity::Warning},
         {LogEvent::RangeLeaving, "range-leaving", LogSeverity::Info},
         {LogEvent::RangeGivenOn, "range-given-on", LogSeverity::Info},
+        {LogEvent::HandOverPrevented, "hand-over-prevented", LogSeverity::Warning},
         {LogEvent::RangesOffered, "ranges-offered", LogSeverity::Info},
         {LogEvent::RangesChanging, "ranges-changing", LogSeverity::Info},
         {LogEvent::RangesWritten, "ranges-written", LogSeverity::Info},
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -51,21 +51,23 @@
     OperatorChange,
     TraceExportFailing,
     TraceExportBack,
-    RequestEnded,     ///< A response was sent to the caller; one line per request.
-    BackendChanged,   ///< The local backend server's state or incarnation has changed.
-    ReportRefused,    ///< A heartbeat is malformed or does not identify a usable instance.
-    GrantRefused,     ///< The backend server has seen a higher fencing token.
-    LeaseRevoked,     ///< This node has revoked the lease of another node.
-    RangeLeaving,     ///< A range is being released to another holder.
-    RangeGivenOn,     ///< A range is about to be assigned to another holder; logs the proof that
-                      ///< permits it.
-    RangesOffered,    ///< Ranges not yet held by the backend server are granted to it.
-    RangesChanging,   ///< Ranges are about to be assigned to other holders; one line per cause.
-    RangesWritten,    ///< This node has updated the range table of its service.
-    RangesNotWritten, ///< The update failed, or its outcome is unknown.
-    RangesLeftOut,    ///< A heartbeat response was too small for all ranges to be held.
-    MemberPublished,  ///< This node has written its member record, including the backend server.
-    NodeFailed,       ///< Unhandled error; the process terminates.
+    RequestEnded,      ///< A response was sent to the caller; one line per request.
+    BackendChanged,    ///< The local backend server's state or incarnation has changed.
+    ReportRefused,     ///< A heartbeat is malformed or does not identify a usable instance.
+    GrantRefused,      ///< The backend server has seen a higher fencing token.
+    LeaseRevoked,      ///< This node has revoked the lease of another node.
+    RangeLeaving,      ///< A range is being released to another holder.
+    RangeGivenOn,      ///< A range is about to be assigned to another holder; logs the proof that
+                       ///< permits it.
+    HandOverPrevented, ///< The table that was read lists a released or refused range under another
+                       ///< fence, so this node does not assign it again.
+    RangesOffered,     ///< Ranges not yet held by the backend server are granted to it.
+    RangesChanging,    ///< Ranges are about to be assigned to other holders; one line per cause.
+    RangesWritten,     ///< This node has updated the range table of its service.
+    RangesNotWritten,  ///< The update failed, or its outcome is unknown.
+    RangesLeftOut,     ///< A heartbeat response was too small for all ranges to be held.
+    MemberPublished,   ///< This node has written its member record, including the backend server.
+    NodeFailed,        ///< Unhandled error; the process terminates.
     NodeFenced,   ///< At another node's request, this node as witness no longer answers the fenced
                   ///< node.
     WatchSilent,  ///< Other nodes know of changes that this node's watch has not delivered.
--- a/src/decision/range/range_table.cpp
+++ b/src/decision/range/range_table.cpp
@@ -87,6 +87,18 @@
     return assignKeys(std::move(table), span, from, holder, handover);
 }
 
+std::vector<KeySpan> findReassignedParts(const RangeTable &table, const KeySpan &span, Epoch known)
+{
+    std::vector<KeySpan> parts;
+    for (size_t index = 0; index < table.entries.size(); ++index) {
+        const KeySpan listed = table.spanOf(index);
+        if (listed.overlaps(span) && table.entries[index].fence != known) {
+            parts.push_back({std::max(listed.first, span.first), std::min(listed.last, span.last)});
+        }
+    }
+    return parts;
+}
+
 std::vector<std::pair<KeySpan, RangeHolder>> splitByShares(const KeySpan &span,
                                                            const std::vector<HolderShare> &shares)
 {
--- a/src/decision/range/range_type.h
+++ b/src/decision/range/range_type.h
@@ -99,6 +99,9 @@
 RangeTable reassignRange(RangeTable table, const KeySpan &span, Epoch from,
                          const RangeHolder &holder, const std::string &handover);
 
+/** @return The parts of @p span that @p table lists under another fence than @p known. */
+std::vector<KeySpan> findReassignedParts(const RangeTable &table, const KeySpan &span, Epoch known);
+
 /** @return @p span divided into one part per share, in order; empty parts are omitted. */
 std::vector<std::pair<KeySpan, RangeHolder>> splitByShares(const KeySpan &span,
                                                            const std::vector<HolderShare> &shares);
--- a/src/duty/range_controller.cpp
+++ b/src/duty/range_controller.cpp
@@ -221,6 +221,7 @@
         }
         omittedRangesLog_.logDropped(now);
         handOverLog_.logDropped(now);
+        preventedLog_.logDropped(now);
         grantLog_.logDropped(now);
         co_await wakeTimer_->wait(sharded ? TickInterval : IdleTickInterval);
     }
--- a/src/duty/range_controller.h
+++ b/src/duty/range_controller.h
@@ -167,6 +167,9 @@
     RangeTable handOverReleased(RangeTable table, TimePoint now);
     void logHandOver(const ReleasedRange &released, const RangeHolder &target,
                      const RangeTable &table, TimePoint now);
+    void logReassigned(const RangeTable &table, TimePoint now);
+    void logReassigned(const RangeTable &table, const HeldKeys &known, std::string_view cause,
+                       TimePoint now);
     void logReplyGrants(const HeldKeysReport &report, const GrantReply &reply, TimePoint receivedAt,
                         TimePoint now);
     void logGranted(const std::vector<HeldKeys> &granted, milliseconds hold,
@@ -222,6 +225,7 @@
     RateLimitedEvent omittedRangesLog_{LogEvent::RangesLeftOut, 1, 5};
     /// A plan is made again if its write failed, so it may be logged repeatedly.
     RateLimitedEvent handOverLog_{LogEvent::RangeGivenOn, 20, 200};
+    RateLimitedEvent preventedLog_{LogEvent::HandOverPrevented, 20, 200};
     RateLimitedEvent grantLog_{LogEvent::RangesOffered, 20, 200};
     uint64_t reports_ = 0; ///< Heartbeats so far; only the reply to the latest one grants keys.
     size_t checking_ = 0;  ///< Number of holders that are being checked.
--- a/src/duty/range_controller_plan.cpp
+++ b/src/duty/range_controller_plan.cpp
@@ -113,6 +113,38 @@
                       {"backend_state", static_cast<int64_t>(monitor_.state())}});
 }
 
+void RangeController::logReassigned(const RangeTable &table, const HeldKeys &known,
+                                    std::string_view cause, TimePoint now)
+{
+    for (const KeySpan &part : findReassignedParts(table, known.span, known.fence)) {
+        if (!preventedLog_.tryTake(now)) {
+            continue;
+        }
+        const RangeEntry &listed = *table.find(part.first);
+        preventedLog_.log({{"first", part.first.value()},
+                           {"last", part.last.value()},
+                           {"fence", known.fence.value()},
+                           {"table_fence", listed.fence.value()},
+                           {"table_holder", holderText(listed.holder)},
+                           {"cause", std::string(cause)}});
+    }
+}
+
+/**
+ * Logs the ranges that would be assigned from the grants as they were before @p table was read.
+ * They show that a write of this node was applied without its knowledge, or that another node has
+ * assigned the keys.
+ */
+void RangeController::logReassigned(const RangeTable &table, TimePoint now)
+{
+    for (const HeldKeys &refused : grantManager_.refusedRanges()) {
+        logReassigned(table, refused, "fence refused", now);
+    }
+    for (const ReleasedRange &released : grantManager_.releasedRanges(now)) {
+        logReassigned(table, {released.span, released.fence}, "released", now);
+    }
+}
+
 RangeTable RangeController::handOverReleased(RangeTable table, TimePoint now)
 {
     for (const ReleasedRange &released : grantManager_.releasedRanges(now)) {
@@ -237,6 +269,7 @@
         writing_ = false;
         co_return;
     } else {
+        logReassigned(stored->table, now);
         updateGrants(now);
         if (std::optional<RangeTable> next = planTable(*stored, now)) {
             co_await writeTable(std::move(*next), *stored);
--- a/test/unit/range/range_controller_log_test.cpp
+++ b/test/unit/range/range_controller_log_test.cpp
@@ -83,6 +83,14 @@
     return countKeys(node.view.findTable("s")->table, node.record.node) == 0;
 }
 
+/** The backend server of @p node leaves, and all its keys move. */
+void leaveWithAllKeys(OwnershipFleet &fleet, OwnershipNode &node)
+{
+    (void)node.monitor.onDeregister(node.record.backend.text());
+    node.controller.wake();
+    cr_assert(fleet.reaches([&]() { return hasMovedAllKeys(node); }, Patience));
+}
+
 } // namespace
 
 Test(range_controller_log, move_after_an_answered_release_is_logged)
@@ -91,11 +99,7 @@
     OwnershipNode &first = fleet.add(1, "b-1");
     fleet.add(2, "b-2");
     cr_assert(fleet.reaches([&]() { return servesAll(fleet); }, Patience));
-    const Lines lines = logged(LogEvent::RangeGivenOn, [&]() {
-        (void)first.monitor.onDeregister("b-1");
-        first.controller.wake();
-        cr_assert(fleet.reaches([&]() { return hasMovedAllKeys(first); }, Patience));
-    });
+    const Lines lines = logged(LogEvent::RangeGivenOn, [&]() { leaveWithAllKeys(fleet, first); });
     cr_assert(!lines.empty() && hasValue(lines.front(), "proof", "release-answered"));
     cr_assert(numberOf(lines.front(), "unanswered_ms") == 0);
     cr_assert(numberOf(lines.front(), "grant_runs_ms") > 0);
@@ -231,3 +235,48 @@
     });
     cr_assert(!lines.empty() && hasValue(lines.front(), "evidence", "fenced at all witnesses"));
 }
+
+// Guards against a hand-over from an old table that leaves no line when it is prevented.
+Test(range_controller_log, prevented_hand_over_is_logged)
+{
+    OwnershipFleet fleet;
+    OwnershipNode &leaving = fleet.add(1, "b-1");
+    fleet.add(2, "b-2");
+    cr_assert(fleet.reaches([&]() { return servesAll(fleet); }, Patience));
+    SECTION("the hand-over is written without an answer, and the node reads the table back")
+    {
+        fleet.holdUpdates(true);
+        uint32_t before = countKeys(leaving.view.findTable("s")->table, leaving.record.node);
+        fleet.store().onWrite([&]() {
+            const StoredRecord *record = fleet.store().find(RecordKind::Ranges, "s");
+            const RangeTable table = decodeRangeRecord(record->content).assume_value().table;
+            const uint32_t after = countKeys(table, leaving.record.node);
+            if (after < before) {
+                fleet.store().loseResponses(1);
+            }
+            before = after;
+        });
+        const Lines lines
+                = logged(LogEvent::HandOverPrevented, [&]() { leaveWithAllKeys(fleet, leaving); });
+        SECTION("each range is logged with both fences and the holder in the table")
+        {
+            cr_assert(!lines.empty());
+            for (const boost::json::object &line : lines) {
+                cr_assert(numberOf(line, "table_fence") > numberOf(line, "fence"));
+                cr_assert(hasValue(line, "table_holder", "2/b-2"));
+                cr_assert(hasValue(line, "cause", "released"));
+            }
+        }
+    }
+}
+
+Test(range_controller_log, hand_over_with_an_answer_is_not_logged_as_prevented)
+{
+    OwnershipFleet fleet;
+    OwnershipNode &leaving = fleet.add(1, "b-1");
+    fleet.add(2, "b-2");
+    cr_assert(fleet.reaches([&]() { return servesAll(fleet); }, Patience));
+    const Lines lines
+            = logged(LogEvent::HandOverPrevented, [&]() { leaveWithAllKeys(fleet, leaving); });
+    cr_assert(lines.empty());
+}
--- a/test/unit/range/range_table_test.cpp
+++ b/test/unit/range/range_table_test.cpp
@@ -77,6 +77,14 @@
         }
         cr_assert(isSound(after));
     }
+    SECTION("the parts that have moved are found, also at the ends of the range")
+    {
+        cr_assert(findReassignedParts(table, known, fence) == std::vector<KeySpan>{moved});
+        cr_assert(findReassignedParts(before, known, fence).empty());
+        const KeySpan end{ShardKey(50), ShardKey(99)};
+        const KeySpan movedEnd{ShardKey(50), ShardKey(59)};
+        cr_assert(findReassignedParts(table, end, fence) == std::vector<KeySpan>{movedEnd});
+    }
     SECTION("a table without keys under the fence stays as it is")
     {
         cr_assert(reassignRange(after, known, fence, Second, {}) == after);
