--- a/src/decision/member/backend_monitor.cpp
+++ b/src/decision/member/backend_monitor.cpp
@@ -36,6 +36,7 @@
     sequence_ = 0;
     refusals_ = 0;
     refusing_ = false;
+    coldUntil_ = NeverTime;
     // A deregistration without a start time is attributed to this incarnation: if it has left,
     // requests forwarded to it would be lost; if not, they only go to another backend server.
     leaving_ = isDeregistered(backend);
@@ -90,6 +91,7 @@
         return false;
     }
     sequence_ = report.sequence;
+    coldUntil_ = now + report.warmUpLeft;
     heardAt_ = now;
     refusals_ = 0;
     refusing_ = false;
@@ -171,11 +173,17 @@
         return false;
     }
     refusing_ = false;
+    onMayBeCold(now);
     evidence_ = BackendEvidence::Answer;
     state_ = leaving_ ? BackendState::Draining : BackendState::Ready;
     return true;
 }
 
+void BackendMonitor::onMayBeCold(TimePoint now)
+{
+    assumedColdUntil_ = now + limits_.assumedCold;
+}
+
 bool BackendMonitor::onNoResponse()
 {
     if (state_ != BackendState::Ready) {
--- a/src/decision/member/backend_monitor.h
+++ b/src/decision/member/backend_monitor.h
@@ -5,6 +5,7 @@
 
 #include "decision/member/member_type.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <string_view>
@@ -30,6 +31,8 @@
     /** Consecutive refused connections after which it is considered down; a single one may be due
      *  to a listener that restarts. */
     uint32_t refusals = 2;
+    /** Reports arrive about every second, and each tells whether the backend server is cold. */
+    milliseconds assumedCold{1500};
     /** Number of ended incarnations that are remembered; late reports of older ones are no longer
      *  in transit. */
     size_t endedIncarnations = 16;
@@ -81,6 +84,12 @@
     /** It answered a request or a control call. @return Whether it was down and is up again. */
     bool onAnswer(TimePoint now);
 
+    /** It may have turned cold, which only its next reports would show. */
+    void onMayBeCold(TimePoint now);
+
+    /** @return Whether it has just started, so that it takes requests only at a low rate. */
+    bool isCold(TimePoint now) const { return now < std::max(coldUntil_, assumedColdUntil_); }
+
     /** It has not answered within the timeout: considered Down until it answers or reports again.
      */
     bool onNoResponse();
@@ -135,7 +144,9 @@
     bool refusing_ = false;
     bool leaving_ = false; ///< Deregistered or draining; reset only by a new incarnation.
     TimePoint heardAt_ = NeverTime;
-    std::function<bool()> isWorking_; ///< Empty: not known.
+    TimePoint coldUntil_ = NeverTime;        ///< As the latest report says.
+    TimePoint assumedColdUntil_ = NeverTime; ///< Covers the time until a report can show it.
+    std::function<bool()> isWorking_;        ///< Empty: not known.
     std::deque<BackendIncarnation> ended_;
     std::deque<BackendIncarnation> deregistered_; ///< Deregistered before they were known here.
 };
--- /dev/null
+++ b/src/decision/request/cold_start_limiter.h
@@ -0,0 +1,52 @@
+/** @file cold_start_limiter.h Bounds the requests at a backend server that has just started. */
+
+#pragma once
+
+#include "core/time_type.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+namespace wisteriahoist {
+
+/** What a cold backend server may get from all nodes together. */
+struct ColdStartLimits {
+    double perSecond = 0; ///< Requests per second that it tolerates; 0: not declared, unlimited.
+    double overshoot = 1; ///< Multiple of that rate which is allowed.
+    double slack = 0;     ///< Requests in a second that are allowed in addition.
+    bool operator==(const ColdStartLimits &) const = default;
+};
+
+/**
+ * Bounds the requests of any one second at a backend server while it is cold; beyond that rate it
+ * may crash. All requests to it pass the node beside it, so that no other node has to know.
+ *
+ * Requests are counted while it is warm as well: it may turn cold at any moment, and what it got
+ * shortly before it said so counts.
+ */
+class ColdStartLimiter
+{
+public:
+    void setLimits(const ColdStartLimits &limits) { limits_ = limits; }
+
+    /** @return Whether one more request may be sent beside @p reserved ones that wait. */
+    bool hasRoom(bool isCold, size_t reserved, TimePoint now) const;
+
+    /** Counts a request that is sent. */
+    void onSent(TimePoint now);
+
+    /** @return When a caller that is rejected now should retry. */
+    milliseconds retryAfter(TimePoint now) const;
+
+    /** @return Requests that a cold backend server gets in one window; 0: unlimited. */
+    size_t windowLimit() const;
+
+private:
+    size_t sentSince(TimePoint time) const;
+
+    ColdStartLimits limits_;
+    std::deque<TimePoint> sent_; ///< Of the last window, in ascending order.
+};
+
+} // namespace wisteriahoist
--- a/src/decision/routing/route_config_type.h
+++ b/src/decision/routing/route_config_type.h
@@ -51,6 +51,8 @@
     uint32_t maxConnections = 0; ///< Maximum total of one instance; 0: not declared.
     bool sharded = false;        ///< Each instance owns a part of the keys.
     GrantDelivery grants = GrantDelivery::Call;
+    double coldRequestRate = 0; ///< Requests per second that a cold instance tolerates; 0: not
+                                ///< declared.
     bool operator==(const ServiceConfig &) const = default;
 };
 
--- a/test/unit/member/backend_monitor_test.cpp
+++ b/test/unit/member/backend_monitor_test.cpp
@@ -152,3 +152,35 @@
         cr_assert(polled.backend() == BackendIncarnation("i-1", 2000) && polled.hasReported());
     }
 }
+
+// Guards against a backend server that crashes under its first requests: it is cold after its start
+// and whenever it says so, and may be so before it can say it.
+Test(backend_monitor, a_backend_server_is_cold_as_long_as_it_says)
+{
+    BackendMonitor monitor{MonitorLimits{}};
+    BackendReport report = makeReport("i-1", 1);
+    report.warmUpLeft = milliseconds(3000);
+    (void)monitor.onReport(report, Start);
+    cr_assert(monitor.isCold(Start + milliseconds(2999)));
+    cr_assert(!monitor.isCold(Start + milliseconds(3000)));
+    const TimePoint later = Start + std::chrono::seconds(10);
+    SECTION("it turns cold again while it runs")
+    {
+        report.sequence = 2;
+        (void)monitor.onReport(report, later);
+        cr_assert(monitor.isCold(later));
+        SECTION("and warm before that time")
+        {
+            (void)monitor.onReport(makeReport("i-1", 3), later + milliseconds(500));
+            cr_assert(!monitor.isCold(later + milliseconds(500)));
+        }
+    }
+    SECTION("it answers again after it was down: cold until its reports can show it")
+    {
+        (void)monitor.onNoResponse();
+        (void)monitor.onAnswer(later);
+        (void)monitor.onReport(makeReport("i-1", 4), later + milliseconds(100));
+        cr_assert(monitor.isCold(later + milliseconds(1000)));
+        cr_assert(!monitor.isCold(later + milliseconds(2000)));
+    }
+}
--- /dev/null
+++ b/test/unit/request/cold_start_limiter_test.cpp
@@ -0,0 +1,92 @@
+/** @file cold_start_limiter_test.cpp How many requests a cold backend server gets. */
+
+#include "decision/request/cold_start_limiter.h"
+
+#include "support/test_section.h"
+
+#include <deque>
+#include <functional>
+
+using namespace wisteriahoist;
+
+namespace {
+
+constexpr TimePoint Begin{std::chrono::seconds(100)};
+constexpr ColdStartLimits Limits{12, 1.5, 8};
+constexpr size_t MostInOneSecond = 26;
+
+TimePoint at(int64_t count)
+{
+    return Begin + milliseconds(count);
+}
+
+/** Sends as often as allowed. @return The most requests in any one second. */
+size_t sendAll(ColdStartLimiter &limiter, const std::function<bool(int64_t)> &isCold)
+{
+    std::deque<TimePoint> sent;
+    size_t most = 0;
+    for (int64_t now = 0; now < 10000; ++now) {
+        if (limiter.hasRoom(isCold(now), 0, at(now))) {
+            limiter.onSent(at(now));
+            sent.push_back(at(now));
+        }
+        while (!sent.empty() && at(now) - sent.front() >= std::chrono::seconds(1)) {
+            sent.pop_front();
+        }
+        most = std::max(most, isCold(now) ? sent.size() : 0);
+    }
+    return most;
+}
+
+} // namespace
+
+// Guards against a cold backend server that crashes under a hot range which was just given to it.
+Test(cold_start_limiter, no_second_holds_more_than_a_cold_server_tolerates)
+{
+    ColdStartLimiter limiter;
+    limiter.setLimits(Limits);
+    cr_assert_leq(sendAll(limiter, [](int64_t) { return true; }), MostInOneSecond);
+}
+
+Test(cold_start_limiter, what_a_cold_server_tolerates_is_used)
+{
+    ColdStartLimiter limiter;
+    limiter.setLimits(Limits);
+    cr_assert_geq(sendAll(limiter, [](int64_t) { return true; }), 24U);
+}
+
+// Guards against a burst at the moment at which a backend server says that it has turned cold: what
+// it got just before counts too.
+Test(cold_start_limiter, requests_sent_before_it_turned_cold_count)
+{
+    ColdStartLimiter limiter;
+    limiter.setLimits(Limits);
+    for (int request = 0; request < 40; ++request) {
+        limiter.onSent(at(request));
+    }
+    cr_assert(limiter.hasRoom(false, 0, at(500)));
+    cr_assert(!limiter.hasRoom(true, 0, at(500)));
+    cr_assert(limiter.hasRoom(true, 0, at(1300)));
+    SECTION("callers are told when there is room again")
+    {
+        cr_assert_geq(limiter.retryAfter(at(500)), milliseconds(500));
+        cr_assert_eq(limiter.retryAfter(at(5000)), milliseconds(0));
+    }
+}
+
+Test(cold_start_limiter, waiting_requests_have_their_room)
+{
+    ColdStartLimiter limiter;
+    limiter.setLimits(Limits);
+    cr_assert(limiter.hasRoom(true, MostInOneSecond - 1, at(0)));
+    cr_assert(!limiter.hasRoom(true, MostInOneSecond, at(0)));
+}
+
+Test(cold_start_limiter, a_service_that_declares_no_rate_is_not_limited)
+{
+    ColdStartLimiter limiter;
+    for (int request = 0; request < 1000; ++request) {
+        limiter.onSent(at(0));
+    }
+    cr_assert(limiter.hasRoom(true, 1000, at(0)));
+}
