Fix: [Gate] A cold server gets no more than it tolerates; evacuated failure domains get nothing

Cause: no part of the node knew of evacuations or of a server's cold start. Change: all requests to a server pass the gate beside it, wherever they began, so it alone keeps to both. Evacuations are one more kind of record that feeders watch for the others. Requests without a key go elsewhere at once; a holder hands its keys to other failure domains and serves them for 0.3 of the time until nothing may be sent any more, unless it found the evacuation in a listing: then it may have begun long before. Until the first listing a node counts as evacuated. After an evacuation the server counts as cold until its reports can show it.

--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -63,6 +63,7 @@
         {LogEvent::WatchSilent, "watch-silent", LogSeverity::Warning},
         {LogEvent::FeederLost, "feeder-lost", LogSeverity::Warning},
         {LogEvent::StoreRelayed, "store-relayed", LogSeverity::Warning},
+        {LogEvent::EvacuationsChanged, "evacuations-changed", LogSeverity::Info},
         {LogEvent::BackendLimitChanged, "backend-limit-changed", LogSeverity::Info},
         {LogEvent::BackendLimitMalformed, "backend-limit-malformed", LogSeverity::Warning},
         {LogEvent::CrashSuspected, "crash-suspected", LogSeverity::Warning},
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -73,6 +73,7 @@
     WatchSilent,  ///< Other nodes know of changes that this node's watch has not delivered.
     FeederLost,   ///< The node that forwarded store changes to this one has stopped doing so.
     StoreRelayed, ///< The store is accessed through another node.
+    EvacuationsChanged,    ///< Failure domains to which nothing is sent, as operators request.
     BackendLimitChanged,   ///< The backend server names a limit of requests per second, or none any
                            ///< more.
     BackendLimitMalformed, ///< A limit in a response cannot be understood and is ignored.
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -85,7 +85,8 @@
     load.set_running(admission_.running());
     // While the breaker is open or the limit is reached, the reported load is full, so that other
     // nodes avoid the server.
-    const bool blocked = breaker_.isOpen(now) || !limiter_.hasRoom(admission_.waiting(), now);
+    const bool blocked = breaker_.isOpen(now) || !limiter_.hasRoom(admission_.waiting(), now)
+                         || !hasColdRoom(now);
     const uint32_t blockedSlots = blocked ? admission_.slots() : 0;
     load.set_waiting(static_cast<uint32_t>(admission_.waiting()) + blockedSlots);
     load.set_slots(admission_.slots());
@@ -101,11 +102,34 @@
     return shutdownDeadline_ && std::min(deadline, now + LongRequestTime) > *shutdownDeadline_;
 }
 
+bool BackendGate::isClosedByEvacuation(bool keyed, TimePoint now) const
+{
+    const EvacuationPhase phase = evacuationPhase_ ? evacuationPhase_(now) : EvacuationPhase::None;
+    return phase == EvacuationPhase::Closed || (phase == EvacuationPhase::Leaving && !keyed);
+}
+
+bool BackendGate::hasColdRoom(TimePoint now) const
+{
+    return coldLimiter_.hasRoom(monitor_.isCold(now), admission_.waiting(), now);
+}
+
+void BackendGate::onEvacuated()
+{
+    for (const auto &[id, call] : waiting_) {
+        if (!call->keyed) {
+            call->timer.cancel();
+        }
+    }
+}
+
 RequestEnd BackendGate::check(const v1::HopRequest &request, const Call &call, TimePoint now) const
 {
     if (call.cancelled) {
         return RequestEnd::CallerDisconnected;
     }
+    if (isClosedByEvacuation(request.keyed(), now)) {
+        return RequestEnd::NoBackend;
+    }
     if ((rejectsKeyless_ && !request.keyed()) || mayOutlive(call.deadline, now)
         || monitor_.state() != BackendState::Ready || monitor_.service() != request.service()) {
         return RequestEnd::NoBackend;
@@ -127,6 +151,7 @@
     auto call = std::make_shared<Call>(context_);
     call->deadline = clock_.now() + milliseconds(request.deadline_left_ms());
     call->fingerprint = fingerprintOf(request);
+    call->keyed = request.keyed();
     calls_[name] = call;
     co_await serve(request, call, reply);
     const auto found = calls_.find(name);
@@ -153,6 +178,10 @@
         fillRateLimited(request, RequestStage::Received, reply);
         co_return;
     }
+    if (!hasColdRoom(clock_.now())) {
+        fillCold(request, RequestStage::Received, reply);
+        co_return;
+    }
     refusal = co_await awaitSlot(request, call, reply);
     if (refusal != RequestEnd::None) {
         const int64_t retryAfter = reply.retry_after_ms();
@@ -169,6 +198,13 @@
         wakeNext();
         co_return;
     }
+    // It may have turned cold while the request waited.
+    if (!coldLimiter_.hasRoom(monitor_.isCold(clock_.now()), 0, clock_.now())) {
+        admission_.onEnd(kindOf(request), std::nullopt);
+        fillCold(request, RequestStage::Queued, reply);
+        wakeNext();
+        co_return;
+    }
     // The limit may have been named while the request waited.
     if (!limiter_.tryTake(clock_.now())) {
         admission_.onEnd(kindOf(request), std::nullopt);
@@ -179,6 +215,17 @@
     co_await sendToBackend(request, *call, reply);
 }
 
+void BackendGate::fillCold(const v1::HopRequest &request, RequestStage stage, v1::HopReply &reply)
+{
+    ++coldRefused_;
+    const TimePoint now = clock_.now();
+    fillOutcome(reply, stage, RequestEnd::RateLimited);
+    reply.set_retry_after_ms(coldLimiter_.retryAfter(now).count());
+    if (request.keyed()) {
+        ownership_.recordBusyTime(ShardKey(request.shard_key()), admission_.serviceTime(), now);
+    }
+}
+
 void BackendGate::fillRateLimited(const v1::HopRequest &request, RequestStage stage,
                                   v1::HopReply &reply)
 {
@@ -249,6 +296,7 @@
                                                  v1::HopReply &reply)
 {
     const TimePoint startedAt = clock_.now();
+    coldLimiter_.onSent(startedAt);
     HttpRequest forwarded = makeForwardedRequest(request);
     BackendMetadata metadata;
     metadata.timeLeft = timeUntil(call.deadline, startedAt);
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -9,8 +9,10 @@
 #include "decision/member/backend_monitor.h"
 #include "decision/request/admission_control.h"
 #include "decision/request/circuit_breaker.h"
+#include "decision/request/cold_start_limiter.h"
 #include "decision/request/crash_ledger.h"
 #include "decision/request/request_rate_limiter.h"
+#include "decision/routing/evacuation_table.h"
 #include "duty/gate_message.h"
 #include "port/clock.h"
 
@@ -80,9 +82,23 @@
      *  answers. */
     void adoptLimit(const BackendIncarnation &backend, double limit);
 
+    /** Sets what the backend server may get while it is cold. */
+    void setColdLimits(const ColdStartLimits &limits) { coldLimiter_.setLimits(limits); }
+
+    /** @param phase Returns whether the failure domain of this node is evacuated at a time. */
+    void setEvacuationPhase(std::function<EvacuationPhase(TimePoint)> phase)
+    {
+        evacuationPhase_ = std::move(phase);
+    }
+
+    /** The failure domain of this node is evacuated: rejects the requests that wait and have no
+     *  key, so that other nodes serve them. */
+    void onEvacuated();
+
     /** @return The limit in requests per second that the backend server names, in steps. */
     std::optional<double> publishedLimit() const;
 
+    uint64_t coldRefused() const { return coldRefused_; }
     uint64_t rateLimited() const { return rateLimited_; }
     uint64_t malformedLimits() const { return malformedLimits_; }
 
@@ -125,6 +141,7 @@
         std::shared_ptr<ExchangeControl> control = std::make_shared<ExchangeControl>();
         TimePoint deadline;
         RequestFingerprint fingerprint;
+        bool keyed = false;
         bool granted = false;
         bool cancelled = false;
     };
@@ -139,6 +156,8 @@
 
     RequestEnd check(const v1::HopRequest &request, const Call &call, TimePoint now) const;
     bool isWorking() const;
+    bool isClosedByEvacuation(bool keyed, TimePoint now) const;
+    bool hasColdRoom(TimePoint now) const;
     void fillRefusal(const v1::HopRequest &request, const Call &call, RequestStage stage,
                      RequestEnd refusal, v1::HopReply &reply) const;
     void nameOwner(const v1::HopRequest &request, v1::HopReply &reply) const;
@@ -156,6 +175,7 @@
                      const BackendIncarnation &backend, TimePoint sentAt, TimePoint now);
     void updateLimit(const std::function<void()> &change);
     void followIncarnation(TimePoint now);
+    void fillCold(const v1::HopRequest &request, RequestStage stage, v1::HopReply &reply);
     void fillRateLimited(const v1::HopRequest &request, RequestStage stage, v1::HopReply &reply);
     void recordLostRun(const v1::HopRequest &request, const Call &call,
                        const BackendIncarnation &backend, TimePoint suspectUntil);
@@ -183,6 +203,9 @@
     std::function<void()> crashReported_;
     std::function<void()> limitChanged_;
     RequestRateLimiter limiter_;
+    ColdStartLimiter coldLimiter_;
+    uint64_t coldRefused_ = 0; ///< Requests rejected because the backend server is cold.
+    std::function<EvacuationPhase(TimePoint)> evacuationPhase_; ///< Empty: none is evacuated.
     BackendIncarnation limitedBackend_;  ///< Incarnation that limiter_ is about.
     std::optional<double> adoptedLimit_; ///< Of adoptedBackend_, until that one reports.
     BackendIncarnation adoptedBackend_;
--- a/src/duty/fleet_view.cpp
+++ b/src/duty/fleet_view.cpp
@@ -65,6 +65,35 @@
     }
 }
 
+void FleetView::onEvacuationsChanged()
+{
+    ready_.clear();
+    notify();
+}
+
+void FleetView::onEvacuationListing(const RecordListing &listing, TimePoint now)
+{
+    std::map<std::string, uint64_t> domains;
+    for (const StoredRecord &record : listing.records) {
+        domains[record.name] = record.revision.value();
+    }
+    if (evacuations_.onListing(domains, listing.at.value(), now)) {
+        onEvacuationsChanged();
+    }
+}
+
+void FleetView::onEvacuationChanges(const RecordChanges &changes, TimePoint now)
+{
+    bool changed = false;
+    for (const RecordChange &change : changes.changes) {
+        changed |= evacuations_.onChange(change.record.name, change.removed, changes.at.value(),
+                                         now);
+    }
+    if (changed) {
+        onEvacuationsChanged();
+    }
+}
+
 StoreRevision StoredTable::revisionOf(uint32_t block) const
 {
     if (layout.count == 1) {
@@ -130,7 +159,8 @@
     const auto [found, isNew] = ready_.try_emplace(service);
     if (isNew) {
         for (const auto &[node, member] : members_) {
-            if (member.service == service && member.acceptsRequests()) {
+            if (member.service == service && member.acceptsRequests()
+                && !evacuations_.isEvacuated(member.failureDomain)) {
                 found->second.push_back(&member);
             }
         }
--- a/src/duty/fleet_view.h
+++ b/src/duty/fleet_view.h
@@ -4,6 +4,7 @@
 
 #include "adapter/codec/record_codec.h"
 #include "decision/member/member_type.h"
+#include "decision/routing/evacuation_table.h"
 #include "decision/routing/route_table.h"
 #include "port/record_store.h"
 
@@ -35,6 +36,12 @@
     bool onConfig(RouteConfig config);
     void onMember(const MemberRecord &member, StoreRevision revision);
     void onMemberRemoved(const std::string &name);
+    /** Evacuations are in use: they count as unknown until they have been listed. */
+    void awaitEvacuations() { evacuations_ = EvacuationTable(true); }
+    /** Applies the listing of all evacuations in force at revision @p at. */
+    void onEvacuationListing(const RecordListing &listing, TimePoint now);
+    /** Applies changes of evacuations. */
+    void onEvacuationChanges(const RecordChanges &changes, TimePoint now);
     /** Decodes and applies a record of ranges; a malformed one is logged and ignored. */
     void onRangeRecord(const StoredRecord &record);
     /** Applies a decoded record of ranges. @param name The record's name. */
@@ -56,8 +63,11 @@
     const std::map<NodeId, MemberRecord> &members() const { return members_; }
     const MemberRecord *findMember(NodeId node) const;
 
-    /** @return Members whose backend server serves @p service and accepts requests; valid until the
-     *          next change of a member. */
+    const EvacuationTable &evacuations() const { return evacuations_; }
+
+    /** @return Members whose backend server serves @p service and accepts requests, and whose
+     *          failure domain is not evacuated; valid until the next change of a member or an
+     *          evacuation. */
     const std::vector<const MemberRecord *> &readyMembers(const std::string &service) const;
 
     /** @return nullptr if the service has no table yet. */
@@ -74,8 +84,10 @@
     };
 
     void notify();
+    void onEvacuationsChanged();
 
     RouteConfigHolder config_;
+    EvacuationTable evacuations_;
     std::map<NodeId, MemberRecord> members_;
     std::map<NodeId, StoreRevision> memberRevisions_;
     /// Cache of readyMembers() by service, used for every request; cleared by each change.
--- a/src/duty/range_controller.cpp
+++ b/src/duty/range_controller.cpp
@@ -375,7 +375,7 @@
     // While the store is unavailable no other node could take the keys. If they were released,
     // they would not be served at all, whereas a node that keeps them serves them again right
     // after its restart.
-    const bool leaving = (stopping_ && isStoreReachable(now))
+    const bool leaving = ((stopping_ || isEvacuated()) && isStoreReachable(now))
                          || monitor_.state() == BackendState::Draining || lost;
     const std::vector<KeySpan> held = grantManager_.heldSpans();
     if (!leaving || held.empty()) {
@@ -384,9 +384,14 @@
     const std::vector<RangeMove> moves
             = planDistribution(held, load_.rates(KeySpan{}, now),
                                drawCandidates(candidates(now, false), DistributionSample, random_));
-    const std::string_view other = lost ? "backend server down" : "backend server leaves";
+    std::string_view cause = lost ? "backend server down" : "backend server leaves";
+    if (stopping_) {
+        cause = "node stops";
+    } else if (isEvacuated()) {
+        cause = "failure domain evacuated";
+    }
     for (const RangeMove &move : moves) {
-        beginMove(move, stopping_ ? "node stops" : other, now);
+        beginMove(move, cause, now);
     }
 }
 
@@ -397,8 +402,7 @@
     if (grantManager_.hasLeaving()) {
         movedAt_ = now; // Load is judged only after a move has ended, however long that takes.
     }
-    if (monitor_.state() != BackendState::Ready || held.empty()
-        || now - std::max(movedAt_, startedAt_) < limits.pause) {
+    if (isLeaving() || held.empty() || now - std::max(movedAt_, startedAt_) < limits.pause) {
         return;
     }
     RangeCandidate self;
--- a/src/duty/range_controller.h
+++ b/src/duty/range_controller.h
@@ -87,7 +87,10 @@
     std::optional<KeyOwner> ownerOf(ShardKey key) const override;
     void recordBusyTime(ShardKey key, Duration busy, TimePoint now) override;
     double demand(TimePoint now) override { return load_.total(now); }
-    bool isLeaving() const override { return stopping_ || monitor_.state() != BackendState::Ready; }
+    bool isLeaving() const override
+    {
+        return stopping_ || isEvacuated() || monitor_.state() != BackendState::Ready;
+    }
 
     /** @return Whether the backend server is granted its keys in the replies to its heartbeats. */
     bool grantsByHeartbeat() const;
@@ -127,6 +130,7 @@
 
     const ServiceConfig *service() const;
     bool isSharded() const;
+    bool isEvacuated() const { return view_.evacuations().isEvacuated(self_.failureDomain); }
     bool hasRangesToAdopt() const;
     bool hasGrantChanges(const HeldKeysReport &report, TimePoint now) const;
     asio::awaitable<void> awaitGrantChanges(const HeldKeysReport &report, TimePoint receivedAt);
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -467,6 +467,7 @@
     reply.mutable_news()->set_configuration(known[RecordKind::Configuration].value());
     reply.mutable_news()->set_members(known[RecordKind::Members].value());
     reply.mutable_news()->set_ranges(known[RecordKind::Ranges].value());
+    reply.mutable_news()->set_evacuations(known[RecordKind::Evacuations].value());
 }
 
 void RequestRouter::readRevisions(const v1::HopReply &reply, TimePoint now)
@@ -478,7 +479,8 @@
     revisions_->onPeerRevisions(
             {{RecordKind::Configuration, StoreRevision(received.configuration())},
              {RecordKind::Members, StoreRevision(received.members())},
-             {RecordKind::Ranges, StoreRevision(received.ranges())}},
+             {RecordKind::Ranges, StoreRevision(received.ranges())},
+             {RecordKind::Evacuations, StoreRevision(received.evacuations())}},
             now);
 }
 
--- a/src/duty/shared_watch.cpp
+++ b/src/duty/shared_watch.cpp
@@ -188,8 +188,7 @@
 {
     v1::FeedRequest request;
     v1::FeedReply reply;
-    if (request.ParseFromString(body)
-        && request.kind() <= static_cast<uint32_t>(RecordKind::Leases)) {
+    if (request.ParseFromString(body) && request.kind() < RecordKindCount) {
         reply = co_await answer(std::move(request));
     }
     co_return reply.SerializeAsString();
--- a/src/duty/shared_watch.h
+++ b/src/duty/shared_watch.h
@@ -18,8 +18,8 @@
 struct SharedWatchTimes {
     /**
      * Duration of a feeder's watch of the store; if it ends without a change, that confirms that
-     * there was none. A configuration must take effect within 2 s; outdated members and ranges only
-     * cost an extra hop.
+     * there was none. A configuration must take effect within 2 s, an evacuation within 5 s;
+     * outdated members and ranges only cost an extra hop.
      */
     milliseconds configWait{800};
     milliseconds otherWait{2000};
--- a/src/duty/store_relay.cpp
+++ b/src/duty/store_relay.cpp
@@ -235,8 +235,7 @@
 {
     v1::StoreRequest request;
     v1::StoreReply reply;
-    if (!request.ParseFromString(body)
-        || request.kind() > static_cast<uint32_t>(RecordKind::Leases)) {
+    if (!request.ParseFromString(body) || request.kind() >= RecordKindCount) {
         setFailure(reply, {FailureCode::Malformed, "malformed store request"});
     } else if (!isDirect()) {
         setFailure(reply,
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -20,16 +20,22 @@
 
 } // namespace
 
-StoreSync::StoreSync(asio::io_context &context, RecordStore &store, FleetView &view,
-                     std::string configName, ConfigDecoder decodeConfig, SyncTimes times)
-    : context_(context), store_(store), view_(view), configName_(std::move(configName)),
-      decodeConfig_(std::move(decodeConfig)), times_(times)
+StoreSync::StoreSync(asio::io_context &context, RecordStore &store, const Clock &clock,
+                     FleetView &view, std::string configName, ConfigDecoder decodeConfig,
+                     SyncTimes times)
+    : context_(context), store_(store), clock_(clock), view_(view),
+      configName_(std::move(configName)), decodeConfig_(std::move(decodeConfig)), times_(times)
 { }
 
+void StoreSync::watchEvacuations()
+{
+    kinds_.push_back(RecordKind::Evacuations);
+    view_.awaitEvacuations();
+}
+
 void StoreSync::start()
 {
-    for (const RecordKind kind :
-         {RecordKind::Configuration, RecordKind::Members, RecordKind::Ranges}) {
+    for (const RecordKind kind : kinds_) {
         const auto loop = [this, kind]() { return run(kind); };
         lags_.try_emplace(kind, times_.maxLag);
         asio::co_spawn(context_, loop, asio::detached);
@@ -109,7 +115,8 @@
     // A node that has just started knows few members, even in a large fleet.
     const bool gapGrows
             = kind == RecordKind::Members || view_.members().size() >= times_.minMembers;
-    if (kind == RecordKind::Configuration || !gapGrows) {
+    const bool isUrgent = kind == RecordKind::Configuration || kind == RecordKind::Evacuations;
+    if (isUrgent || !gapGrows) {
         return times_.gap;
     }
     const auto members = static_cast<int64_t>(view_.members().size());
@@ -129,9 +136,7 @@
     if (!listing) {
         co_return std::move(listing).as_failure();
     }
-    for (const StoredRecord &record : listing.assume_value().records) {
-        applyRecord(kind, record);
-    }
+    applyListing(kind, listing.assume_value());
     lags_.at(kind).onPosition(listing.assume_value().at);
     co_return listing.assume_value().at;
 }
@@ -143,15 +148,38 @@
         co_return std::move(changes).as_failure();
     }
     recent_[kind].changed = !changes.assume_value().changes.empty();
-    for (const RecordChange &change : changes.assume_value().changes) {
+    applyChanges(kind, changes.assume_value());
+    lags_.at(kind).onPosition(changes.assume_value().at);
+    co_return changes.assume_value().at;
+}
+
+void StoreSync::applyListing(RecordKind kind, const RecordListing &listing)
+{
+    if (kind == RecordKind::Evacuations) {
+        view_.onEvacuationListing(listing, clock_.now());
+        return;
+    }
+    for (const StoredRecord &record : listing.records) {
+        applyRecord(kind, record);
+    }
+}
+
+void StoreSync::applyChanges(RecordKind kind, const RecordChanges &changes)
+{
+    if (kind == RecordKind::Evacuations) {
+        for (const RecordChange &change : changes.changes) {
+            newest_[kind] = std::max(newest_[kind], change.record.revision);
+        }
+        view_.onEvacuationChanges(changes, clock_.now());
+        return;
+    }
+    for (const RecordChange &change : changes.changes) {
         if (change.removed) {
             applyRemoval(kind, change.record.name);
         } else {
             applyRecord(kind, change.record);
         }
     }
-    lags_.at(kind).onPosition(changes.assume_value().at);
-    co_return changes.assume_value().at;
 }
 
 void StoreSync::applyRecord(RecordKind kind, const StoredRecord &record)
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -4,6 +4,7 @@
 
 #include "duty/fleet_view.h"
 #include "duty/watch_lag.h"
+#include "port/clock.h"
 #include "port/revision_exchange.h"
 
 #include <boost/asio/io_context.hpp>
@@ -52,8 +53,12 @@
 class StoreSync final : public RevisionExchange
 {
 public:
-    StoreSync(boost::asio::io_context &context, RecordStore &store, FleetView &view,
-              std::string configName, ConfigDecoder decodeConfig, SyncTimes times = {});
+    StoreSync(boost::asio::io_context &context, RecordStore &store, const Clock &clock,
+              FleetView &view, std::string configName, ConfigDecoder decodeConfig,
+              SyncTimes times = {});
+
+    /** Evacuations are in use and watched too. @pre start() has not been called. */
+    void watchEvacuations();
 
     void start();
 
@@ -69,12 +74,15 @@
     boost::asio::awaitable<Result<StoreRevision>> list(RecordKind kind);
     boost::asio::awaitable<Result<StoreRevision>> watch(RecordKind kind, StoreRevision since);
     milliseconds gapAfter(RecordKind kind);
+    void applyListing(RecordKind kind, const RecordListing &listing);
+    void applyChanges(RecordKind kind, const RecordChanges &changes);
     void applyRecord(RecordKind kind, const StoredRecord &record);
     void applyRemoval(RecordKind kind, const std::string &name);
     void updateAvailability(RecordKind kind, const Failure *failure);
 
     boost::asio::io_context &context_;
     RecordStore &store_;
+    const Clock &clock_;
     FleetView &view_;
     std::string configName_;
     ConfigDecoder decodeConfig_;
@@ -86,6 +94,8 @@
     };
     std::map<RecordKind, Recent> recent_;
     KnownRevisions newest_;
+    std::vector<RecordKind> kinds_{RecordKind::Configuration, RecordKind::Members,
+                                   RecordKind::Ranges}; ///< Kinds that are watched.
     std::map<RecordKind, WatchLag> lags_;
     std::set<RecordKind> catchingUp_; ///< Kinds that are listed while their watch waits.
     bool unavailable_ = false;
--- a/src/port/record_store.h
+++ b/src/port/record_store.h
@@ -25,9 +25,10 @@
     Members,       ///< One per node, written by that node.
     Ranges,        ///< One per sharded service.
     Leases,        ///< One per node that grants keys. Not watched, because it changes continuously.
+    Evacuations,   ///< Written by operators: one per failure domain that is evacuated.
 };
 
-inline constexpr size_t RecordKindCount = 4;
+inline constexpr size_t RecordKindCount = 5;
 
 /** @return The name of @p kind in logs and metrics. */
 constexpr std::string_view recordKindName(RecordKind kind)
@@ -41,6 +42,8 @@
         return "ranges";
     case RecordKind::Leases:
         return "leases";
+    case RecordKind::Evacuations:
+        return "evacuations";
     }
     return "";
 }
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+/** Share of the time until nothing may be sent any more, counted from when this node hears of an
+ *  evacuation; the news itself takes up to half of the time. */
+constexpr double EvacuationLeavingShare = 0.3;
 /** The platform polls readiness once a second and stops sending callers after two failed polls. */
 constexpr milliseconds CallerRemovalDelay{2500};
 /**
@@ -101,7 +104,7 @@
             ranges_, crashes_),
       router_(context, clock_, ports.protocol, view_, loads_, gate_, peers_, crashes_,
               makeRouterSettings(settings, node_)),
-      sync_(context, store_, view_, ports.configName, ports.decodeConfig),
+      sync_(context, store_, clock_, view_, ports.configName, ports.decodeConfig),
       publisher_(
               context, store_, [this]() { return describe(); },
               [this](const MemberRecord &member, StoreRevision revision) {
@@ -114,8 +117,18 @@
     view_.onChange([this]() {
         callerServer_->setLimits(makeCallerLimits(
                 view_.routes().config() ? view_.routes().config()->limits : CallerLimits{}));
+        updateColdLimits();
+        onEvacuations();
         ranges_.wake();
     });
+    if (settings.evacuationTime.count() > 0) {
+        sync_.watchEvacuations();
+    }
+    gate_.setEvacuationPhase([this](TimePoint now) {
+        const auto leavingTime = std::chrono::duration_cast<milliseconds>(settings_.evacuationTime
+                                                                          * EvacuationLeavingShare);
+        return view_.evacuations().phaseOf(settings_.failureDomain, leavingTime, now);
+    });
     view_.onMemberRecord([this](const MemberRecord &member) {
         if (crashes_.onReports(member.crashes, clock_.now())) {
             publisher_.wake();
@@ -196,11 +209,39 @@
                                         {"refusing", monitor_.refusesConnections()},
                                         {"evidence", backendEvidenceName(monitor_.evidence())},
                                         {"slots", monitor_.slots()}});
+    updateColdLimits();
     gate_.onBackendChange();
     publisher_.wake();
     ranges_.wake();
 }
 
+void SidecarProgram::updateColdLimits()
+{
+    const std::string &name = monitor_.service().empty() ? settings_.service : monitor_.service();
+    const ServiceConfig *service = view_.routes().findService(name);
+    gate_.setColdLimits({service == nullptr ? 0 : service->coldRequestRate, settings_.coldOvershoot,
+                         settings_.coldSlack});
+}
+
+void SidecarProgram::onEvacuations()
+{
+    const EvacuationTable &evacuations = view_.evacuations();
+    if (evacuations.changes() == evacuationChanges_) {
+        return;
+    }
+    evacuationChanges_ = evacuations.changes();
+    const bool isEvacuated = evacuations.isEvacuated(settings_.failureDomain);
+    logEvent(LogEvent::EvacuationsChanged, {{"domains", evacuations.text()},
+                                            {"own", isEvacuated},
+                                            {"revision", evacuations.revision()}});
+    if (isEvacuated) {
+        gate_.onEvacuated();
+    } else if (wasEvacuated_) {
+        monitor_.onMayBeCold(clock_.now());
+    }
+    wasEvacuated_ = isEvacuated;
+}
+
 asio::awaitable<HttpResponse> SidecarProgram::onReport(HttpRequest request)
 {
     const TimePoint receivedAt = clock_.now();
@@ -298,6 +339,24 @@
     counter("wisteriahoist_malformed_limits_total",
             "Responses of the backend server that name a limit which cannot be understood.",
             [this]() { return gate_.malformedLimits(); });
+    counter("wisteriahoist_cold_refused_total",
+            "Requests rejected because the backend server has just started and takes no more.",
+            [this]() { return gate_.coldRefused(); });
+    gauge("wisteriahoist_evacuated_domains", "Failure domains that are evacuated.",
+          [this]() { return view_.evacuations().domains().size(); });
+    gauge("wisteriahoist_evacuation_revision",
+          "Latest revision of the store at which the evacuations are known; 0: not known.",
+          [this]() { return view_.evacuations().revision(); });
+    gauge("wisteriahoist_evacuated_seconds",
+          "Time since this node heard that its failure domain is evacuated; -1: it is not.",
+          [this]() {
+              const auto &domains = view_.evacuations().domains();
+              const auto own = domains.find(settings_.failureDomain);
+              return own == domains.end()
+                             ? -1.0
+                             : std::chrono::duration<double>(clock_.now() - own->second.since)
+                                       .count();
+          });
     gauge("wisteriahoist_backend_request_limit",
           "Requests per second that the backend server takes, as it names them; -1: no limit.",
           [this]() { return gate_.publishedLimit().value_or(-1); });
@@ -351,6 +410,9 @@
     logEvent(LogEvent::SettingsReloaded, {{"changed", differs(settings)}});
     lastRead_ = settings;
     settings_.shutdownTimeout = settings.shutdownTimeout;
+    settings_.coldOvershoot = settings.coldOvershoot;
+    settings_.coldSlack = settings.coldSlack;
+    updateColdLimits();
     router_.setRetryLimits(settings.retries);
 }
 
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -85,6 +85,8 @@
 private:
     MemberRecord describe() const;
     void onBackendChange();
+    void updateColdLimits();
+    void onEvacuations();
     asio::awaitable<HttpResponse> onReport(HttpRequest request);
     Result<BackendCall> readReport(const HttpRequest &request);
     asio::awaitable<std::optional<GrantReply>> answerHeartbeat(BackendReport report,
@@ -122,6 +124,8 @@
     std::shared_ptr<HttpServer> metricsServer_;
     /// Rate-limited, since a client that sends invalid reports may repeat them indefinitely.
     RateLimitedEvent reportLog_{LogEvent::ReportRefused, 1, 10};
+    uint64_t evacuationChanges_ = 0; ///< Of the table that onEvacuations() has seen.
+    bool wasEvacuated_ = false;      ///< The failure domain of this node, when last looked at.
     bool stopping_ = false;
     bool closing_ = false; ///< Last phase of the shutdown: other nodes send no more requests here.
     TimePoint stopStartedAt_ = NeverTime;
--- a/src/program/sidecar_settings.h
+++ b/src/program/sidecar_settings.h
@@ -39,7 +39,12 @@
     milliseconds maxHoldTime{0};  ///< Longest hold time that it accepts; 0: no keys are granted.
     milliseconds shutdownTimeout{6000}; ///< From SIGTERM until the process is killed.
     FleetRetryLimits retries;
-    double cpuShare = 0; ///< Share of a core available to this process; 0: unknown.
+    /** Time until nothing is sent any more to the backend servers of an evacuated failure domain;
+     * 0: operators of this installation evacuate none. */
+    milliseconds evacuationTime{0};
+    double coldOvershoot = 1; ///< Multiple of the declared rate that a cold backend server may get.
+    double coldSlack = 0;     ///< Requests per second that it may get in addition.
+    double cpuShare = 0;      ///< Share of a core available to this process; 0: unknown.
     bool operator==(const SidecarSettings &) const = default;
 };
 
--- a/test/support/scripted_store.h
+++ b/test/support/scripted_store.h
@@ -23,10 +23,19 @@
     {
         StoredRecord &record = records_[{kind, name}];
         record = {name, StoreRevision(++revision_), content};
-        changes_.emplace_back(kind, record);
+        changes_.push_back({kind, {record, false}});
         return record.revision;
     }
 
+    /** Removes a record unconditionally. */
+    void remove(RecordKind kind, const std::string &name)
+    {
+        StoredRecord removed = records_.at({kind, name});
+        removed.revision = StoreRevision(++revision_);
+        records_.erase({kind, name});
+        changes_.push_back({kind, {removed, true}});
+    }
+
     /** While set, no watch returns changes. */
     void muteWatches(bool muted) { muted_ = muted; }
 
@@ -132,9 +141,9 @@
             }
             RecordChanges found;
             found.at = StoreRevision(revision_);
-            for (const auto &[changed, record] : changes_) {
-                if (changed == kind && record.revision > since) {
-                    found.changes.push_back({record, false});
+            for (const auto &[changed, change] : changes_) {
+                if (changed == kind && change.record.revision > since) {
+                    found.changes.push_back(change);
                 }
             }
             if (!found.changes.empty() && !muted_ && !down_) {
@@ -160,7 +169,7 @@
     }
 
     std::map<std::pair<RecordKind, std::string>, StoredRecord> records_;
-    std::vector<std::pair<RecordKind, StoredRecord>> changes_;
+    std::vector<std::pair<RecordKind, RecordChange>> changes_;
     uint64_t revision_ = 0;
     uint64_t cuts_ = 0;
     int lostAnswers_ = 0;
--- a/test/unit/range/range_controller_test.cpp
+++ b/test/unit/range/range_controller_test.cpp
@@ -1,6 +1,7 @@
 /** @file range_controller_test.cpp Keys of a service when nodes start, crash, fall silent or lose
  * their store. */
 
+#include "adapter/clock/boot_clock_adapter.h"
 #include "support/ownership_fleet.h"
 #include "support/test_section.h"
 
@@ -167,6 +168,44 @@
               == "token");
 }
 
+// Guards against keys that are not served, or served at the wrong place, when a failure domain is
+// evacuated: its holders live on and must hand their keys to the others.
+Test(range_duty, keys_of_an_evacuated_failure_domain_move)
+{
+    OwnershipFleet fleet;
+    OwnershipNode &first = fleet.add(1, "b-1");
+    OwnershipNode &second = fleet.add(2, "b-2");
+    OwnershipNode &third = fleet.add(3, "b-3");
+    const auto all = [&]() { return isEachServedByOne(fleet); };
+    cr_assert(fleet.reaches(all, Patience));
+    const BootClockAdapter clock;
+    uint64_t revision = 1000;
+    const auto setEvacuated = [&](bool evacuated) {
+        RecordChanges changes;
+        changes.at = StoreRevision(++revision);
+        changes.changes = {{{"d1", changes.at, "{}"}, !evacuated}};
+        for (OwnershipNode *node : {&first, &second, &third}) {
+            node->view.onEvacuationChanges(changes, clock.now());
+            node->controller.wake();
+        }
+    };
+    const auto keysOfFirst = [&]() {
+        const StoredRecord *table = fleet.store().find(RecordKind::Ranges, "s");
+        return countKeys(decodeRangeRecord(table->content).assume_value().table, NodeId(1));
+    };
+    cr_assert_gt(keysOfFirst(), 0U);
+    setEvacuated(true);
+    cr_assert(fleet.reaches([&]() { return keysOfFirst() == 0 && isEachServedByOne(fleet); },
+                            Patience));
+    cr_assert(first.controller.isLeaving());
+    SECTION("and it gets keys again afterwards")
+    {
+        setEvacuated(false);
+        cr_assert(!first.controller.isLeaving());
+        cr_assert(fleet.reaches([&]() { return keysOfFirst() > 0; }, Patience));
+    }
+}
+
 // Guards against keys that are not served until the watch of their new holder returns.
 Test(range_duty, previous_holder_notifies_the_new_one)
 {
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -436,3 +436,51 @@
         cr_assert(fixture.monitor.state() == BackendState::Ready);
     }
 }
+
+// Guards against a cold backend server that crashes: it gets no more requests in a second than it
+// tolerates, whoever sends them.
+Test(request_router, a_cold_server_gets_no_more_requests_than_it_tolerates)
+{
+    Fixture fixture({{makeAnswer("x")}});
+    fixture.gate.setColdLimits({2, 1, 1});
+    BackendReport report;
+    report.backend = "b-1";
+    report.service = "one";
+    report.slots = 4;
+    report.sequence = 2;
+    report.warmUpLeft = LongTime;
+    (void)fixture.monitor.onReport(report, fixture.clock.now());
+    for (int request = 0; request < 3; ++request) {
+        cr_assert_eq(fixture.ask().result_int(), 200U);
+    }
+    const HttpResponse refused = fixture.ask();
+    cr_assert_eq(refused.result_int(), 503U);
+    cr_assert(refused.count(http::field::retry_after) == 1);
+    cr_assert_eq(fixture.backend->requests().size(), 3U);
+    cr_assert_eq(fixture.gate.coldRefused(), 1U);
+
+    SECTION("until it is warm")
+    {
+        report.sequence = 3;
+        report.warmUpLeft = milliseconds(0);
+        (void)fixture.monitor.onReport(report, fixture.clock.now());
+        cr_assert_eq(fixture.ask().result_int(), 200U);
+    }
+}
+
+// Guards against requests that reach the backend servers of an evacuated failure domain from nodes
+// that have not heard of it.
+Test(request_router, an_evacuated_server_gets_no_requests)
+{
+    Fixture fixture({{makeAnswer("x")}});
+    EvacuationPhase phase = EvacuationPhase::None;
+    fixture.gate.setEvacuationPhase([&](TimePoint) { return phase; });
+    cr_assert_eq(fixture.ask().result_int(), 200U);
+    for (const EvacuationPhase closed : {EvacuationPhase::Leaving, EvacuationPhase::Closed}) {
+        phase = closed;
+        cr_assert_eq(fixture.ask().result_int(), 503U);
+    }
+    cr_assert_eq(fixture.backend->requests().size(), 1U);
+    phase = EvacuationPhase::None;
+    cr_assert_eq(fixture.ask().result_int(), 200U);
+}
--- a/test/unit/store/store_sync_test.cpp
+++ b/test/unit/store/store_sync_test.cpp
@@ -1,6 +1,8 @@
 /** @file store_sync_test.cpp The fleet view with interrupted watches and discarded history. */
 
 #include "duty/store_sync.h"
+
+#include "adapter/clock/boot_clock_adapter.h"
 #include "support/scripted_backend.h"
 #include "support/scripted_store.h"
 #include "support/test_section.h"
@@ -31,7 +33,8 @@
     asio::io_context context;
     ScriptedStore store{context};
     FleetView view;
-    StoreSync sync{context, store, view, "main", decodeVersion, makeTimes()};
+    BootClockAdapter clock;
+    StoreSync sync{context, store, clock, view, "main", decodeVersion, makeTimes()};
 
     bool reaches(uint64_t version)
     {
@@ -113,3 +116,31 @@
     cr_assert(fixture.reaches(4));
     cr_assert(fixture.view.findTable("s") == nullptr);
 }
+
+// Guards against requests to an evacuated failure domain after an interrupted watch, whatever
+// became of the evacuation meanwhile.
+Test(store_sync, evacuations_are_followed)
+{
+    Fixture fixture;
+    fixture.sync.watchEvacuations();
+    const EvacuationTable &evacuations = fixture.view.evacuations();
+    cr_assert(!evacuations.isKnown());
+    fixture.store.put(RecordKind::Evacuations, "north", "{}");
+    fixture.sync.start();
+    cr_assert(runUntilHolds(fixture.context, [&]() { return evacuations.isEvacuated("north"); }));
+    fixture.store.put(RecordKind::Evacuations, "south", "{}");
+    cr_assert(runUntilHolds(fixture.context, [&]() { return evacuations.isEvacuated("south"); }));
+    fixture.store.remove(RecordKind::Evacuations, "north");
+    cr_assert(runUntilHolds(fixture.context, [&]() { return !evacuations.isEvacuated("north"); }));
+
+    SECTION("one that ends while nothing is told, then the watch is interrupted")
+    {
+        fixture.store.muteWatches(true);
+        fixture.store.remove(RecordKind::Evacuations, "south");
+        fixture.store.put(RecordKind::Evacuations, "east", "{}");
+        fixture.store.interruptWatches();
+        cr_assert(
+                runUntilHolds(fixture.context, [&]() { return evacuations.isEvacuated("east"); }));
+        cr_assert(!evacuations.isEvacuated("south"));
+    }
+}
