--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -441,7 +441,7 @@
 // tolerates, whoever sends them.
 Test(request_router, a_cold_server_gets_no_more_requests_than_it_tolerates)
 {
-    Fixture fixture({{makeAnswer("x")}});
+    Fixture fixture({{answerWith("200 OK")}});
     fixture.gate.setColdLimits({2, 1, 1});
     BackendReport report;
     report.backend = "b-1";
@@ -472,7 +472,7 @@
 // that have not heard of it.
 Test(request_router, an_evacuated_server_gets_no_requests)
 {
-    Fixture fixture({{makeAnswer("x")}});
+    Fixture fixture({{answerWith("200 OK")}});
     EvacuationPhase phase = EvacuationPhase::None;
     fixture.gate.setEvacuationPhase([&](TimePoint) { return phase; });
     cr_assert_eq(fixture.ask().result_int(), 200U);
