--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -85,10 +85,11 @@
     load.set_running(admission_.running());
     // While the breaker is open or the limit is reached, the reported load is full, so that other
     // nodes avoid the server.
-    const bool blocked = breaker_.isOpen(now) || !limiter_.hasRoom(admission_.waiting(), now)
-                         || !hasColdRoom(now);
+    const size_t waiting = admission_.waiting();
+    const bool blocked = breaker_.isOpen(now) || !limiter_.hasRoom(waiting, now)
+                         || !coldLimiter_.hasRoom(monitor_.isCold(now), waiting, now);
     const uint32_t blockedSlots = blocked ? admission_.slots() : 0;
-    load.set_waiting(static_cast<uint32_t>(admission_.waiting()) + blockedSlots);
+    load.set_waiting(static_cast<uint32_t>(waiting) + blockedSlots);
     load.set_slots(admission_.slots());
     const auto service = std::chrono::duration_cast<milliseconds>(admission_.serviceTime());
     load.set_service_ms(static_cast<uint32_t>(service.count()));
@@ -108,11 +109,6 @@
     return phase == EvacuationPhase::Closed || (phase == EvacuationPhase::Leaving && !keyed);
 }
 
-bool BackendGate::hasColdRoom(TimePoint now) const
-{
-    return coldLimiter_.hasRoom(monitor_.isCold(now), admission_.waiting(), now);
-}
-
 void BackendGate::onEvacuated()
 {
     for (const auto &[id, call] : waiting_) {
@@ -174,12 +170,8 @@
         fillOutcome(reply, RequestStage::Received, RequestEnd::Overloaded);
         co_return;
     }
-    if (!limiter_.hasRoom(admission_.waiting(), clock_.now())) {
-        fillRateLimited(request, RequestStage::Received, reply);
-        co_return;
-    }
-    if (!hasColdRoom(clock_.now())) {
-        fillCold(request, RequestStage::Received, reply);
+    if (const auto retryAfter = rejectExcess(admission_.waiting(), clock_.now())) {
+        fillRateLimited(request, RequestStage::Received, *retryAfter, reply);
         co_return;
     }
     refusal = co_await awaitSlot(request, call, reply);
@@ -198,43 +190,38 @@
         wakeNext();
         co_return;
     }
-    // It may have turned cold while the request waited.
-    if (!coldLimiter_.hasRoom(monitor_.isCold(clock_.now()), 0, clock_.now())) {
-        admission_.onEnd(kindOf(request), std::nullopt);
-        fillCold(request, RequestStage::Queued, reply);
-        wakeNext();
-        co_return;
-    }
-    // The limit may have been named while the request waited.
-    if (!limiter_.tryTake(clock_.now())) {
+    // It may have named a limit or turned cold while the request waited.
+    if (const auto retryAfter = rejectExcess(0, clock_.now())) {
         admission_.onEnd(kindOf(request), std::nullopt);
-        fillRateLimited(request, RequestStage::Queued, reply);
+        fillRateLimited(request, RequestStage::Queued, *retryAfter, reply);
         wakeNext();
         co_return;
     }
+    (void)limiter_.tryTake(clock_.now());
     co_await sendToBackend(request, *call, reply);
 }
 
-void BackendGate::fillCold(const v1::HopRequest &request, RequestStage stage, v1::HopReply &reply)
+std::optional<milliseconds> BackendGate::rejectExcess(size_t reserved, TimePoint now)
 {
-    ++coldRefused_;
-    const TimePoint now = clock_.now();
-    fillOutcome(reply, stage, RequestEnd::RateLimited);
-    reply.set_retry_after_ms(coldLimiter_.retryAfter(now).count());
-    if (request.keyed()) {
-        ownership_.recordBusyTime(ShardKey(request.shard_key()), admission_.serviceTime(), now);
+    if (!coldLimiter_.hasRoom(monitor_.isCold(now), reserved, now)) {
+        ++coldRefused_;
+        return coldLimiter_.retryAfter(now);
+    }
+    if (!limiter_.hasRoom(reserved, now)) {
+        ++rateLimited_;
+        return limiter_.reject(now);
     }
+    return std::nullopt;
 }
 
 void BackendGate::fillRateLimited(const v1::HopRequest &request, RequestStage stage,
-                                  v1::HopReply &reply)
+                                  milliseconds retryAfter, v1::HopReply &reply)
 {
-    ++rateLimited_;
-    const TimePoint now = clock_.now();
     fillOutcome(reply, stage, RequestEnd::RateLimited);
-    reply.set_retry_after_ms(limiter_.reject(now).count());
+    reply.set_retry_after_ms(retryAfter.count());
     if (request.keyed()) {
-        ownership_.recordBusyTime(ShardKey(request.shard_key()), admission_.serviceTime(), now);
+        ownership_.recordBusyTime(ShardKey(request.shard_key()), admission_.serviceTime(),
+                                  clock_.now());
     }
 }
 
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -157,7 +157,6 @@
     RequestEnd check(const v1::HopRequest &request, const Call &call, TimePoint now) const;
     bool isWorking() const;
     bool isClosedByEvacuation(bool keyed, TimePoint now) const;
-    bool hasColdRoom(TimePoint now) const;
     void fillRefusal(const v1::HopRequest &request, const Call &call, RequestStage stage,
                      RequestEnd refusal, v1::HopReply &reply) const;
     void nameOwner(const v1::HopRequest &request, v1::HopReply &reply) const;
@@ -175,8 +174,11 @@
                      const BackendIncarnation &backend, TimePoint sentAt, TimePoint now);
     void updateLimit(const std::function<void()> &change);
     void followIncarnation(TimePoint now);
-    void fillCold(const v1::HopRequest &request, RequestStage stage, v1::HopReply &reply);
-    void fillRateLimited(const v1::HopRequest &request, RequestStage stage, v1::HopReply &reply);
+    /** Counts a request as rejected if the backend server takes none beside @p reserved ones, since
+     *  it is cold or names a limit. @return When its caller should retry; nullopt: it takes one. */
+    std::optional<milliseconds> rejectExcess(size_t reserved, TimePoint now);
+    void fillRateLimited(const v1::HopRequest &request, RequestStage stage, milliseconds retryAfter,
+                         v1::HopReply &reply);
     void recordLostRun(const v1::HopRequest &request, const Call &call,
                        const BackendIncarnation &backend, TimePoint suspectUntil);
     void reportCrashes(TimePoint now);
