Change: [Ranges] A hot key goes to the backend server that serves it best within half a second

Cause: load was looked at 3 s after the last move at the earliest, among three candidates drawn at random. A key stays hot for 4 to 5 s; its holder refused several times what it served meanwhile. Change: a key that alone keeps half of the slots of an overloaded holder busy moves to the best of all candidates, half a second after the last move; its load is forgotten at once. The gain must be a fifth of the utilisation if that is above 1, so that small differences of speed move nothing.

--- a/src/decision/range/key_load.cpp
+++ b/src/decision/range/key_load.cpp
@@ -68,6 +68,15 @@
     return found;
 }
 
+void KeyLoad::drop(const KeySpan &span)
+{
+    std::erase_if(weights_, [&](const auto &entry) {
+        const bool moved = span.contains(ShardKey(entry.first));
+        sum_ -= moved ? entry.second : 0;
+        return moved;
+    });
+}
+
 double KeyLoad::total(TimePoint now)
 {
     applyDecay(now);
--- a/src/decision/range/key_load.h
+++ b/src/decision/range/key_load.h
@@ -42,6 +42,9 @@
 
     double total(TimePoint now);
 
+    /** Forgets the load of the keys within @p span, which move to another node. */
+    void drop(const KeySpan &span);
+
 private:
     void applyDecay(TimePoint now);
 
--- a/src/decision/range/range_planner.cpp
+++ b/src/decision/range/range_planner.cpp
@@ -203,9 +203,6 @@
 
 } // namespace
 
-namespace {
-
-/** @return The move of the hottest key to the backend server that would be least busy with it. */
 std::optional<RangeMove> planHotKey(const RangeCandidate &self, const std::vector<KeyRate> &rates,
                                     const std::vector<RangeCandidate> &candidates,
                                     const BalanceLimits &limits)
@@ -218,7 +215,7 @@
         return std::nullopt;
     }
     const double before = self.busySlots / self.slots;
-    double best = before - limits.hotKeyGain;
+    double best = before - limits.hotKeyGain * std::max(1.0, before);
     std::optional<RangeMove> move;
     for (const RangeCandidate &candidate : candidates) {
         const bool known = candidate.serviceTime.count() > 0 && self.serviceTime.count() > 0;
@@ -236,8 +233,6 @@
     return move;
 }
 
-} // namespace
-
 std::optional<RangeMove> planInitialShare(const std::vector<KeySpan> &spans,
                                           const RangeCandidate &newcomer)
 {
--- a/src/decision/range/range_planner.h
+++ b/src/decision/range/range_planner.h
@@ -40,7 +40,7 @@
     double margin = 0.3;
     /**
      * Minimum by which the move of a hot key must reduce the utilisation of the busier of the two
-     * holders.
+     * holders; a share of that utilisation if it is above 1.
      */
     double hotKeyGain = 0.2;
     /** Share of the difference that is moved at once; moving all of it would cause oscillation. */
@@ -54,6 +54,9 @@
      * seconds, so an earlier second move would be based on the load from before the first one.
      */
     milliseconds pause{3000};
+    /** The same before the move of a hot key: it is measured within half a second, and stays hot
+     * for a few seconds only. */
+    milliseconds hotKeyPause{500};
 };
 
 /**
@@ -92,6 +95,14 @@
 std::optional<RangeMove> planInitialShare(const std::vector<KeySpan> &spans,
                                           const RangeCandidate &newcomer);
 
+/**
+ * Decides whether an overloaded holder moves its hottest key to the candidate that would be least
+ * busy with it. Only a key that keeps half of the slots busy moves alone.
+ */
+std::optional<RangeMove> planHotKey(const RangeCandidate &self, const std::vector<KeyRate> &rates,
+                                    const std::vector<RangeCandidate> &candidates,
+                                    const BalanceLimits &limits);
+
 /**
  * Decides whether a busy holder moves some of its keys to the least loaded candidate.
  *
--- a/src/duty/range_controller.cpp
+++ b/src/duty/range_controller.cpp
@@ -402,7 +402,8 @@
     if (grantManager_.hasLeaving()) {
         movedAt_ = now; // Load is judged only after a move has ended, however long that takes.
     }
-    if (isLeaving() || held.empty() || now - std::max(movedAt_, startedAt_) < limits.pause) {
+    const Duration sinceMove = now - std::max(movedAt_, startedAt_);
+    if (isLeaving() || held.empty() || sinceMove < limits.hotKeyPause) {
         return;
     }
     RangeCandidate self;
@@ -412,7 +413,19 @@
     const MemberRecord *own = view_.findMember(self_.node);
     self.slots = usableSlots(std::max<uint32_t>(1, monitor_.slots()),
                              own == nullptr ? std::nullopt : own->requestLimit, self.serviceTime);
+    const std::vector<KeyRate> rates = load_.rates(KeySpan{}, now);
     std::vector<RangeCandidate> others = candidates(now, false);
+    if (self.busySlots >= self.slots * limits.busyShare) {
+        if (const auto hotKey = planHotKey(self, rates, others, limits)) {
+            movedAt_ = now;
+            beginMove(*hotKey, "hot key", now);
+            load_.drop(hotKey->span);
+            return;
+        }
+    }
+    if (sinceMove < limits.pause) {
+        return;
+    }
     std::vector<RangeCandidate> newcomers;
     bool busiest = true;
     for (const RangeCandidate &other : others) {
@@ -429,8 +442,7 @@
         others = newcomers;
     }
     others = drawCandidates(std::move(others), BalanceSample, random_);
-    std::vector<RangeMove> moves
-            = planBalance(self, held, load_.rates(KeySpan{}, now), others, limits);
+    std::vector<RangeMove> moves = planBalance(self, held, rates, others, limits);
     if (moves.empty() && !newcomers.empty() && busiest) {
         if (const auto share = planInitialShare(held, newcomers.front())) {
             moves.push_back(*share);
--- a/test/unit/range/range_planner_test.cpp
+++ b/test/unit/range/range_planner_test.cpp
@@ -120,3 +120,31 @@
                                    BalanceLimits{});
     cr_assert(moves.size() == BalanceLimits{}.ranges);
 }
+
+// Guards against refused requests for as long as a key is hot: it lies at a slow backend server,
+// and a much faster one has room.
+Test(range_planner, a_hot_key_moves_to_the_server_that_serves_it_best)
+{
+    const std::vector<KeyRate> rates{{ShardKey(7), 30}};
+    RangeCandidate slow = makeCandidate(1, 36);
+    slow.serviceTime = milliseconds(320);
+    RangeCandidate fast = makeCandidate(2, 3);
+    fast.serviceTime = milliseconds(140);
+    RangeCandidate medium = makeCandidate(3, 0);
+    medium.serviceTime = milliseconds(300);
+    const auto move = planHotKey(slow, rates, {medium, fast}, BalanceLimits{});
+    cr_assert(move.has_value());
+    cr_assert(move->holder.node == NodeId(2));
+    cr_assert(move->span == (KeySpan{ShardKey(7), ShardKey(7)}));
+    SECTION("but not for a small gain: each move keeps the key unserved for a moment")
+    {
+        cr_assert(!planHotKey(slow, rates, {medium}, BalanceLimits{}).has_value());
+    }
+    SECTION("and not on, once it is there")
+    {
+        fast.busySlots = 16;
+        slow.busySlots = 6;
+        cr_assert(!planHotKey(fast, {{ShardKey(7), 13}}, {slow, medium}, BalanceLimits{})
+                           .has_value());
+    }
+}
