Add: [Signals] Failed watches of the configuration, calls carried out for other nodes, requests without a route

The logs could not tell whether a late configuration comes from one overloaded relay, from timeouts in series, or is there in time and not used. New lines: store-relaying (calls carried out for other nodes, once a second at most), config-sync-failed (call, cause, how long it took, time since the last confirmation), route-unknown (the version by which a 404 was given); config-in-force names the time since the last confirmation. No decision is changed.

--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -68,14 +68,17 @@
     RangesLeftOut,     ///< A heartbeat response was too small for all ranges to be held.
     MemberPublished,   ///< This node has written its member record, including the backend server.
     NodeFailed,        ///< Unhandled error; the process terminates.
-    NodeFenced,   ///< At another node's request, this node as witness no longer answers the fenced
-                  ///< node.
-    WatchSilent,  ///< Other nodes know of changes that this node's watch has not delivered.
-    FeederLost,   ///< The node that forwarded store changes to this one has stopped doing so.
-    StoreRelayed, ///< The store is accessed through another node.
-    EvacuationsChanged,    ///< Failure domains to which nothing is sent, as operators request.
-    BackendLimitChanged,   ///< The backend server names a limit of requests per second, or none any
-                           ///< more.
+    NodeFenced,    ///< At another node's request, this node as witness no longer answers the fenced
+                   ///< node.
+    WatchSilent,   ///< Other nodes know of changes that this node's watch has not delivered.
+    FeederLost,    ///< The node that forwarded store changes to this one has stopped doing so.
+    StoreRelayed,  ///< The store is accessed through another node.
+    StoreRelaying, ///< This node has carried out calls to the store for other nodes.
+    ConfigSyncFailed,    ///< A watch or a list of the configuration failed; with how long it took.
+    RouteUnknown,        ///< A request was refused because the configuration has no route for it.
+    EvacuationsChanged,  ///< Failure domains to which nothing is sent, as operators request.
+    BackendLimitChanged, ///< The backend server names a limit of requests per second, or none any
+                         ///< more.
     BackendLimitMalformed, ///< A limit in a response cannot be understood and is ignored.
     CrashSuspected,        ///< A backend server ended while this request was running there.
     CrashesRefused, ///< This request is no longer sent to backend servers, since several have ended
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -102,6 +102,11 @@
     const auto target = request.target();
     const Route *route = routes->find({host.data(), host.size()}, {target.data(), target.size()});
     if (route == nullptr) {
+        if (unknownRoutes_.tryTake(clock_.now())) {
+            unknownRoutes_.log({{"host", std::string_view(host.data(), host.size())},
+                                {"target", std::string_view(target.data(), target.size())},
+                                {"config", routes->version()}});
+        }
         co_return refuse(http::status::not_found, "no-route", "No route matches the request.",
                          milliseconds(0));
     }
--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -150,6 +150,7 @@
     /// Lines of about 300 bytes: at most 60 KB/s. A node of the users' sites answers 30 to 60
     /// requests per second and stays below this limit.
     RateLimitedEvent lines_{LogEvent::RequestEnded, 200, 400};
+    RateLimitedEvent unknownRoutes_{LogEvent::RouteUnknown, 20, 40};
     Histogram *duration_ = nullptr;
     RevisionExchange *revisions_ = nullptr;
     /** A request that waits for a new owner of its key. */
--- a/src/duty/store_relay.cpp
+++ b/src/duty/store_relay.cpp
@@ -246,8 +246,20 @@
     co_return reply.SerializeAsString();
 }
 
+void RelayedStore::countRelayed(TimePoint now)
+{
+    ++relayedCalls_;
+    if (relayedLoggedAt_ != NeverTime && now - relayedLoggedAt_ < times_.logInterval) {
+        return;
+    }
+    logEvent(LogEvent::StoreRelaying, {{"calls", relayedCalls_ - loggedCalls_}});
+    loggedCalls_ = relayedCalls_;
+    relayedLoggedAt_ = now;
+}
+
 boost::asio::awaitable<v1::StoreReply> RelayedStore::execute(v1::StoreRequest request)
 {
+    countRelayed(clock_.now());
     v1::StoreReply reply;
     const auto kind = static_cast<RecordKind>(request.kind());
     const StoreRevision expected(request.revision());
--- a/src/duty/store_relay.h
+++ b/src/duty/store_relay.h
@@ -20,6 +20,8 @@
     /** Between two lists while watches are not available. */
     milliseconds listInterval{1000};
     milliseconds callTimeout{1000};
+    /** Minimum interval between two log lines on calls carried out for other nodes. */
+    milliseconds logInterval{1000};
 };
 
 /**
@@ -43,6 +45,9 @@
                                    std::string content) override;
     Pending<RecordChanges> watch(RecordKind kind, StoreRevision since, milliseconds wait) override;
 
+    /** @return Number of calls carried out for other nodes. */
+    uint64_t relayedCalls() const { return relayedCalls_; }
+
 private:
     Pending<v1::StoreReply> relay(v1::StoreRequest request);
     Pending<StoreRevision> relayWrite(v1::StoreRequest request);
@@ -51,6 +56,7 @@
     boost::asio::awaitable<v1::StoreReply> execute(v1::StoreRequest request);
     bool isDirect() const { return clock_.now() >= nextDirectAttempt_; }
     bool updateDirectAccess(const Failure *failure);
+    void countRelayed(TimePoint now);
 
     RecordStore &direct_;
     const Clock &clock_;
@@ -61,6 +67,9 @@
     TimePoint nextDirectAttempt_ = NeverTime; ///< When direct access is tried again.
     TimePoint nextRelayAttempt_ = NeverTime;  ///< When other nodes are asked again.
     NodeId relayNode_;                        ///< The node that relayed last.
+    uint64_t relayedCalls_ = 0;               ///< Carried out for other nodes.
+    uint64_t loggedCalls_ = 0;                ///< Those of them that have been logged.
+    TimePoint relayedLoggedAt_ = NeverTime;   ///< Time of that line.
 };
 
 } // namespace wisteriahoist
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -80,6 +80,8 @@
     milliseconds pause = times_.firstPause;
     while (true) {
         Result<StoreRevision> next = Failure{};
+        const TimePoint begun = clock_.now();
+        const std::string_view call = at ? "watch" : "list";
         if (at) {
             next = co_await watch(kind, *at);
         } else {
@@ -87,6 +89,9 @@
         }
         if (next) {
             updateAvailability(kind, nullptr);
+            if (kind == RecordKind::Configuration) {
+                configConfirmedAt_ = clock_.now();
+            }
             at = next.assume_value();
             pause = times_.firstPause;
             co_await sleepFor(gapAfter(kind));
@@ -97,6 +102,9 @@
         // list returns the current state at once.
         at.reset();
         const Failure &failure = next.assume_error();
+        if (kind == RecordKind::Configuration) {
+            logFailedConfigSync(call, failure, begun);
+        }
         if (failure.code == FailureCode::HistoryGone) {
             continue;
         }
@@ -197,7 +205,9 @@
         const uint64_t version = config.assume_value().version;
         const bool newer = view_.onConfig(std::move(config.assume_value()));
         logEvent(newer ? LogEvent::ConfigInForce : LogEvent::ConfigRefused,
-                 {{"version", version}, {"revision", record.revision.value()}});
+                 {{"version", version},
+                  {"revision", record.revision.value()},
+                  {"unconfirmed_ms", configUnconfirmedFor(clock_.now()).count()}});
         return;
     }
     if (kind == RecordKind::Members) {
@@ -219,6 +229,24 @@
     }
 }
 
+milliseconds StoreSync::configUnconfirmedFor(TimePoint now) const
+{
+    return configConfirmedAt_ == NeverTime
+                   ? milliseconds(0)
+                   : std::chrono::duration_cast<milliseconds>(now - configConfirmedAt_);
+}
+
+void StoreSync::logFailedConfigSync(std::string_view call, const Failure &failure,
+                                    TimePoint begun) const
+{
+    const TimePoint now = clock_.now();
+    const auto took = std::chrono::duration_cast<milliseconds>(now - begun);
+    logEvent(LogEvent::ConfigSyncFailed, {{"call", call},
+                                          {"cause", failure.context},
+                                          {"took_ms", took.count()},
+                                          {"unconfirmed_ms", configUnconfirmedFor(now).count()}});
+}
+
 void StoreSync::updateAvailability(RecordKind kind, const Failure *failure)
 {
     const bool lost = failure != nullptr;
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -79,6 +79,9 @@
     void applyRecord(RecordKind kind, const StoredRecord &record);
     void applyRemoval(RecordKind kind, const std::string &name);
     void updateAvailability(RecordKind kind, const Failure *failure);
+    /** @return Time since the configuration was last confirmed to be the newest; 0: never yet. */
+    milliseconds configUnconfirmedFor(TimePoint now) const;
+    void logFailedConfigSync(std::string_view call, const Failure &failure, TimePoint begun) const;
 
     boost::asio::io_context &context_;
     RecordStore &store_;
@@ -99,6 +102,7 @@
     std::map<RecordKind, WatchLag> lags_;
     std::set<RecordKind> catchingUp_; ///< Kinds that are listed while their watch waits.
     bool unavailable_ = false;
+    TimePoint configConfirmedAt_ = NeverTime; ///< Of the last watch or list of the configuration.
 };
 
 } // namespace wisteriahoist
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -367,6 +367,9 @@
           "Different requests that are rejected because backend servers have crashed under them.",
           [this]() { return crashes_.refusedRequests(clock_.now()); });
     registerStoreCalls();
+    counter("wisteriahoist_store_calls_relayed_total",
+            "Calls to the platform's store carried out for other nodes.",
+            [this]() { return relay_.relayedCalls(); });
     counter("wisteriahoist_log_lines_dropped_total", "Request log lines dropped by the rate limit.",
             [this]() { return router_.droppedLines(); });
     router_.observeWith(metrics_.addHistogram("wisteriahoist_request_seconds",
