--- a/src/duty/shared_watch.h
+++ b/src/duty/shared_watch.h
@@ -45,6 +45,10 @@
     /** How long a call waits for a stale feeder: a node that replaces a lost feeder has to list
      *  first. */
     milliseconds freshnessTimeout{150};
+
+    /** @return The greatest age of a follower's configuration at the end of a call to its feeder,
+     *          if every limit is reached. */
+    milliseconds maxFollowedConfigAge() const { return configWait + margin + followTimeout; }
 };
 
 /**
--- a/test/unit/store/store_relay_test.cpp
+++ b/test/unit/store/store_relay_test.cpp
@@ -43,6 +43,29 @@
     RelayedStore helper{whole, clock, helperPeers, helperView, NodeId(2)};
 };
 
+/** A node with a link to the others and access to the store through them. */
+struct Relay {
+    Relay(asio::io_context &context, ScriptedStore &direct, const Clock &clock, FleetView &view,
+          NodeId id)
+        : node(id), peers(context, "127.0.0.1", 0), store(direct, clock, peers, view, id)
+    {
+        peers.start();
+    }
+
+    MemberRecord member() const
+    {
+        MemberRecord record;
+        record.node = node;
+        record.ip = "127.0.0.1";
+        record.peerPort = peers.port();
+        return record;
+    }
+
+    NodeId node;
+    PeerLink peers;
+    RelayedStore store;
+};
+
 } // namespace
 
 // The store rejects one node for longer than its lease lasts. Without a relay the node would stop
@@ -86,3 +109,32 @@
     const auto read = fixture.run(fixture.store.read(RecordKind::Members, "m"));
     cr_assert(read.has_value() && read.assume_value().content == "own");
 }
+
+// Guards against one node that carries out the calls of all nodes that the store rejects: it has no
+// processor time left, their calls time out, and a changed configuration reaches them seconds late.
+Test(store_relay, calls_of_many_nodes_are_relayed_by_different_nodes)
+{
+    constexpr uint64_t HelperCount = 6;
+    constexpr uint64_t RejectedCount = 48;
+    asio::io_context context;
+    BootClockAdapter clock;
+    FleetView view;
+    ScriptedStore whole(context);
+    whole.put(RecordKind::Configuration, "main", "1");
+    ScriptedStore cut(context);
+    cut.setDown(true);
+    std::vector<std::unique_ptr<Relay>> helpers;
+    for (uint64_t id = 1; id <= HelperCount; ++id) {
+        helpers.push_back(std::make_unique<Relay>(context, whole, clock, view, NodeId(id)));
+        view.onMember(helpers.back()->member(), StoreRevision(id));
+    }
+    for (uint64_t id = HelperCount + 1; id <= HelperCount + RejectedCount; ++id) {
+        Relay rejected(context, cut, clock, view, NodeId(id));
+        cr_assert(runUntil(context, rejected.store.list(RecordKind::Configuration)).has_value());
+    }
+    uint64_t most = 0;
+    for (const auto &helper : helpers) {
+        most = std::max(most, helper->store.relayedCalls());
+    }
+    cr_assert_leq(most, 2 * RejectedCount / HelperCount);
+}
--- a/test/unit/store/store_sync_test.cpp
+++ b/test/unit/store/store_sync_test.cpp
@@ -107,6 +107,28 @@
     }
 }
 
+// Guards against a configuration that is in use seconds after it was replaced at nodes of a large
+// fleet whose watch is silent, while all others have the new one and say so in their replies.
+Test(store_sync, large_fleet_detects_a_silent_watch_of_the_configuration)
+{
+    Fixture fixture;
+    fixture.store.put(RecordKind::Configuration, "main", "4");
+    fixture.sync.start();
+    cr_assert(fixture.reaches(4));
+    const SyncTimes times = makeTimes();
+    for (uint64_t id = 1; id <= times.minMembers; ++id) {
+        MemberRecord member;
+        member.node = NodeId(id);
+        fixture.view.onMember(member, StoreRevision(id));
+    }
+    fixture.store.muteWatches(true);
+    const StoreRevision missed = fixture.store.put(RecordKind::Configuration, "main", "7");
+    const TimePoint begun{milliseconds(100)};
+    fixture.sync.onPeerRevisions({{RecordKind::Configuration, missed}}, begun);
+    fixture.sync.onPeerRevisions({{RecordKind::Configuration, missed}}, begun + times.maxLag);
+    cr_assert(fixture.reaches(7));
+}
+
 Test(store_sync, malformed_record_is_ignored)
 {
     Fixture fixture;
