Fix: [Store relay] Each node chooses its relays in an order of its own; one that has failed is skipped for a while

Callers got answers by a configuration that was seconds old while the store rejected some of the nodes. Lists timed out there, three in a row counted as an outage of the store, and the next attempt asked the same three again.

--- a/src/decision/member/feeder_choice.cpp
+++ b/src/decision/member/feeder_choice.cpp
@@ -2,7 +2,7 @@
 
 #include "decision/member/feeder_choice.h"
 
-#include "core/hash_func.h"
+#include "decision/member/node_rank.h"
 
 #include <algorithm>
 #include <vector>
@@ -11,11 +11,6 @@
 
 namespace {
 
-uint64_t rankHash(NodeId node, uint64_t seed)
-{
-    return hashKey(std::to_string(node.value()), seed).value();
-}
-
 /** @return The feeders of a fleet, strongest first. @param isUsable Whether a node may be one. */
 std::vector<const MemberRecord *> findFeeders(const std::map<NodeId, MemberRecord> &members,
                                               const std::function<bool(NodeId)> &isUsable,
@@ -35,7 +30,7 @@
         if (left->cpuShare != right->cpuShare) {
             return left->cpuShare > right->cpuShare;
         }
-        return rankHash(left->node, 0) < rankHash(right->node, 0);
+        return rankNode(left->node, 0) < rankNode(right->node, 0);
     };
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(wanted), ranked.end(),
                       isStronger);
@@ -56,7 +51,7 @@
     const MemberRecord *best = nullptr;
     const auto rankOf = [&](const MemberRecord *feeder) {
         return std::pair(feeder->failureDomain != failureDomain,
-                         rankHash(feeder->node, self.value()));
+                         rankNode(feeder->node, self.value()));
     };
     const auto mayFeed = [&](NodeId node) { return node == self || isUsable(node); };
     for (const MemberRecord *feeder : findFeeders(members, mayFeed, limits)) {
--- a/src/duty/store_relay.cpp
+++ b/src/duty/store_relay.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr std::string_view StorePath = "/store";
-constexpr size_t MaxRelaysTried = 3; ///< Before the store is considered down for all nodes.
 
 enum class RelayCall : uint32_t { List = 1, Read, Create, Replace };
 
@@ -71,7 +70,7 @@
 
 RelayedStore::RelayedStore(RecordStore &direct, const Clock &clock, PeerLink &peers,
                            FleetView &view, NodeId self)
-    : direct_(direct), clock_(clock), peers_(peers), view_(view), self_(self)
+    : direct_(direct), clock_(clock), peers_(peers), view_(view), choice_(self)
 {
     peers_.serve(std::string(StorePath),
                  [this](std::string body) { return serve(std::move(body)); });
@@ -111,27 +110,26 @@
         co_return Failure{FailureCode::Unavailable, "store unavailable: other nodes could not "
                                                     "reach it either; not asking them again yet"};
     }
-    std::vector<MemberRecord> relays;
-    for (const auto &[node, member] : view_.members()) {
-        if (node != self_ && !member.stopping) {
-            relays.insert(node == relayNode_ ? relays.begin() : relays.end(), member);
-        }
-    }
     const std::string body = request.SerializeAsString();
-    for (size_t index = 0; index < std::min(relays.size(), MaxRelaysTried); ++index) {
-        Result<v1::StoreReply> reply = co_await callRelay(relays[index], body);
-        if (reply) {
-            if (relayNode_ != relays[index].node) {
-                relayNode_ = relays[index].node;
-                logEvent(LogEvent::StoreRelayed, {{"through", relays[index].name}});
-            }
-            if (const auto failure = failureOf(reply.assume_value())) {
-                co_return *failure;
-            }
-            co_return std::move(reply.assume_value());
+    for (const NodeId node : choice_.candidates(view_.members(), clock_.now())) {
+        const MemberRecord *member = view_.findMember(node);
+        if (member == nullptr) {
+            continue; // Removed during an earlier call.
+        }
+        const std::string name = member->name;
+        Result<v1::StoreReply> reply = co_await callRelay(*member, body);
+        if (!reply) {
+            choice_.onFailure(node, clock_.now());
+            continue;
+        }
+        if (choice_.onSuccess(node)) {
+            logEvent(LogEvent::StoreRelayed, {{"through", name}});
+        }
+        if (const auto failure = failureOf(reply.assume_value())) {
+            co_return *failure;
         }
+        co_return std::move(reply.assume_value());
     }
-    relayNode_ = InvalidNode;
     nextRelayAttempt_ = clock_.now() + times_.relayRetryDelay;
     co_return Failure{FailureCode::Unavailable, "store unavailable: no other node could reach it"};
 }
--- a/src/duty/store_relay.h
+++ b/src/duty/store_relay.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "decision/member/relay_choice.h"
 #include "duty/fleet_view.h"
 #include "duty/peer_link.h"
 #include "port/clock.h"
@@ -62,11 +63,10 @@
     const Clock &clock_;
     PeerLink &peers_;
     FleetView &view_;
-    NodeId self_;
+    RelayChoice choice_;
     RelayTimes times_;
     TimePoint nextDirectAttempt_ = NeverTime; ///< When direct access is tried again.
     TimePoint nextRelayAttempt_ = NeverTime;  ///< When other nodes are asked again.
-    NodeId relayNode_;                        ///< The node that relayed last.
     uint64_t relayedCalls_ = 0;               ///< Carried out for other nodes.
     uint64_t loggedCalls_ = 0;                ///< Those of them that have been logged.
     TimePoint relayedLoggedAt_ = NeverTime;   ///< Time of that line.
