Fix: [Store sync] A node that is behind reads the configuration from the node that names a newer one

Callers got answers by a configuration that had been replaced seconds before, at nodes whose feeder was lost, whose watch was silent or which the store rejected, while most others had the new one. Cause: in a fleet of 20 nodes or more a node ignored the revisions that others name in their replies, and while the store was unavailable in any fleet. So each way to the configuration led through one feeder, or one relay after the other, and nothing ran beside it.

A node that is behind a named revision for 0.5 s now reads the record from the node that named it, in fleets of any size and whether or not it reaches the store. Only a configuration that is in force is named, so one that can't be read is not asked for again and again. config-in-force names its source. Behind for a short time is now 0.5 s for the configuration (1 s before), and the test of that uses the new limit.

--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -447,7 +447,7 @@
     }
     const TimePoint now = clock_.now();
     loads_.onReply(member.node, reply, reached, now);
-    readRevisions(reply, now);
+    readRevisions(member.node, reply, now);
     co_return reply;
 }
 
@@ -459,7 +459,7 @@
     const bool answered = answer && reply.ParseFromString(answer.assume_value());
     const TimePoint now = clock_.now();
     loads_.onReply(member.node, reply, answered, now);
-    readRevisions(reply, now);
+    readRevisions(member.node, reply, now);
     co_return answered;
 }
 
@@ -475,13 +475,14 @@
     reply.mutable_news()->set_evacuations(known[RecordKind::Evacuations].value());
 }
 
-void RequestRouter::readRevisions(const v1::HopReply &reply, TimePoint now)
+void RequestRouter::readRevisions(NodeId peer, const v1::HopReply &reply, TimePoint now)
 {
     if (revisions_ == nullptr || !reply.has_news()) {
         return;
     }
     const v1::StoreNews &received = reply.news();
     revisions_->onPeerRevisions(
+            peer,
             {{RecordKind::Configuration, StoreRevision(received.configuration())},
              {RecordKind::Members, StoreRevision(received.members())},
              {RecordKind::Ranges, StoreRevision(received.ranges())},
--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -110,7 +110,7 @@
     asio::awaitable<std::string> onHop(std::string body);
     asio::awaitable<std::string> onProbe();
     void addRevisions(v1::HopReply &reply) const;
-    void readRevisions(const v1::HopReply &reply, TimePoint now);
+    void readRevisions(NodeId peer, const v1::HopReply &reply, TimePoint now);
     asio::awaitable<void> awaitRouting(std::shared_ptr<RequestState> state);
     asio::awaitable<void> sendCancel(NodeId target, uint64_t requestId);
     const RangeEntry *findOwner(const RequestState &state) const;
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -5,6 +5,7 @@
 #include "adapter/clock/sleep_func.h"
 #include "adapter/codec/record_codec.h"
 #include "adapter/log/event_log.h"
+#include "wisteriahoist/v1/control.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,6 +18,7 @@
 
 /** The only kind that is retried while the store is unavailable: rejected calls have a cost too. */
 constexpr RecordKind ProbingKind = RecordKind::Configuration;
+constexpr std::string_view ConfigPath = "/config";
 
 } // namespace
 
@@ -37,24 +39,38 @@
 {
     for (const RecordKind kind : kinds_) {
         const auto loop = [this, kind]() { return run(kind); };
-        lags_.try_emplace(kind, times_.maxLag);
+        lags_.try_emplace(kind,
+                          kind == RecordKind::Configuration ? times_.maxConfigLag : times_.maxLag);
         asio::co_spawn(context_, loop, asio::detached);
     }
 }
 
-void StoreSync::onPeerRevisions(const KnownRevisions &news, TimePoint now)
+void StoreSync::exchangeConfig(PeerCalls &peers)
+{
+    peers_ = &peers;
+    peers.serve(std::string(ConfigPath),
+                [this](std::string body) { return serveConfig(std::move(body)); });
+}
+
+bool StoreSync::isCaughtUpByCall(RecordKind kind) const
+{
+    // In a large fleet the watches of the other kinds are short anyway; while the store is
+    // unavailable the loop lists.
+    return kind == RecordKind::Configuration
+           || (!unavailable_ && view_.members().size() < times_.minMembers);
+}
+
+void StoreSync::onPeerRevisions(NodeId peer, const KnownRevisions &news, TimePoint now)
 {
-    // In a large fleet watches are short anyway; while the store is unavailable the loop lists.
-    if (unavailable_ || view_.members().size() >= times_.minMembers) {
-        return;
-    }
     for (const auto &[kind, newest] : news) {
         const auto lag = lags_.find(kind);
-        const bool behind = lag != lags_.end() && lag->second.onPeerRevisions(newest, now);
+        const bool behind = lag != lags_.end() && isCaughtUpByCall(kind)
+                            && lag->second.onPeerRevisions(newest, now);
         if (behind && catchingUp_.insert(kind).second) {
-            logEvent(LogEvent::WatchSilent,
-                     {{"kind", std::string(recordKindName(kind))}, {"missed", newest.value()}});
-            asio::co_spawn(context_, catchUp(kind), asio::detached);
+            logEvent(LogEvent::WatchSilent, {{"kind", std::string(recordKindName(kind))},
+                                             {"missed", newest.value()},
+                                             {"node", peer.value()}});
+            asio::co_spawn(context_, catchUp(kind, peer), asio::detached);
         }
     }
 }
@@ -62,18 +78,60 @@
 void StoreSync::onRecord(RecordKind kind, const StoredRecord &record)
 {
     if (kind == RecordKind::Members || kind == RecordKind::Ranges) {
-        applyRecord(kind, record);
+        applyRecord(kind, record, "conflict");
     }
 }
 
-/** Lists the records while the silent watch continues until its timeout. */
-asio::awaitable<void> StoreSync::catchUp(RecordKind kind)
+/** Reads what the silent watch has missed; the watch continues until its timeout. After a failure
+ *  the lag persists, and the next reply of another node repeats this. */
+asio::awaitable<void> StoreSync::catchUp(RecordKind kind, NodeId peer)
 {
-    (void)co_await list(kind); // After a failure the lag persists, and the list is repeated.
-    co_await sleepFor(times_.maxPause);
+    if (kind == RecordKind::Configuration && peers_ != nullptr) {
+        (void)co_await readConfigFrom(peer);
+        co_await sleepFor(times_.peerReadPause);
+    } else {
+        (void)co_await list(kind);
+        co_await sleepFor(times_.maxPause);
+    }
     catchingUp_.erase(kind);
 }
 
+/** @return Whether the peer had a newer configuration. */
+asio::awaitable<bool> StoreSync::readConfigFrom(NodeId peer)
+{
+    const MemberRecord *member = view_.findMember(peer);
+    if (member == nullptr) {
+        co_return false;
+    }
+    v1::ConfigRequest request;
+    request.set_known(config_.revision.value());
+    const MemberRecord copy = *member;
+    std::string body = request.SerializeAsString();
+    const Result<std::string> bytes
+            = co_await peers_->call(copy, ConfigPath, std::move(body), times_.peerReadTimeout);
+    v1::ConfigReply reply;
+    if (!bytes || !reply.ParseFromString(bytes.assume_value()) || !reply.has_record()) {
+        co_return false;
+    }
+    const v1::StoreRecord &record = reply.record();
+    const StoreRevision revision(record.revision());
+    applyRecord(RecordKind::Configuration, {record.name(), revision, record.content()}, "peer");
+    lags_.at(RecordKind::Configuration).onPosition(revision);
+    co_return true;
+}
+
+asio::awaitable<std::string> StoreSync::serveConfig(std::string body) const
+{
+    v1::ConfigRequest request;
+    v1::ConfigReply reply;
+    if (request.ParseFromString(body) && config_.revision > StoreRevision(request.known())) {
+        reply.mutable_record()->set_name(config_.name);
+        reply.mutable_record()->set_revision(config_.revision.value());
+        reply.mutable_record()->set_content(config_.content);
+    }
+    co_return reply.SerializeAsString();
+}
+
 asio::awaitable<void> StoreSync::run(RecordKind kind)
 {
     std::optional<StoreRevision> at;
@@ -168,7 +226,7 @@
         return;
     }
     for (const StoredRecord &record : listing.records) {
-        applyRecord(kind, record);
+        applyRecord(kind, record, "list");
     }
 }
 
@@ -185,31 +243,21 @@
         if (change.removed) {
             applyRemoval(kind, change.record.name);
         } else {
-            applyRecord(kind, change.record);
+            applyRecord(kind, change.record, "watch");
         }
     }
 }
 
-void StoreSync::applyRecord(RecordKind kind, const StoredRecord &record)
+/** @param source By which call it came: "list", "watch", "conflict" or "peer". */
+void StoreSync::applyRecord(RecordKind kind, const StoredRecord &record, std::string_view source)
 {
-    newest_[kind] = std::max(newest_[kind], record.revision);
     if (kind == RecordKind::Configuration) {
-        if (record.name != configName_) {
-            return;
-        }
-        Result<RouteConfig> config = decodeConfig_(record.content);
-        if (!config) {
-            logMalformedRecord(kind, record.name, config.assume_error());
-            return;
+        if (record.name == configName_) {
+            applyConfig(record, source);
         }
-        const uint64_t version = config.assume_value().version;
-        const bool newer = view_.onConfig(std::move(config.assume_value()));
-        logEvent(newer ? LogEvent::ConfigInForce : LogEvent::ConfigRefused,
-                 {{"version", version},
-                  {"revision", record.revision.value()},
-                  {"unconfirmed_ms", configUnconfirmedFor(clock_.now()).count()}});
         return;
     }
+    newest_[kind] = std::max(newest_[kind], record.revision);
     if (kind == RecordKind::Members) {
         Result<MemberRecord> member = decodeMember(record.content);
         if (!member) {
@@ -222,6 +270,26 @@
     view_.onRangeRecord(record);
 }
 
+void StoreSync::applyConfig(const StoredRecord &record, std::string_view source)
+{
+    Result<RouteConfig> config = decodeConfig_(record.content);
+    if (!config) {
+        logMalformedRecord(RecordKind::Configuration, record.name, config.assume_error());
+        return;
+    }
+    const uint64_t version = config.assume_value().version;
+    const bool newer = view_.onConfig(std::move(config.assume_value()));
+    if (newer) {
+        config_ = record;
+        newest_[RecordKind::Configuration] = record.revision;
+    }
+    logEvent(newer ? LogEvent::ConfigInForce : LogEvent::ConfigRefused,
+             {{"version", version},
+              {"revision", record.revision.value()},
+              {"source", source},
+              {"unconfirmed_ms", configUnconfirmedFor(clock_.now()).count()}});
+}
+
 void StoreSync::applyRemoval(RecordKind kind, const std::string &name)
 {
     if (kind == RecordKind::Members) {
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -5,6 +5,7 @@
 #include "duty/fleet_view.h"
 #include "duty/watch_lag.h"
 #include "port/clock.h"
+#include "port/peer_calls.h"
 #include "port/revision_exchange.h"
 
 #include <boost/asio/io_context.hpp>
@@ -46,6 +47,13 @@
      * limit, keys were refused for 17 s after a connection to the store had stopped delivering.
      */
     milliseconds maxLag{1000};
+    /**
+     * The same for the configuration, in a fleet of any size: it is then read from the node that
+     * has named the newer revision. That way needs neither the store nor a feeder.
+     */
+    milliseconds maxConfigLag{500};
+    milliseconds peerReadTimeout{500};
+    milliseconds peerReadPause{200}; ///< Until another node is asked after a failure.
 };
 
 /** Runs one loop per kind of record: list, then watch from the listed revision; after a failure,
@@ -62,21 +70,32 @@
 
     void start();
 
+    /**
+     * Reads a newer configuration from the node that has named it, and answers such calls of
+     * others. Without this, it is listed from the store. @pre start() has not been called.
+     */
+    void exchangeConfig(PeerCalls &peers);
+
     /** Applies a record that the store returned outside of a watch. */
     void onRecord(RecordKind kind, const StoredRecord &record);
 
     KnownRevisions news() const override { return newest_; }
-    void onPeerRevisions(const KnownRevisions &news, TimePoint now) override;
+    void onPeerRevisions(NodeId peer, const KnownRevisions &news, TimePoint now) override;
 
 private:
-    boost::asio::awaitable<void> catchUp(RecordKind kind);
+    boost::asio::awaitable<void> catchUp(RecordKind kind, NodeId peer);
+    boost::asio::awaitable<bool> readConfigFrom(NodeId peer);
+    boost::asio::awaitable<std::string> serveConfig(std::string body) const;
+    /** @return Whether a record of @p kind that this node misses is read by a call of its own. */
+    bool isCaughtUpByCall(RecordKind kind) const;
     boost::asio::awaitable<void> run(RecordKind kind);
     boost::asio::awaitable<Result<StoreRevision>> list(RecordKind kind);
     boost::asio::awaitable<Result<StoreRevision>> watch(RecordKind kind, StoreRevision since);
     milliseconds gapAfter(RecordKind kind);
     void applyListing(RecordKind kind, const RecordListing &listing);
     void applyChanges(RecordKind kind, const RecordChanges &changes);
-    void applyRecord(RecordKind kind, const StoredRecord &record);
+    void applyRecord(RecordKind kind, const StoredRecord &record, std::string_view source);
+    void applyConfig(const StoredRecord &record, std::string_view source);
     void applyRemoval(RecordKind kind, const std::string &name);
     void updateAvailability(RecordKind kind, const Failure *failure);
     /** @return Time since the configuration was last confirmed to be the newest; 0: never yet. */
@@ -100,7 +119,9 @@
     std::vector<RecordKind> kinds_{RecordKind::Configuration, RecordKind::Members,
                                    RecordKind::Ranges}; ///< Kinds that are watched.
     std::map<RecordKind, WatchLag> lags_;
-    std::set<RecordKind> catchingUp_; ///< Kinds that are listed while their watch waits.
+    std::set<RecordKind> catchingUp_; ///< Kinds that are read while their watch waits.
+    PeerCalls *peers_ = nullptr;      ///< nullptr: configurations are not exchanged.
+    StoredRecord config_;             ///< Record of the configuration in force.
     bool unavailable_ = false;
     TimePoint configConfirmedAt_ = NeverTime; ///< Of the last watch or list of the configuration.
 };
--- a/src/port/revision_exchange.h
+++ b/src/port/revision_exchange.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "core/id_type.h"
 #include "core/time_type.h"
 #include "port/record_store.h"
 
@@ -22,8 +23,8 @@
     /** @return The latest revisions that this node knows, to be sent to a peer. */
     virtual KnownRevisions news() const = 0;
 
-    /** Handles the revisions received from a peer, which may be ahead of this node's. */
-    virtual void onPeerRevisions(const KnownRevisions &revisions, TimePoint now) = 0;
+    /** Handles the revisions received from @p peer, which may be ahead of this node's. */
+    virtual void onPeerRevisions(NodeId peer, const KnownRevisions &revisions, TimePoint now) = 0;
 };
 
 } // namespace wisteriahoist
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -149,6 +149,7 @@
     });
     gate_.onMonitorChange([this]() { onBackendChange(); });
     gate_.onConnectionFailure([this]() { healthChecker_.requestCheck(); });
+    sync_.exchangeConfig(peers_);
     router_.setRevisionExchange(sync_);
     ports_.store.onConflict(
             [this](RecordKind kind, const StoredRecord &record) { sync_.onRecord(kind, record); });
--- a/test/unit/store/store_sync_test.cpp
+++ b/test/unit/store/store_sync_test.cpp
@@ -3,10 +3,13 @@
 #include "duty/store_sync.h"
 
 #include "adapter/clock/boot_clock_adapter.h"
+#include "duty/peer_link.h"
 #include "support/scripted_backend.h"
 #include "support/scripted_store.h"
 #include "support/test_section.h"
 
+#include <charconv>
+
 using namespace wisteriahoist;
 using namespace wisteriahoist::testing;
 
@@ -16,7 +19,10 @@
 Result<RouteConfig> decodeVersion(std::string_view content)
 {
     RouteConfig config;
-    config.version = std::stoull(std::string(content));
+    const char *const end = content.data() + content.size();
+    if (std::from_chars(content.data(), end, config.version).ptr != end) {
+        return Failure{FailureCode::Malformed, "not a version"};
+    }
     return config;
 }
 
@@ -92,16 +98,17 @@
 
     SECTION("a watch may be behind for a short time")
     {
-        fixture.sync.onPeerRevisions({{RecordKind::Configuration, missed}}, begun);
-        fixture.sync.onPeerRevisions({{RecordKind::Configuration, missed}},
-                                     begun + times.maxLag - milliseconds(1));
+        fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, missed}}, begun);
+        fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, missed}},
+                                     begun + times.maxConfigLag - milliseconds(1));
         fixture.context.restart();
         fixture.context.run_for(milliseconds(20));
         cr_assert_eq(fixture.view.routes().version(), 4U);
     }
     SECTION("after that the records are listed")
     {
-        fixture.sync.onPeerRevisions({{RecordKind::Configuration, missed}}, begun + times.maxLag);
+        fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, missed}},
+                                     begun + times.maxConfigLag);
         cr_assert(fixture.reaches(7));
         cr_assert(fixture.sync.news().at(RecordKind::Configuration) == missed);
     }
@@ -124,9 +131,59 @@
     fixture.store.muteWatches(true);
     const StoreRevision missed = fixture.store.put(RecordKind::Configuration, "main", "7");
     const TimePoint begun{milliseconds(100)};
-    fixture.sync.onPeerRevisions({{RecordKind::Configuration, missed}}, begun);
-    fixture.sync.onPeerRevisions({{RecordKind::Configuration, missed}}, begun + times.maxLag);
+    fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, missed}}, begun);
+    fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, missed}},
+                                 begun + times.maxConfigLag);
+    cr_assert(fixture.reaches(7));
+}
+
+// Guards against an old configuration at a node that the store rejects, though other nodes have the
+// new one: lists through them may fail for seconds.
+Test(store_sync, newer_configuration_is_read_from_the_node_that_names_it)
+{
+    Fixture fixture;
+    ScriptedStore rejecting(fixture.context);
+    PeerLink peers(fixture.context, "127.0.0.1", 0);
+    PeerLink ownPeers(fixture.context, "127.0.0.1", 0);
+    MemberRecord member;
+    member.node = NodeId(9);
+    member.ip = "127.0.0.1";
+    member.peerPort = peers.port();
+    FleetView view;
+    view.onMember(member, StoreRevision(1));
+    StoreSync sync(fixture.context, rejecting, fixture.clock, view, "main", decodeVersion,
+                   makeTimes());
+    sync.exchangeConfig(ownPeers);
+    fixture.sync.exchangeConfig(peers);
+    peers.start();
+    rejecting.put(RecordKind::Configuration, "main", "4");
+    sync.start();
+    fixture.sync.start();
+    cr_assert(runUntilHolds(fixture.context, [&]() { return view.routes().version() == 4; }));
+    rejecting.setDown(true);
+    fixture.store.put(RecordKind::Configuration, "main", "4");
+    fixture.store.put(RecordKind::Configuration, "main", "7");
     cr_assert(fixture.reaches(7));
+    const TimePoint begun{milliseconds(100)};
+    const milliseconds lag = makeTimes().maxConfigLag;
+    sync.onPeerRevisions(NodeId(9), fixture.sync.news(), begun);
+    sync.onPeerRevisions(NodeId(9), fixture.sync.news(), begun + lag);
+    cr_assert(runUntilHolds(fixture.context, [&]() { return view.routes().version() == 7; }));
+    cr_assert(sync.news().at(RecordKind::Configuration)
+              == fixture.sync.news().at(RecordKind::Configuration));
+
+    SECTION("and one that can't be read is not named to others")
+    {
+        const KnownRevisions before = fixture.sync.news();
+        fixture.store.put(RecordKind::Configuration, "main", "none");
+        fixture.store.put(RecordKind::Ranges, "s", "{}");
+        cr_assert(runUntilHolds(fixture.context, [&]() {
+            return fixture.sync.news().count(RecordKind::Ranges) > 0;
+        }));
+        cr_assert(fixture.sync.news().at(RecordKind::Configuration)
+                  == before.at(RecordKind::Configuration));
+        cr_assert_eq(fixture.view.routes().version(), 7U);
+    }
 }
 
 Test(store_sync, malformed_record_is_ignored)
