Fix: [Shared watch] A call to a feeder ends with the age that the configuration may reach

Timeouts that are each sound followed one another: a feeder passes for up to date for 1.4 s after the last confirmation, a call to one that is then lost took 1.3 s, the list after it up to 0.8 s; a node that watches the store itself gave up a silent watch of 0.8 s after 2.8 s. With the pause between two watches that is 3,550 and 4,450 ms, where 2,500 are allowed.

A feeder now says how long ago the store confirmed its records, and a call for the configuration ends when these are 1.55 s old, wherever the time was lost; an idle call ends with the next confirmation, so a working feeder is not given up.

New: shared_watch/call_to_a_lost_feeder_ends_when_the_configuration_is_too_old, shared_watch/idle_call_for_the_configuration_ends_with_the_next_confirmation.

--- a/src/duty/shared_watch.cpp
+++ b/src/duty/shared_watch.cpp
@@ -66,6 +66,7 @@
     Result<RecordListing> listing = co_await store_.list(kind);
     if (listing) {
         feeds_[kind].onList(listing.assume_value(), sentAt);
+        confirmedAt_[kind] = sentAt;
         wakeFollowers();
     }
     co_return listing;
@@ -127,7 +128,8 @@
 {
     Result<RecordChanges> changes = co_await store_.watch(kind, since, wait);
     if (changes) {
-        feeds_[kind].onChanges(changes.assume_value(), clock_.now());
+        confirmedAt_[kind] = clock_.now();
+        feeds_[kind].onChanges(changes.assume_value(), confirmedAt_[kind]);
         wakeFollowers();
     } else {
         feeds_[kind].onLost();
@@ -142,8 +144,8 @@
     request.set_kind(static_cast<uint32_t>(kind));
     request.set_since(since.value());
     std::string body = request.SerializeAsString();
-    Result<std::string> bytes
-            = co_await peers_.call(feeder, FeedPath, std::move(body), times_.followTimeout);
+    const milliseconds timeout = followTimeout(kind, clock_.now());
+    Result<std::string> bytes = co_await peers_.call(feeder, FeedPath, std::move(body), timeout);
     v1::FeedReply reply;
     const bool whole
             = bytes && !bytes.assume_value().empty() && reply.ParseFromString(bytes.assume_value());
@@ -162,6 +164,7 @@
         co_return listAgain("feeder failed or is stale; listing the records from the store");
     }
     backoffs_.erase(feeder.node);
+    confirmedAt_[kind] = now - milliseconds(reply.confirmed_ms_ago());
     RecordChanges changes;
     changes.at = StoreRevision(reply.revision());
     for (const v1::StoreRecord &record : reply.records()) {
@@ -173,6 +176,17 @@
     co_return changes;
 }
 
+milliseconds SharedWatch::followTimeout(RecordKind kind, TimePoint now) const
+{
+    const auto known = confirmedAt_.find(kind);
+    if (kind != RecordKind::Configuration || known == confirmedAt_.end()) {
+        return times_.followTimeout;
+    }
+    const TimePoint end = known->second + times_.maxFollowedConfigAge();
+    return std::clamp(std::chrono::duration_cast<milliseconds>(end - now), times_.minFollowTimeout,
+                      times_.followTimeout);
+}
+
 void SharedWatch::backOff(NodeId feeder, TimePoint now)
 {
     Backoff &entry = backoffs_[feeder];
@@ -200,6 +214,7 @@
     const StoreRevision since(request.since());
     const TimePoint begun = clock_.now();
     const TimePoint end = begun + times_.followWait;
+    const TimePoint knownConfirmation = feeds_[kind].confirmedAt();
     v1::FeedReply reply;
     while (true) {
         const TimePoint now = clock_.now();
@@ -210,8 +225,15 @@
         if (!changes && now - begun >= times_.freshnessTimeout) {
             co_return reply;
         }
-        if (changes && (!changes->changes.empty() || now >= end)) {
+        // The age of a follower's configuration limits its calls, so it is told of each newer
+        // confirmation, also if nothing has changed.
+        const TimePoint confirmation = feeds_[kind].confirmedAt();
+        const bool confirmed
+                = kind == RecordKind::Configuration && confirmation > knownConfirmation;
+        if (changes && (!changes->changes.empty() || confirmed || now >= end)) {
             reply.set_revision(changes->at.value());
+            reply.set_confirmed_ms_ago(
+                    std::chrono::duration_cast<milliseconds>(now - confirmation).count());
             for (const RecordChange &change : changes->changes) {
                 *reply.add_records() = encodeChange(change);
             }
--- a/src/duty/shared_watch.h
+++ b/src/duty/shared_watch.h
@@ -29,6 +29,8 @@
     /** Duration of a follower's call; the feeder responds earlier if there is a change. */
     milliseconds followWait{1000};
     milliseconds followTimeout{1300};
+    /** Lower limit if the age of the configuration leaves less time than this. */
+    milliseconds minFollowTimeout{50};
     /**
      * Period after its start in which a node that is rejected by a feeder watches the store itself
      * instead of listing again: feeders that started at the same time are not up to date yet, and
@@ -48,7 +50,7 @@
 
     /** @return The greatest age of a follower's configuration at the end of a call to its feeder,
      *          if every limit is reached. */
-    milliseconds maxFollowedConfigAge() const { return configWait + margin + followTimeout; }
+    milliseconds maxFollowedConfigAge() const { return configWait + margin + freshnessTimeout; }
 };
 
 /**
@@ -89,6 +91,10 @@
     std::optional<NodeId> findUsableFeeder(TimePoint now) const;
     Pending<RecordChanges> follow(MemberRecord feeder, RecordKind kind, StoreRevision since,
                                   milliseconds wait);
+    /** @return Timeout of a call to a feeder. For the configuration it also bounds the age that it
+     *          may reach: a feeder that is lost just before its records would have become stale
+     *          must not add a whole timeout. */
+    milliseconds followTimeout(RecordKind kind, TimePoint now) const;
     void backOff(NodeId feeder, TimePoint now);
     asio::awaitable<std::string> serve(std::string body);
     asio::awaitable<v1::FeedReply> answer(v1::FeedRequest request);
@@ -105,6 +111,8 @@
     SharedWatchTimes times_;
     TimePoint startedAt_;
     std::map<RecordKind, RecordFeed> feeds_;
+    /// When the store confirmed what this node knows, by a list of its own or by way of a feeder.
+    std::map<RecordKind, TimePoint> confirmedAt_;
     std::map<NodeId, Backoff> backoffs_;
     std::set<asio::steady_timer *> waiting_; ///< Timers of followers' calls that wait for a change.
     bool following_ = false; ///< This node follows a feeder, so it isn't one itself.
--- a/test/unit/store/shared_watch_test.cpp
+++ b/test/unit/store/shared_watch_test.cpp
@@ -56,6 +56,14 @@
             view->onMember(follower, StoreRevision(2));
         }
         feederPeers.start();
+        restart();
+    }
+
+    /** Makes both nodes anew, with the present times. */
+    void restart()
+    {
+        const MemberRecord &follower = *followerView.findMember(NodeId(1));
+        const MemberRecord &feeder = *feederView.findMember(NodeId(2));
         follower_ = std::make_unique<SharedWatch>(context, followerStore, clock, followerPeers,
                                                   followerView, follower, limits, times);
         feeder_ = std::make_unique<SharedWatch>(context, store, clock, feederPeers, feederView,
@@ -68,6 +76,12 @@
         return runUntil(context, std::move(work));
     }
 
+    asio::awaitable<void> watchInto(std::optional<Result<RecordChanges>> &received)
+    {
+        received = co_await follower_->watch(RecordKind::Configuration, StoreRevision(1),
+                                             milliseconds(20000));
+    }
+
     Result<RecordChanges> watchAsFollower(StoreRevision since)
     {
         return run(follower_->watch(RecordKind::Configuration, since, milliseconds(20000)));
@@ -197,6 +211,40 @@
     cr_assert(own.has_value() && own.assume_value().changes.size() == 1);
 }
 
+// Guards against a configuration that is older than its limit because a feeder was lost shortly
+// before its records would have become stale: the whole timeout of a call came on top.
+Test(shared_watch, call_to_a_lost_feeder_ends_when_the_configuration_is_too_old)
+{
+    Fixture fixture;
+    tcp::acceptor silent(fixture.context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    MemberRecord lost = *fixture.followerView.findMember(NodeId(2));
+    lost.peerPort = silent.local_endpoint().port();
+    fixture.followerView.onMember(lost, StoreRevision(3));
+    fixture.followerStore.put(RecordKind::Configuration, "main", "1");
+    cr_assert(fixture.run(fixture.follower_->list(RecordKind::Configuration)).has_value());
+    fixture.clock.advance(fixture.times.maxFollowedConfigAge() - milliseconds(20));
+    const Result<RecordChanges> changes = fixture.watchAsFollower(StoreRevision(1));
+    cr_assert(!changes && changes.assume_error().code == FailureCode::HistoryGone);
+}
+
+// Guards against followers that give up a working feeder because nothing has changed for a while.
+Test(shared_watch, idle_call_for_the_configuration_ends_with_the_next_confirmation)
+{
+    Fixture fixture;
+    fixture.times.followWait = HalfConfirmationValidity;
+    fixture.restart();
+    fixture.store.put(RecordKind::Configuration, "main", "1");
+    cr_assert(fixture.run(fixture.feeder_->list(RecordKind::Configuration)).has_value());
+    std::optional<Result<RecordChanges>> received;
+    asio::co_spawn(fixture.context, fixture.watchInto(received), asio::detached);
+    fixture.context.restart();
+    fixture.context.run_for(milliseconds(50));
+    cr_assert(!received);
+    cr_assert(fixture.run(fixture.feeder_->list(RecordKind::Configuration)).has_value());
+    cr_assert(runUntilHolds(fixture.context, [&]() { return received.has_value(); }));
+    cr_assert(received->has_value() && received->assume_value().changes.empty());
+}
+
 // Guards against one list of all records per feeder that is not up to date yet when a fleet starts.
 Test(shared_watch, node_that_has_just_started_does_not_list_after_a_rejection)
 {
