Fix: [Test] The lost feeder accepts calls and never replies; without the bounded call the test now fails

The earlier form passed also without the change: nothing listened behind the port, so the keep-alive ended the call.

--- a/test/unit/store/shared_watch_test.cpp
+++ b/test/unit/store/shared_watch_test.cpp
@@ -30,6 +30,12 @@
     return true;
 }
 
+asio::awaitable<std::string> neverReply(std::string)
+{
+    co_await sleepFor(std::chrono::hours(1));
+    co_return std::string();
+}
+
 /** Half the validity of a confirmation of the store; longer than any pause of a test machine. */
 constexpr milliseconds HalfConfirmationValidity{60000};
 
@@ -216,15 +222,20 @@
 Test(shared_watch, call_to_a_lost_feeder_ends_when_the_configuration_is_too_old)
 {
     Fixture fixture;
-    tcp::acceptor silent(fixture.context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    MemberRecord lost = *fixture.followerView.findMember(NodeId(2));
-    lost.peerPort = silent.local_endpoint().port();
-    fixture.followerView.onMember(lost, StoreRevision(3));
+    PeerLink stalled(fixture.context, "127.0.0.1", 0);
+    stalled.serve("/feed", neverReply);
+    stalled.start();
+    MemberRecord feeder = *fixture.followerView.findMember(NodeId(2));
+    feeder.peerPort = stalled.port();
+    fixture.followerView.onMember(feeder, StoreRevision(3));
     fixture.followerStore.put(RecordKind::Configuration, "main", "1");
     cr_assert(fixture.run(fixture.follower_->list(RecordKind::Configuration)).has_value());
     fixture.clock.advance(fixture.times.maxFollowedConfigAge() - milliseconds(20));
-    const Result<RecordChanges> changes = fixture.watchAsFollower(StoreRevision(1));
-    cr_assert(!changes && changes.assume_error().code == FailureCode::HistoryGone);
+    std::optional<Result<RecordChanges>> received;
+    asio::co_spawn(fixture.context, fixture.watchInto(received), asio::detached);
+    cr_assert(runUntilHolds(fixture.context, [&]() { return received.has_value(); }));
+    cr_assert(!received->has_value());
+    cr_assert(received->assume_error().code == FailureCode::HistoryGone);
 }
 
 // Guards against followers that give up a working feeder because nothing has changed for a while.
