Fix: [Store sync] A configuration that is read from another node isn't cut off while it is on its way, nor sent without limit

Cause: a timeout on the whole of a transfer that is shorter than the transfer.

A relay call ends after 0.8 s like the call that it carries out, and config_age/* counts the relay and the pause before it, which follow a watch without a response; it had counted a direct list.

--- a/src/duty/store_relay.h
+++ b/src/duty/store_relay.h
@@ -20,7 +20,7 @@
     milliseconds relayRetryDelay{1000};
     /** Between two lists while watches are not available. */
     milliseconds listInterval{1000};
-    milliseconds callTimeout{1000};
+    milliseconds callTimeout{800};
     /** Minimum interval between two log lines on calls carried out for other nodes. */
     milliseconds logInterval{1000};
 };
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -120,11 +120,16 @@
     co_return true;
 }
 
-asio::awaitable<std::string> StoreSync::serveConfig(std::string body) const
+asio::awaitable<std::string> StoreSync::serveConfig(std::string body)
 {
+    const TimePoint now = clock_.now();
     v1::ConfigRequest request;
     v1::ConfigReply reply;
-    if (request.ParseFromString(body) && config_.revision > StoreRevision(request.known())) {
+    if (request.ParseFromString(body) && config_.revision > StoreRevision(request.known())
+        && now >= nextServedAt_) {
+        const std::chrono::duration<double> share(static_cast<double>(config_.content.size())
+                                                  / times_.servedBytesPerSecond);
+        nextServedAt_ = now + std::chrono::duration_cast<Duration>(share);
         reply.mutable_record()->set_name(config_.name);
         reply.mutable_record()->set_revision(config_.revision.value());
         reply.mutable_record()->set_content(config_.content);
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -52,8 +52,13 @@
      * has named the newer revision. That way needs neither the store nor a feeder.
      */
     milliseconds maxConfigLag{500};
-    milliseconds peerReadTimeout{500};
+    /** Enough for a large configuration on a busy link: a shorter one would cut the transfer off
+     * and begin it again, with the link full all the while. */
+    milliseconds peerReadTimeout{2000};
     milliseconds peerReadPause{200}; ///< Until another node is asked after a failure.
+    /** Bytes per second of configurations that are sent to nodes which are behind, on average. A
+     *  node that is the first of many to have a large one would otherwise fill its link. */
+    double servedBytesPerSecond = 512.0 * 1024;
 };
 
 /** Runs one loop per kind of record: list, then watch from the listed revision; after a failure,
@@ -85,7 +90,7 @@
 private:
     boost::asio::awaitable<void> catchUp(RecordKind kind, NodeId peer);
     boost::asio::awaitable<bool> readConfigFrom(NodeId peer);
-    boost::asio::awaitable<std::string> serveConfig(std::string body) const;
+    boost::asio::awaitable<std::string> serveConfig(std::string body);
     /** @return Whether a record of @p kind that this node misses is read by a call of its own. */
     bool isCaughtUpByCall(RecordKind kind) const;
     boost::asio::awaitable<void> run(RecordKind kind);
@@ -119,9 +124,10 @@
     std::vector<RecordKind> kinds_{RecordKind::Configuration, RecordKind::Members,
                                    RecordKind::Ranges}; ///< Kinds that are watched.
     std::map<RecordKind, WatchLag> lags_;
-    std::set<RecordKind> catchingUp_; ///< Kinds that are read while their watch waits.
-    PeerCalls *peers_ = nullptr;      ///< nullptr: configurations are not exchanged.
-    StoredRecord config_;             ///< Record of the configuration in force.
+    std::set<RecordKind> catchingUp_;    ///< Kinds that are read while their watch waits.
+    PeerCalls *peers_ = nullptr;         ///< nullptr: configurations are not exchanged.
+    StoredRecord config_;                ///< Record of the configuration in force.
+    TimePoint nextServedAt_ = NeverTime; ///< When it is sent to a node again that is behind.
     bool unavailable_ = false;
     TimePoint configConfirmedAt_ = NeverTime; ///< Of the last watch or list of the configuration.
 };
--- a/test/unit/platform/config_age_test.cpp
+++ b/test/unit/platform/config_age_test.cpp
@@ -1,6 +1,7 @@
 /** @file config_age_test.cpp How old a configuration may become, as the sum of timeouts. */
 
 #include "duty/shared_watch.h"
+#include "duty/store_relay.h"
 #include "duty/store_sync.h"
 #include "platform/object_store.h"
 #include "support/test_section.h"
@@ -24,11 +25,13 @@
     const SharedWatchTimes watch;
     const SyncTimes sync;
     const ObjectStoreSettings store;
+    const RelayTimes relay;
 
     SECTION("a node that watches the store, on a connection that has fallen silent")
     {
-        const milliseconds age
-                = sync.gap + watch.configWait + store.watchMargin + store.callTimeout;
+        // After a call without a response the next one goes through another node.
+        const milliseconds age = sync.gap + watch.configWait + store.watchMargin + sync.firstPause
+                                 + relay.callTimeout;
         cr_assert_leq(age.count(), MaxConfigAge.count());
     }
     SECTION("a follower whose feeder has been cut off from the store and is then lost")
--- a/test/unit/store/store_sync_test.cpp
+++ b/test/unit/store/store_sync_test.cpp
@@ -6,7 +6,9 @@
 #include "duty/peer_link.h"
 #include "support/scripted_backend.h"
 #include "support/scripted_store.h"
+#include "support/shifted_clock.h"
 #include "support/test_section.h"
+#include "wisteriahoist/v1/control.pb.h"
 
 #include <charconv>
 
@@ -186,6 +188,41 @@
     }
 }
 
+// Guards against a node that fills its link with copies of a large configuration because it is the
+// first to have it.
+Test(store_sync, configurations_are_sent_to_other_nodes_at_a_limited_rate)
+{
+    asio::io_context context;
+    ShiftedClock clock;
+    ScriptedStore store(context);
+    FleetView view;
+    PeerLink peers(context, "127.0.0.1", 0);
+    PeerLink asker(context, "127.0.0.1", 0);
+    SyncTimes times = makeTimes();
+    times.servedBytesPerSecond = 0.001; // One byte in 1,000 s.
+    StoreSync sync(context, store, clock, view, "main", decodeVersion, times);
+    sync.exchangeConfig(peers);
+    peers.start();
+    store.put(RecordKind::Configuration, "main", "4");
+    sync.start();
+    cr_assert(runUntilHolds(context, [&]() { return view.routes().version() == 4; }));
+    MemberRecord member;
+    member.ip = "127.0.0.1";
+    member.peerPort = peers.port();
+    const auto isServed = [&]() {
+        v1::ConfigRequest request;
+        const Result<std::string> bytes
+                = runUntil(context, asker.call(member, "/config", request.SerializeAsString(),
+                                               std::chrono::minutes(1)));
+        v1::ConfigReply reply;
+        return bytes && reply.ParseFromString(bytes.assume_value()) && reply.has_record();
+    };
+    cr_assert(isServed());
+    cr_assert(!isServed());
+    clock.advance(std::chrono::seconds(1000));
+    cr_assert(isServed());
+}
+
 Test(store_sync, malformed_record_is_ignored)
 {
     Fixture fixture;
