Add: [Signals] Refused requests name their id and how the node came by its configuration; stalls of the event loop

Cause: the users' record of a refused route has the ids of the requests, but no line of ours names them. route-unknown had host, target and version only, refusals for want of a configuration or for malformed headers had no line at all, and nothing told a stalled process from one that was never told of a change. The age of a follower's configuration is now that of its feeder's confirmation, not the time of the call. No decision is changed.

--- a/src/adapter/http/request_protocol.h
+++ b/src/adapter/http/request_protocol.h
@@ -65,6 +65,9 @@
 public:
     virtual ~RequestProtocol() = default;
 
+    /** @return The attempt id of a request, which may be malformed otherwise; empty if none. */
+    virtual std::string_view attemptIdOf(const HttpRequest &request) const = 0;
+
     /** @return BadArgument if a header is missing or malformed. */
     virtual Result<RequestMetadata> readMetadata(const HttpRequest &request) const = 0;
 
--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -66,6 +66,8 @@
         {LogEvent::StoreRelaying, "store-relaying", LogSeverity::Info},
         {LogEvent::ConfigSyncFailed, "config-sync-failed", LogSeverity::Warning},
         {LogEvent::RouteUnknown, "route-unknown", LogSeverity::Info},
+        {LogEvent::RequestRefused, "request-refused", LogSeverity::Info},
+        {LogEvent::LoopStalled, "loop-stalled", LogSeverity::Warning},
         {LogEvent::EvacuationsChanged, "evacuations-changed", LogSeverity::Info},
         {LogEvent::BackendLimitChanged, "backend-limit-changed", LogSeverity::Info},
         {LogEvent::BackendLimitMalformed, "backend-limit-malformed", LogSeverity::Warning},
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -68,8 +68,8 @@
                              BackendGate &gate, PeerLink &peers, const CrashLedger &crashes,
                              RouterSettings settings)
     : context_(context), clock_(clock), protocol_(protocol), view_(view), loads_(loads),
-      gate_(gate), crashes_(crashes), settings_(std::move(settings)), peers_(peers),
-      random_(std::random_device{}())
+      gate_(gate), crashes_(crashes), settings_(std::move(settings)), startedAt_(clock.now()),
+      peers_(peers), random_(std::random_device{}())
 {
     // Request ids of a restarted node must differ from those of its earlier incarnation: the gate
     // may still run one of those, and a cancellation would cancel the wrong request.
@@ -95,6 +95,7 @@
     ++counters_.requests;
     const std::shared_ptr<const RouteTable> routes = view_.routesPtr();
     if (routes->version() == 0) {
+        logRefusal(refusals_, request, "no-configuration", *routes);
         co_return refuse(http::status::service_unavailable, "no-configuration",
                          "No configuration has been received yet.", RetryAfterNoConfig);
     }
@@ -102,16 +103,13 @@
     const auto target = request.target();
     const Route *route = routes->find({host.data(), host.size()}, {target.data(), target.size()});
     if (route == nullptr) {
-        if (unknownRoutes_.tryTake(clock_.now())) {
-            unknownRoutes_.log({{"host", std::string_view(host.data(), host.size())},
-                                {"target", std::string_view(target.data(), target.size())},
-                                {"config", routes->version()}});
-        }
+        logRefusal(unknownRoutes_, request, "no-route", *routes);
         co_return refuse(http::status::not_found, "no-route", "No route matches the request.",
                          milliseconds(0));
     }
     const Result<RequestMetadata> metadata = protocol_.readMetadata(request);
     if (!metadata) {
+        logRefusal(refusals_, request, metadata.assume_error().context, *routes);
         co_return refuse(http::status::bad_request, "malformed-request",
                          metadata.assume_error().context, milliseconds(0));
     }
@@ -119,6 +117,7 @@
             = makeState(request, metadata.assume_value(), *route, std::move(caller));
     state->routes = routes;
     if (state->history.sharded && !metadata.assume_value().shardKey) {
+        logRefusal(refusals_, request, "shard key missing", *routes);
         co_return refuse(http::status::bad_request, "malformed-request",
                          "The route requires a shard key, but the request has none.",
                          milliseconds(0));
@@ -140,6 +139,29 @@
     co_return makeResponse(*state, std::move(reply));
 }
 
+void RequestRouter::logRefusal(RateLimitedEvent &event, const HttpRequest &request,
+                               std::string_view reason, const RouteTable &routes)
+{
+    const TimePoint now = clock_.now();
+    if (!event.tryTake(now)) {
+        return;
+    }
+    const auto host = request[http::field::host];
+    const ConfigStatus config = revisions_ ? revisions_->configStatus(now) : ConfigStatus{};
+    const auto running = std::chrono::duration_cast<milliseconds>(now - startedAt_);
+    event.log({{"request", protocol_.attemptIdOf(request)},
+               {"reason", reason},
+               {"host", std::string_view(host.data(), host.size())},
+               {"target", std::string(request.target())},
+               {"config", routes.version()},
+               {"source", config.source},
+               {"revision", config.record.value()},
+               {"position", config.position.value()},
+               {"unconfirmed_ms", config.unconfirmed.count()},
+               {"in_force_ms", config.inForce.count()},
+               {"running_ms", running.count()}});
+}
+
 std::shared_ptr<RequestRouter::RequestState>
 RequestRouter::makeState(const HttpRequest &request, const RequestMetadata &metadata,
                          const Route &route, std::shared_ptr<DisconnectSignal> caller)
--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -101,6 +101,10 @@
 
     HttpResponse refuse(http::status status, std::string_view type, const std::string &detail,
                         milliseconds retryAfter) const;
+    /** Logs a request that is refused before it has a state, with how this node came by the
+     *  configuration that decided so. */
+    void logRefusal(RateLimitedEvent &event, const HttpRequest &request, std::string_view reason,
+                    const RouteTable &routes);
     std::shared_ptr<RequestState> makeState(const HttpRequest &request,
                                             const RequestMetadata &metadata, const Route &route,
                                             std::shared_ptr<DisconnectSignal> caller);
@@ -140,6 +144,7 @@
     BackendGate &gate_;
     const CrashLedger &crashes_;
     RouterSettings settings_;
+    TimePoint startedAt_;
     PeerLink &peers_;
     TargetPicker targets_;
     std::map<std::string, FleetRetryBudget> budgets_; ///< By service.
@@ -151,6 +156,7 @@
     /// requests per second and stays below this limit.
     RateLimitedEvent lines_{LogEvent::RequestEnded, 200, 400};
     RateLimitedEvent unknownRoutes_{LogEvent::RouteUnknown, 20, 40};
+    RateLimitedEvent refusals_{LogEvent::RequestRefused, 20, 40};
     Histogram *duration_ = nullptr;
     RevisionExchange *revisions_ = nullptr;
     /** A request that waits for a new owner of its key. */
--- a/src/duty/shared_watch.cpp
+++ b/src/duty/shared_watch.cpp
@@ -167,6 +167,8 @@
     confirmedAt_[kind] = now - milliseconds(reply.confirmed_ms_ago());
     RecordChanges changes;
     changes.at = StoreRevision(reply.revision());
+    changes.from = feeder.node;
+    changes.age = milliseconds(reply.confirmed_ms_ago());
     for (const v1::StoreRecord &record : reply.records()) {
         changes.changes.push_back(decodeChange(record));
     }
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -152,9 +152,6 @@
         }
         if (next) {
             updateAvailability(kind, nullptr);
-            if (kind == RecordKind::Configuration) {
-                configConfirmedAt_ = clock_.now();
-            }
             at = next.assume_value();
             pause = times_.firstPause;
             co_await sleepFor(gapAfter(kind));
@@ -203,10 +200,12 @@
 
 asio::awaitable<Result<StoreRevision>> StoreSync::list(RecordKind kind)
 {
+    const TimePoint sentAt = clock_.now();
     Result<RecordListing> listing = co_await store_.list(kind);
     if (!listing) {
         co_return std::move(listing).as_failure();
     }
+    onConfirmed(kind, sentAt);
     applyListing(kind, listing.assume_value());
     lags_.at(kind).onPosition(listing.assume_value().at);
     co_return listing.assume_value().at;
@@ -218,6 +217,7 @@
     if (!changes) {
         co_return std::move(changes).as_failure();
     }
+    onConfirmed(kind, clock_.now() - changes.assume_value().age);
     recent_[kind].changed = !changes.assume_value().changes.empty();
     applyChanges(kind, changes.assume_value());
     lags_.at(kind).onPosition(changes.assume_value().at);
@@ -248,12 +248,12 @@
         if (change.removed) {
             applyRemoval(kind, change.record.name);
         } else {
-            applyRecord(kind, change.record, "watch");
+            applyRecord(kind, change.record, changes.from == InvalidNode ? "watch" : "feeder");
         }
     }
 }
 
-/** @param source By which call it came: "list", "watch", "conflict" or "peer". */
+/** @param source By which call it came: "list", "watch", "feeder", "conflict" or "peer". */
 void StoreSync::applyRecord(RecordKind kind, const StoredRecord &record, std::string_view source)
 {
     if (kind == RecordKind::Configuration) {
@@ -286,6 +286,8 @@
     const bool newer = view_.onConfig(std::move(config.assume_value()));
     if (newer) {
         config_ = record;
+        configInForceAt_ = clock_.now();
+        configSource_ = source;
         newest_[RecordKind::Configuration] = record.revision;
     }
     logEvent(newer ? LogEvent::ConfigInForce : LogEvent::ConfigRefused,
@@ -302,6 +304,27 @@
     }
 }
 
+void StoreSync::onConfirmed(RecordKind kind, TimePoint at)
+{
+    if (kind == RecordKind::Configuration) {
+        configConfirmedAt_ = std::max(configConfirmedAt_, at);
+    }
+}
+
+ConfigStatus StoreSync::configStatus(TimePoint now) const
+{
+    const auto lag = lags_.find(RecordKind::Configuration);
+    ConfigStatus status;
+    status.source = configSource_;
+    status.record = config_.revision;
+    status.position = lag == lags_.end() ? StoreRevision() : lag->second.position();
+    status.unconfirmed = configUnconfirmedFor(now);
+    status.inForce = configInForceAt_ == NeverTime
+                             ? milliseconds(0)
+                             : std::chrono::duration_cast<milliseconds>(now - configInForceAt_);
+    return status;
+}
+
 milliseconds StoreSync::configUnconfirmedFor(TimePoint now) const
 {
     return configConfirmedAt_ == NeverTime
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -85,6 +85,7 @@
     void onRecord(RecordKind kind, const StoredRecord &record);
 
     KnownRevisions news() const override { return newest_; }
+    ConfigStatus configStatus(TimePoint now) const override;
     void onPeerRevisions(NodeId peer, const KnownRevisions &news, TimePoint now) override;
 
 private:
@@ -103,6 +104,8 @@
     void applyConfig(const StoredRecord &record, std::string_view source);
     void applyRemoval(RecordKind kind, const std::string &name);
     void updateAvailability(RecordKind kind, const Failure *failure);
+    /** The store had nothing newer at @p at. */
+    void onConfirmed(RecordKind kind, TimePoint at);
     /** @return Time since the configuration was last confirmed to be the newest; 0: never yet. */
     milliseconds configUnconfirmedFor(TimePoint now) const;
     void logFailedConfigSync(std::string_view call, const Failure &failure, TimePoint begun) const;
@@ -129,7 +132,9 @@
     StoredRecord config_;                ///< Record of the configuration in force.
     TimePoint nextServedAt_ = NeverTime; ///< When it is sent to a node again that is behind.
     bool unavailable_ = false;
-    TimePoint configConfirmedAt_ = NeverTime; ///< Of the last watch or list of the configuration.
+    TimePoint configConfirmedAt_ = NeverTime; ///< The store had no newer configuration then.
+    TimePoint configInForceAt_ = NeverTime;
+    std::string_view configSource_; ///< By which call the configuration in force came.
 };
 
 } // namespace wisteriahoist
--- a/src/duty/watch_lag.h
+++ b/src/duty/watch_lag.h
@@ -42,6 +42,8 @@
         return now - since_ >= allowance_;
     }
 
+    StoreRevision position() const { return position_; }
+
 private:
     milliseconds allowance_;
     StoreRevision position_;
--- a/src/port/record_store.h
+++ b/src/port/record_store.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/failure_type.h"
+#include "core/id_type.h"
 #include "core/strong_id.h"
 #include "core/time_type.h"
 
@@ -98,7 +99,9 @@
 /** Changes since a revision, in order of revision. */
 struct RecordChanges {
     std::vector<RecordChange> changes;
-    StoreRevision at; ///< Revision from which the next watch continues.
+    StoreRevision at;    ///< Revision from which the next watch continues.
+    NodeId from;         ///< The node that passed them on; InvalidNode: the store itself.
+    milliseconds age{0}; ///< Time since the store had nothing newer, as that node says.
 };
 
 /**
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -185,6 +185,8 @@
     publisher_.start();
     ranges_.start();
     healthChecker_.start();
+    const auto turns = [this]() { return watchForStalls(); };
+    asio::co_spawn(context_, turns, asio::detached);
 }
 
 MemberRecord SidecarProgram::describe() const
@@ -380,6 +382,15 @@
             "Time from sending a request to the backend server to its response."));
     gauge("wisteriahoist_config_version", "Version of the applied configuration.",
           [this]() { return view_.routes().version(); });
+    metrics_.addComputed({"wisteriahoist_config_unconfirmed_seconds",
+                          "Time since the store had no newer configuration than the applied one.",
+                          MetricKind::Gauge},
+                         {}, [this](TimePoint now) {
+                             const milliseconds age = sync_.configStatus(now).unconfirmed;
+                             return std::chrono::duration<double>(age).count();
+                         });
+    counter("wisteriahoist_stalled_seconds_total", "Time for which the event loop made no turn.",
+            [this]() { return std::chrono::duration<double>(stalls_.total()).count(); });
     gauge("wisteriahoist_members", "Known nodes.", [this]() { return view_.members().size(); });
     gauge("wisteriahoist_running", "Requests running on the backend server.",
           [this]() { return gate_.admission().running(); });
@@ -391,6 +402,16 @@
           [this]() { return ranges_.demand(clock_.now()); });
 }
 
+asio::awaitable<void> SidecarProgram::watchForStalls()
+{
+    while (true) {
+        if (const std::optional<milliseconds> late = stalls_.onTurn(clock_.now())) {
+            logEvent(LogEvent::LoopStalled, {{"late_ms", late->count()}});
+        }
+        co_await sleepFor(stalls_.interval());
+    }
+}
+
 void SidecarProgram::registerStoreCalls()
 {
     for (size_t call = 0; call < StoreCallCount; ++call) {
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -15,6 +15,7 @@
 #include "duty/range_controller.h"
 #include "duty/request_router.h"
 #include "duty/shared_watch.h"
+#include "duty/stall_monitor.h"
 #include "duty/store_relay.h"
 #include "duty/store_sync.h"
 #include "program/sidecar_settings.h"
@@ -95,6 +96,7 @@
     asio::awaitable<HttpResponse> onMetrics(HttpRequest request);
     void registerMetrics();
     void registerStoreCalls();
+    asio::awaitable<void> watchForStalls();
 
     asio::io_context &context_;
     BootClockAdapter clock_;
@@ -118,6 +120,7 @@
     MemberPublisher publisher_;
     BackendHealthChecker healthChecker_;
     MetricRegistry metrics_;
+    StallMonitor stalls_;
     std::shared_ptr<HttpServer> callerServer_;
     std::shared_ptr<HttpServer> reportServer_;
     std::shared_ptr<HttpServer> readinessServer_;
