Add: [Soak] Large light fleets with feeders: frequent changes, faults at the feeders, loss of all nodes at once

Cause: the soak was the only rig with real processes, and with 8 nodes it has no feeders (20 members are needed); a configuration changed a few times a run, and only the newest route was asked for, so a node that was late for it was hardly noticed. Without them plans and load are as before.

--- a/tool/soak/fault_plan.cpp
+++ b/tool/soak/fault_plan.cpp
@@ -107,4 +107,12 @@
     return plan;
 }
 
+FaultPlan aimAtFirst(FaultPlan plan, size_t nodes)
+{
+    for (size_t index = 0; nodes > 0 && index < plan.faults.size(); index += 2) {
+        plan.faults[index].target %= nodes;
+    }
+    return plan;
+}
+
 } // namespace wisteriahoist::soak
--- a/tool/soak/fault_plan.h
+++ b/tool/soak/fault_plan.h
@@ -78,4 +78,7 @@
 /** @return The plan of @p seed: the same each time. Every fourth seed holds planned work only. */
 FaultPlan makeFaultPlan(uint64_t seed, size_t nodes);
 
+/** @return @p plan with every other fault at one of the first @p nodes nodes; 0: unchanged. */
+FaultPlan aimAtFirst(FaultPlan plan, size_t nodes);
+
 } // namespace wisteriahoist::soak
--- a/tool/soak/soak_callers.cpp
+++ b/tool/soak/soak_callers.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr size_t CallersPerNode = 3;
 constexpr milliseconds Patience{2500};
 constexpr milliseconds ShortPatience{25}; ///< Less than the work takes: such callers leave it.
 constexpr milliseconds LeastPause{5};
@@ -34,9 +33,9 @@
     : context_(context), audit_(audit), random_(seed)
 { }
 
-void SoakCallers::addCallers(size_t index, SoakNode &node)
+void SoakCallers::addCallers(size_t index, SoakNode &node, size_t count)
 {
-    for (size_t caller = 0; caller < CallersPerNode; ++caller) {
+    for (size_t caller = 0; caller < count; ++caller) {
         startTask(context_, callLoop(index, node));
     }
 }
--- a/tool/soak/soak_callers.h
+++ b/tool/soak/soak_callers.h
@@ -25,7 +25,7 @@
     SoakCallers(asio::io_context &context, SoakAudit &audit, uint64_t seed);
 
     void setShapes(std::vector<RequestShape> shapes) { shapes_ = std::move(shapes); }
-    void addCallers(size_t index, SoakNode &node);
+    void addCallers(size_t index, SoakNode &node, size_t count);
     /** Adds a caller that repeats two requests under which backend servers crash. */
     void addCrashingCaller(size_t index, SoakNode &node);
 
--- a/tool/soak/soak_configuration.cpp
+++ b/tool/soak/soak_configuration.cpp
@@ -2,6 +2,8 @@
 
 #include "soak/soak_configuration.h"
 
+#include <algorithm>
+
 namespace wisteriahoist::soak {
 
 namespace {
@@ -89,10 +91,13 @@
     return config;
 }
 
-std::vector<RequestShape> SoakConfiguration::shapes() const
+std::vector<RequestShape> SoakConfiguration::shapes(size_t addedPaths) const
 {
     std::vector<RequestShape> shapes = baseShapes();
-    shapes.push_back({addedPaths_.back(), true, false, MaxAttempts});
+    const size_t first = addedPaths_.size() - std::min(addedPaths, addedPaths_.size());
+    for (size_t index = first; index < addedPaths_.size(); ++index) {
+        shapes.push_back({addedPaths_[index], true, false, MaxAttempts});
+    }
     return shapes;
 }
 
--- a/tool/soak/soak_configuration.h
+++ b/tool/soak/soak_configuration.h
@@ -28,8 +28,9 @@
     /** Goes on to the next configuration. */
     RouteConfig next();
 
-    /** @return The requests that the present configuration serves. */
-    std::vector<RequestShape> shapes() const;
+    /** @return Requests that the present configuration serves, with those for the latest
+     *          @p addedPaths routes that were added. */
+    std::vector<RequestShape> shapes(size_t addedPaths) const;
 
     uint64_t version() const { return version_; }
     const std::string &movedTo() const { return movedTo_; }
--- a/tool/soak/soak_fleet.cpp
+++ b/tool/soak/soak_fleet.cpp
@@ -120,10 +120,18 @@
 }
 
 void SoakFleet::killAll()
+{
+    for (size_t index = 0; index < nodes_.size(); ++index) {
+        killNode(index);
+        nodes_[index]->backend().kill();
+    }
+}
+
+void SoakFleet::delayLinks(milliseconds store, milliseconds peers)
 {
     for (auto &node : nodes_) {
-        node->kill();
-        node->backend().kill();
+        node->storeLink().faults().delay = store;
+        node->peerLink().faults().delay = peers;
     }
 }
 
--- a/tool/soak/soak_fleet.h
+++ b/tool/soak/soak_fleet.h
@@ -46,6 +46,9 @@
 
     void killAll();
 
+    /** Delays each piece on the links to the store and between nodes. */
+    void delayLinks(milliseconds store, milliseconds peers);
+
 private:
     void restartCrashedBackend(size_t index);
     void note(const std::string &text) { log_.note(text, clock_.now()); }
--- a/tool/soak/soak_main.cpp
+++ b/tool/soak/soak_main.cpp
@@ -31,6 +31,13 @@
           "backend servers name limits of requests per second, one after the other");
 ABSL_FLAG(bool, announced_leaving, false,
           "backend servers leave, one after the other, that say so first in their answers");
+ABSL_FLAG(bool, frequent_changes, false, "the configuration changes every second or so");
+ABSL_FLAG(bool, power_loss, false,
+          "after the other faults all nodes and backend servers are lost at once, right after a "
+          "change of the configuration, and start on slow links");
+ABSL_FLAG(uint32_t, callers, 3, "callers at each node; fewer of them make a large fleet light");
+ABSL_FLAG(uint32_t, strong_nodes, 0,
+          "nodes that are preferred as feeders and are the targets of half of the faults");
 ABSL_FLAG(bool, keep, false, "keep the logs of clean seeds as well");
 
 namespace wisteriahoist::soak {
@@ -87,6 +94,10 @@
             settings.namedLimits = absl::GetFlag(FLAGS_named_limits);
             settings.announcedLeaving = absl::GetFlag(FLAGS_announced_leaving);
             settings.crashingRequests = absl::GetFlag(FLAGS_crashing_requests);
+            settings.frequentChanges = absl::GetFlag(FLAGS_frequent_changes);
+            settings.powerLoss = absl::GetFlag(FLAGS_power_loss);
+            settings.callersPerNode = absl::GetFlag(FLAGS_callers);
+            settings.strongNodes = absl::GetFlag(FLAGS_strong_nodes);
             SoakRun run(settings);
             record(run.run(), settings.directory);
         }
--- a/tool/soak/soak_node.cpp
+++ b/tool/soak/soak_node.cpp
@@ -17,6 +17,8 @@
 constexpr uint16_t ReportsPort = 8620;
 constexpr uint16_t BackendPort = 8628;
 constexpr size_t FailureDomains = 3;
+constexpr double CpuShare = 0.2;       ///< CPU cores that a node may use.
+constexpr double StrongCpuShare = 0.5; ///< That of nodes which are preferred as feeders.
 /** Every other backend server's clock is as slow as the platform allows. */
 constexpr double SlowClock = 0.98;
 
@@ -45,7 +47,7 @@
     settings.heartbeat = milliseconds(400);
     settings.maxHoldTime = milliseconds(10000);
     settings.shutdownTimeout = milliseconds(6000);
-    settings.cpuShare = 0.2;
+    settings.cpuShare = index < soak.strongNodes ? StrongCpuShare : CpuShare;
     return settings;
 }
 
--- a/tool/soak/soak_node.h
+++ b/tool/soak/soak_node.h
@@ -26,7 +26,11 @@
     bool crashingRequests = false;  ///< Some callers repeat requests that crash backend servers.
     bool namedLimits = false;       ///< Some backend servers name a limit of requests per second.
     bool announcedLeaving = false;  ///< Backend servers leave that say so first in their answers.
-    uint8_t slot = 20; ///< Second number of all its loopback addresses; unique on the machine.
+    bool frequentChanges = false;   ///< The configuration changes every second or so.
+    bool powerLoss = false;         ///< At the end all nodes and backend servers are lost at once.
+    size_t callersPerNode = 3;
+    size_t strongNodes = 0; ///< The first ones: feeders, and targets of half of the faults.
+    uint8_t slot = 20;      ///< Second number of all its loopback addresses; unique on the machine.
 };
 
 /** One VM. The process is real; all that surrounds it is in the soak's own process. */
--- a/tool/soak/soak_run.cpp
+++ b/tool/soak/soak_run.cpp
@@ -28,6 +28,17 @@
 constexpr double LeastLimit = 2; ///< Requests per second.
 constexpr uint64_t LimitSpread = 8;
 constexpr milliseconds ProbePause{250};
+constexpr milliseconds DownTime{1200}; ///< For which all nodes are down after a loss of power.
+/** For which links are slow after that, and how slow. */
+constexpr milliseconds SlowStartTime{2000};
+constexpr milliseconds StartStoreDelay{150};
+constexpr milliseconds StartPeerDelay{60};
+constexpr milliseconds AfterLossTime{10000}; ///< Requests and changes go on for so long.
+/** Between two changes of the configuration, if they are frequent. */
+constexpr milliseconds LeastChangePause{200};
+constexpr uint64_t ChangePauseSpread = 1600; ///< Milliseconds.
+/** Added routes that are requested then: the newest ones are not yet due everywhere. */
+constexpr size_t LatePaths = 6;
 
 SoakSettings withEmptyDirectory(SoakSettings settings)
 {
@@ -43,7 +54,7 @@
       audit_(servicesOf(settings_.nodes)), store_(context_, settings_.seed),
       fleet_(context_, settings_, store_, audit_, clock_, log_),
       callers_(context_, audit_, settings_.seed),
-      plan_(makeFaultPlan(settings_.seed, settings_.nodes)),
+      plan_(aimAtFirst(makeFaultPlan(settings_.seed, settings_.nodes), settings_.strongNodes)),
       configuration_(settings_.grantsByHeartbeat),
       driver_(context_, fleet_, store_, callers_, audit_, clock_, log_,
               [this]() { reconfigure(); }),
@@ -84,7 +95,7 @@
     note(started ? "serving" : "not serving");
     startTask(context_, fleet_.watch());
     for (size_t index = 0; index < fleet_.size(); ++index) {
-        callers_.addCallers(index, fleet_.node(index));
+        callers_.addCallers(index, fleet_.node(index), settings_.callersPerNode);
     }
     addCrashingCallers();
     if (settings_.namedLimits) {
@@ -93,7 +104,13 @@
     if (settings_.announcedLeaving) {
         startTask(context_, announceLeaving());
     }
+    if (settings_.frequentChanges) {
+        startTask(context_, changeOften());
+    }
     co_await driver_.carryOutAll(plan_);
+    if (settings_.powerLoss) {
+        co_await loseAll();
+    }
     note("healed");
     healed_ = true;
     fleet_.heal();
@@ -150,6 +167,32 @@
     }
 }
 
+asio::awaitable<void> SoakRun::changeOften()
+{
+    while (!healed_) {
+        const auto spread = static_cast<int64_t>(random_() % ChangePauseSpread);
+        co_await waitUnlessHealed(LeastChangePause + milliseconds(spread));
+        if (!healed_) {
+            reconfigure();
+        }
+    }
+}
+
+asio::awaitable<void> SoakRun::loseAll()
+{
+    reconfigure();
+    note("all nodes and backend servers are lost");
+    audit_.onDisturbance(std::nullopt, clock_.now(), clock_.now() + DownTime + SlowStartTime);
+    fleet_.killAll();
+    co_await sleepFor(DownTime);
+    fleet_.delayLinks(StartStoreDelay, StartPeerDelay);
+    fleet_.heal();
+    co_await sleepFor(SlowStartTime);
+    fleet_.delayLinks(milliseconds(0), milliseconds(0));
+    note("links are fast again");
+    co_await sleepFor(AfterLossTime);
+}
+
 asio::awaitable<void> SoakRun::waitUnlessHealed(milliseconds length)
 {
     const TimePoint begun = clock_.now();
@@ -216,7 +259,7 @@
 void SoakRun::reconfigure()
 {
     const RouteConfig config = configuration_.next();
-    callers_.setShapes(configuration_.shapes());
+    callers_.setShapes(configuration_.shapes(settings_.frequentChanges ? LatePaths : 1));
     store_.put(std::string(platform::ConfigurationKind), std::string(platform::ConfigurationRecord),
                platform::encodeRouteConfig(config));
     const TimePoint now = clock_.now();
--- a/tool/soak/soak_run.h
+++ b/tool/soak/soak_run.h
@@ -36,6 +36,10 @@
     asio::awaitable<void> nameLimits();
     /** One backend server after the other says in its answers that it leaves, and leaves later. */
     asio::awaitable<void> announceLeaving();
+    /** Writes one configuration after the other, until the load ends. */
+    asio::awaitable<void> changeOften();
+    /** Ends all nodes and backend servers at once and starts them on slow links. */
+    asio::awaitable<void> loseAll();
     asio::awaitable<void> waitUnlessHealed(milliseconds length);
     void nameLimit(size_t index, std::optional<double> limit);
     /** Ends the load and waits for the last answers; what was refused may not run even then. */
