--- a/test/support/scripted_store.h
+++ b/test/support/scripted_store.h
@@ -39,6 +39,9 @@
     /** While set, no watch returns changes. */
     void muteWatches(bool muted) { muted_ = muted; }
 
+    /** While set, listings that have been made don't arrive. */
+    void holdListings(bool held) { held_ = held; }
+
     /** Ends all waiting watches with a connection failure. */
     void interruptWatches() { ++cuts_; }
 
@@ -77,6 +80,9 @@
         RecordListing listing;
         listing.records = records(kind);
         listing.at = StoreRevision(revision_);
+        while (held_) {
+            co_await sleepFor(milliseconds(1));
+        }
         co_return listing;
     }
 
@@ -177,6 +183,7 @@
     std::function<void()> written_;
     std::map<RecordKind, int> reads_;
     bool muted_ = false;
+    bool held_ = false;
     bool down_ = false;
 };
 
--- a/test/unit/store/shared_watch_test.cpp
+++ b/test/unit/store/shared_watch_test.cpp
@@ -88,6 +88,16 @@
                                              milliseconds(20000));
     }
 
+    asio::awaitable<void> listInto(bool &arrived)
+    {
+        arrived = (co_await feeder_->list(RecordKind::Configuration)).has_value();
+    }
+
+    Result<RecordChanges> watchAsFeeder(StoreRevision since)
+    {
+        return run(feeder_->watch(RecordKind::Configuration, since, milliseconds(50)));
+    }
+
     Result<RecordChanges> watchAsFollower(StoreRevision since)
     {
         return run(follower_->watch(RecordKind::Configuration, since, milliseconds(20000)));
@@ -171,6 +181,33 @@
     }
 }
 
+// Guards against a follower that is confirmed to be up to date and has never been told of a change:
+// its feeder listed the records beside its watch, and the listing arrived last.
+Test(shared_watch, follower_is_told_of_a_change_that_a_late_listing_lacks)
+{
+    Fixture fixture;
+    const StoreRevision first = fixture.store.put(RecordKind::Configuration, "main", "1");
+    cr_assert(fixture.run(fixture.feeder_->list(RecordKind::Configuration)).has_value());
+    fixture.store.holdListings(true);
+    bool arrived = false;
+    const auto listAgain = [&]() { return fixture.listInto(arrived); };
+    asio::co_spawn(fixture.context, listAgain, asio::detached);
+    fixture.context.restart();
+    fixture.context.run_for(milliseconds(5));
+    const StoreRevision second = fixture.store.put(RecordKind::Configuration, "main", "2");
+    cr_assert(fixture.watchAsFeeder(first).has_value());
+    fixture.store.holdListings(false);
+    cr_assert(runUntilHolds(fixture.context, [&]() { return arrived; }));
+    fixture.store.put(RecordKind::Configuration, "other", "3");
+    cr_assert(fixture.watchAsFeeder(second).has_value());
+
+    const auto told = fixture.watchAsFollower(first);
+    cr_assert(told.has_value());
+    const auto &changes = told.assume_value().changes;
+    cr_assert(std::any_of(changes.begin(), changes.end(),
+                          [](const RecordChange &change) { return change.record.content == "2"; }));
+}
+
 Test(shared_watch, follower_receives_changes_from_the_feeder)
 {
     Fixture fixture;
