Fix: [Shared watch] A late listing takes no change back from a feed; changes that don't join what is known make a node list

What callers saw: a feed that had dropped a change told its followers that they were complete without it, so a route, member, range or evacuation was missing at all of them until the next change of that record, with nothing in any log. Cause: a feed joined whatever arrived in the order of arrival. A listing made before a change but received after it replaced the feed; the watch went on behind the change. Class: a position is taken from one reply and the contents from another. Change: a feed ignores a listing that is older than itself, a state of a record is replaced by a later one only, and changes are handed over with the revision after which they begin: if that is behind the feed's end, the feed is incomplete and the node lists. The time of the last confirmation no longer goes back with a late listing either.

--- a/src/duty/record_feed.cpp
+++ b/src/duty/record_feed.cpp
@@ -9,6 +9,9 @@
 
 void RecordFeed::onList(const RecordListing &listing, TimePoint confirmedAt)
 {
+    if (valid_ && listing.at < at_) {
+        return;
+    }
     records_.clear();
     for (const StoredRecord &record : listing.records) {
         records_[record.name] = {record, false};
@@ -19,13 +22,19 @@
     valid_ = true;
 }
 
-void RecordFeed::onChanges(const RecordChanges &changes, TimePoint confirmedAt)
+bool RecordFeed::onChanges(StoreRevision since, const RecordChanges &changes, TimePoint confirmedAt)
 {
+    const bool joins = !valid_ || since <= at_;
+    valid_ = valid_ && joins;
     for (const RecordChange &change : changes.changes) {
-        records_[change.record.name] = change;
+        RecordChange &known = records_[change.record.name];
+        if (change.record.revision > known.record.revision) {
+            known = change;
+        }
     }
     at_ = std::max(at_, changes.at);
     confirmedAt_ = std::max(confirmedAt_, confirmedAt);
+    return joins;
 }
 
 std::optional<RecordChanges> RecordFeed::changesSince(StoreRevision since) const
--- a/src/duty/record_feed.h
+++ b/src/duty/record_feed.h
@@ -12,16 +12,22 @@
 
 /**
  * The latest known change to each record of one kind, and the revision up to which the feed is
- * complete. Used by one thread.
+ * complete. Listings and changes may arrive in any order: a state of a record is replaced only by a
+ * later one, and the feed counts as complete only if what arrives joins what it has. Used by one
+ * thread.
  */
 class RecordFeed
 {
 public:
-    /** Resets the feed to a complete listing. */
+    /** Resets the feed to a complete listing. One that is older than the feed is ignored. */
     void onList(const RecordListing &listing, TimePoint confirmedAt);
 
-    /** Adds changes received after the last revision. */
-    void onChanges(const RecordChanges &changes, TimePoint confirmedAt);
+    /**
+     * Adds the changes that the store has made after @p since.
+     * @return false if changes before those are missing: the feed is then incomplete until the next
+     *         listing.
+     */
+    bool onChanges(StoreRevision since, const RecordChanges &changes, TimePoint confirmedAt);
 
     /** Marks the feed as possibly incomplete until the next listing. */
     void onLost() { valid_ = false; }
@@ -37,6 +43,7 @@
 
 private:
     /// Latest change to each record. Removed records are kept so that followers are notified.
+    /// Invariant: while valid_, no change up to at_ and after listedAt_ is missing.
     std::map<std::string, RecordChange> records_;
     StoreRevision listedAt_; ///< Earlier removals are not in records_.
     StoreRevision at_;
--- a/src/duty/shared_watch.cpp
+++ b/src/duty/shared_watch.cpp
@@ -66,7 +66,7 @@
     Result<RecordListing> listing = co_await store_.list(kind);
     if (listing) {
         feeds_[kind].onList(listing.assume_value(), sentAt);
-        confirmedAt_[kind] = sentAt;
+        confirmedAt_[kind] = std::max(confirmedAt_[kind], sentAt);
         wakeFollowers();
     }
     co_return listing;
@@ -127,12 +127,15 @@
                                                             milliseconds wait)
 {
     Result<RecordChanges> changes = co_await store_.watch(kind, since, wait);
-    if (changes) {
-        confirmedAt_[kind] = clock_.now();
-        feeds_[kind].onChanges(changes.assume_value(), confirmedAt_[kind]);
-        wakeFollowers();
-    } else {
+    if (!changes) {
         feeds_[kind].onLost();
+        co_return changes;
+    }
+    confirmedAt_[kind] = clock_.now();
+    const bool joins = feeds_[kind].onChanges(since, changes.assume_value(), confirmedAt_[kind]);
+    wakeFollowers();
+    if (!joins) {
+        co_return listAgain("changes before those of the watch are missing");
     }
     co_return changes;
 }
@@ -174,7 +177,9 @@
     }
     // This node may become a feeder. Without these changes its feed would have a gap, and followers
     // would never receive what is in it. NeverTime: the store itself has confirmed nothing to it.
-    feeds_[kind].onChanges(changes, NeverTime);
+    if (!feeds_[kind].onChanges(since, changes, NeverTime)) {
+        co_return listAgain("changes before those of the feeder are missing");
+    }
     co_return changes;
 }
 
--- a/test/unit/store/shared_watch_test.cpp
+++ b/test/unit/store/shared_watch_test.cpp
@@ -384,7 +384,7 @@
     RecordChanges changes;
     changes.changes = {{{"a", StoreRevision(3), "1"}, true}, {{"b", StoreRevision(4), "2"}, false}};
     changes.at = StoreRevision(4);
-    feed.onChanges(changes, TimePoint(milliseconds(9)));
+    (void)feed.onChanges(StoreRevision(2), changes, TimePoint(milliseconds(9)));
     const auto changed = feed.changesSince(StoreRevision(2));
     cr_assert(changed && changed->changes.size() == 2);
     cr_assert(changed->changes[0].removed && !changed->changes[1].removed);
