Fix: [Store sync, Shared watch] A node compares the changes that it has, not the position of its watch, with those of others

What callers saw: an added route answered 404 at a node whose watch had gone on past the change. By its position the node was up to date, so it took what other nodes name and what a later feeder has for known, and stayed with the old configuration until the next one. Cause: a position says how far a node has asked, not what it has. Both second ways (the revisions in replies of other nodes, the next feeder) compared positions. Change: for the configuration the lag is that of the record itself; a feeder names its latest change, and a follower whose records and last listing are older lists. A configuration that can't be read counts as known, so it isn't asked for again.

--- a/src/duty/record_feed.cpp
+++ b/src/duty/record_feed.cpp
@@ -13,8 +13,10 @@
         return;
     }
     records_.clear();
+    newest_ = StoreRevision();
     for (const StoredRecord &record : listing.records) {
         records_[record.name] = {record, false};
+        newest_ = std::max(newest_, record.revision);
     }
     listedAt_ = listing.at;
     at_ = listing.at;
@@ -28,8 +30,9 @@
     valid_ = valid_ && joins;
     for (const RecordChange &change : changes.changes) {
         RecordChange &known = records_[change.record.name];
-        if (change.record.revision > known.record.revision) {
+        if (change.record.revision >= known.record.revision) {
             known = change;
+            newest_ = std::max(newest_, change.record.revision);
         }
     }
     at_ = std::max(at_, changes.at);
--- a/src/duty/record_feed.h
+++ b/src/duty/record_feed.h
@@ -5,6 +5,7 @@
 #include "core/time_type.h"
 #include "port/record_store.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -35,6 +36,15 @@
     /** @return Changes after @p since; nullopt if some may be missing. */
     std::optional<RecordChanges> changesSince(StoreRevision since) const;
 
+    /** @return Revision of the latest change that is known. */
+    StoreRevision newest() const { return newest_; }
+
+    /** @return Whether a change of revision @p change is missing here, whatever at() says. */
+    bool lacks(StoreRevision change) const
+    {
+        return valid_ && change > std::max(newest_, listedAt_);
+    }
+
     /** @return The last time at which the store had nothing newer; NeverTime: not known. */
     TimePoint confirmedAt() const { return valid_ ? confirmedAt_ : NeverTime; }
 
@@ -45,6 +55,7 @@
     /// Latest change to each record. Removed records are kept so that followers are notified.
     /// Invariant: while valid_, no change up to at_ and after listedAt_ is missing.
     std::map<std::string, RecordChange> records_;
+    StoreRevision newest_;   ///< Of records_.
     StoreRevision listedAt_; ///< Earlier removals are not in records_.
     StoreRevision at_;
     TimePoint confirmedAt_ = NeverTime;
--- a/src/duty/shared_watch.cpp
+++ b/src/duty/shared_watch.cpp
@@ -180,6 +180,9 @@
     if (!feeds_[kind].onChanges(since, changes, NeverTime)) {
         co_return listAgain("changes before those of the feeder are missing");
     }
+    if (feeds_[kind].lacks(StoreRevision(reply.newest()))) {
+        co_return listAgain("the feeder has a change that this node was not told of");
+    }
     co_return changes;
 }
 
@@ -239,6 +242,7 @@
                 = kind == RecordKind::Configuration && confirmation > knownConfirmation;
         if (changes && (!changes->changes.empty() || confirmed || now >= end)) {
             reply.set_revision(changes->at.value());
+            reply.set_newest(feeds_[kind].newest().value());
             reply.set_confirmed_ms_ago(
                     std::chrono::duration_cast<milliseconds>(now - confirmation).count());
             for (const RecordChange &change : changes->changes) {
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -116,7 +116,6 @@
     const v1::StoreRecord &record = reply.record();
     const StoreRevision revision(record.revision());
     applyRecord(RecordKind::Configuration, {record.name(), revision, record.content()}, "peer");
-    lags_.at(RecordKind::Configuration).onPosition(revision);
     co_return true;
 }
 
@@ -205,9 +204,8 @@
     if (!listing) {
         co_return std::move(listing).as_failure();
     }
-    onConfirmed(kind, sentAt);
     applyListing(kind, listing.assume_value());
-    lags_.at(kind).onPosition(listing.assume_value().at);
+    onWatched(kind, listing.assume_value().at, sentAt);
     co_return listing.assume_value().at;
 }
 
@@ -217,10 +215,9 @@
     if (!changes) {
         co_return std::move(changes).as_failure();
     }
-    onConfirmed(kind, clock_.now() - changes.assume_value().age);
     recent_[kind].changed = !changes.assume_value().changes.empty();
     applyChanges(kind, changes.assume_value());
-    lags_.at(kind).onPosition(changes.assume_value().at);
+    onWatched(kind, changes.assume_value().at, clock_.now() - changes.assume_value().age);
     co_return changes.assume_value().at;
 }
 
@@ -277,6 +274,10 @@
 
 void StoreSync::applyConfig(const StoredRecord &record, std::string_view source)
 {
+    // The record itself counts, not the position of the watch: a watch that has passed over a
+    // change would never be found to be behind. One that can't be used isn't asked for again
+    // either.
+    lags_.at(RecordKind::Configuration).onPosition(record.revision);
     Result<RouteConfig> config = decodeConfig_(record.content);
     if (!config) {
         logMalformedRecord(RecordKind::Configuration, record.name, config.assume_error());
@@ -304,20 +305,22 @@
     }
 }
 
-void StoreSync::onConfirmed(RecordKind kind, TimePoint at)
+void StoreSync::onWatched(RecordKind kind, StoreRevision at, TimePoint confirmedAt)
 {
     if (kind == RecordKind::Configuration) {
-        configConfirmedAt_ = std::max(configConfirmedAt_, at);
+        configConfirmedAt_ = std::max(configConfirmedAt_, confirmedAt);
+        configPosition_ = std::max(configPosition_, at);
+    } else {
+        lags_.at(kind).onPosition(at);
     }
 }
 
 ConfigStatus StoreSync::configStatus(TimePoint now) const
 {
-    const auto lag = lags_.find(RecordKind::Configuration);
     ConfigStatus status;
     status.source = configSource_;
     status.record = config_.revision;
-    status.position = lag == lags_.end() ? StoreRevision() : lag->second.position();
+    status.position = configPosition_;
     status.unconfirmed = configUnconfirmedFor(now);
     status.inForce = configInForceAt_ == NeverTime
                              ? milliseconds(0)
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -104,8 +104,9 @@
     void applyConfig(const StoredRecord &record, std::string_view source);
     void applyRemoval(RecordKind kind, const std::string &name);
     void updateAvailability(RecordKind kind, const Failure *failure);
-    /** The store had nothing newer at @p at. */
-    void onConfirmed(RecordKind kind, TimePoint at);
+    /** The watch of @p kind has received all changes up to @p at; the store had nothing newer at
+     *  @p confirmedAt. */
+    void onWatched(RecordKind kind, StoreRevision at, TimePoint confirmedAt);
     /** @return Time since the configuration was last confirmed to be the newest; 0: never yet. */
     milliseconds configUnconfirmedFor(TimePoint now) const;
     void logFailedConfigSync(std::string_view call, const Failure &failure, TimePoint begun) const;
@@ -134,6 +135,7 @@
     bool unavailable_ = false;
     TimePoint configConfirmedAt_ = NeverTime; ///< The store had no newer configuration then.
     TimePoint configInForceAt_ = NeverTime;
+    StoreRevision configPosition_;  ///< Up to which the configuration has been watched.
     std::string_view configSource_; ///< By which call the configuration in force came.
 };
 
--- a/src/duty/watch_lag.h
+++ b/src/duty/watch_lag.h
@@ -20,7 +20,7 @@
 public:
     explicit WatchLag(milliseconds allowance) : allowance_(allowance) { }
 
-    /** The local watch has received all changes up to @p at. */
+    /** All changes up to @p at are known. */
     void onPosition(StoreRevision at)
     {
         position_ = std::max(position_, at);
@@ -42,8 +42,6 @@
         return now - since_ >= allowance_;
     }
 
-    StoreRevision position() const { return position_; }
-
 private:
     milliseconds allowance_;
     StoreRevision position_;
--- a/test/support/scripted_store.h
+++ b/test/support/scripted_store.h
@@ -39,6 +39,9 @@
     /** While set, no watch returns changes. */
     void muteWatches(bool muted) { muted_ = muted; }
 
+    /** The next watch that has changes returns their revision without them. */
+    void passOverChanges() { passesOver_ = true; }
+
     /** While set, listings that have been made don't arrive. */
     void holdListings(bool held) { held_ = held; }
 
@@ -74,6 +77,7 @@
 
     Pending<RecordListing> list(RecordKind kind) override
     {
+        ++lists_[kind];
         if (down_) {
             co_return unavailable();
         }
@@ -89,6 +93,13 @@
     /** @param action Called after each write that took effect. */
     void onWrite(std::function<void()> action) { written_ = std::move(action); }
 
+    /** @return Number of listings of @p kind that were asked for. */
+    int lists(RecordKind kind) const
+    {
+        const auto found = lists_.find(kind);
+        return found == lists_.end() ? 0 : found->second;
+    }
+
     /** @return Number of reads of single records of @p kind. */
     int reads(RecordKind kind) const
     {
@@ -153,6 +164,9 @@
                 }
             }
             if (!found.changes.empty() && !muted_ && !down_) {
+                if (std::exchange(passesOver_, false)) {
+                    found.changes.clear();
+                }
                 co_return found;
             }
             co_await sleepFor(milliseconds(1));
@@ -182,8 +196,10 @@
     int conflicts_ = 0;
     std::function<void()> written_;
     std::map<RecordKind, int> reads_;
+    std::map<RecordKind, int> lists_;
     bool muted_ = false;
     bool held_ = false;
+    bool passesOver_ = false;
     bool down_ = false;
 };
 
--- a/test/unit/store/shared_watch_test.cpp
+++ b/test/unit/store/shared_watch_test.cpp
@@ -208,6 +208,32 @@
                           [](const RecordChange &change) { return change.record.content == "2"; }));
 }
 
+// Guards against a follower that stays without a change until the next one because its feeder has
+// passed over it: once there is a feeder that has the change, it is older than the follower's
+// position.
+Test(shared_watch, follower_that_lacks_a_change_of_its_feeder_lists)
+{
+    Fixture fixture;
+    fixture.followerStore.put(RecordKind::Configuration, "main", "1");
+    cr_assert(fixture.run(fixture.follower_->list(RecordKind::Configuration)).has_value());
+    const StoreRevision first = fixture.store.put(RecordKind::Configuration, "main", "1");
+    cr_assert(fixture.run(fixture.feeder_->list(RecordKind::Configuration)).has_value());
+    fixture.store.passOverChanges();
+    const StoreRevision missed = fixture.store.put(RecordKind::Configuration, "main", "2");
+    cr_assert(fixture.watchAsFeeder(first).has_value());
+    const auto told = fixture.watchAsFollower(first);
+    cr_assert(told.has_value() && told.assume_value().at == missed);
+    cr_assert(fixture.run(fixture.feeder_->list(RecordKind::Configuration)).has_value());
+
+    const auto toldLater = fixture.watchAsFollower(missed);
+    cr_assert(!toldLater && toldLater.assume_error().code == FailureCode::HistoryGone);
+
+    // Once it has listed, the record may be older than the listing.
+    fixture.followerStore.put(RecordKind::Configuration, "main", "2");
+    cr_assert(fixture.run(fixture.follower_->list(RecordKind::Configuration)).has_value());
+    cr_assert(fixture.watchAsFollower(missed).has_value());
+}
+
 Test(shared_watch, follower_receives_changes_from_the_feeder)
 {
     Fixture fixture;
--- a/test/unit/store/store_sync_test.cpp
+++ b/test/unit/store/store_sync_test.cpp
@@ -139,6 +139,51 @@
     cr_assert(fixture.reaches(7));
 }
 
+// Guards against an old configuration at a node whose watch has passed over the change: by its
+// position the node is not behind, so what other nodes name was taken to be known.
+Test(store_sync, change_that_the_watch_has_passed_over_is_detected)
+{
+    Fixture fixture;
+    fixture.store.put(RecordKind::Configuration, "main", "4");
+    fixture.sync.start();
+    cr_assert(fixture.reaches(4));
+    fixture.store.passOverChanges();
+    const StoreRevision missed = fixture.store.put(RecordKind::Configuration, "main", "7");
+    cr_assert(runUntilHolds(fixture.context, [&]() {
+        return fixture.sync.configStatus(fixture.clock.now()).position >= missed;
+    }));
+    cr_assert_eq(fixture.view.routes().version(), 4U);
+    const TimePoint begun{milliseconds(100)};
+    const SyncTimes times = makeTimes();
+    fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, missed}}, begun);
+    fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, missed}},
+                                 begun + times.maxConfigLag);
+    cr_assert(fixture.reaches(7));
+}
+
+// Guards against a node that asks again and again for a configuration which it can't read.
+Test(store_sync, configuration_that_cannot_be_read_is_not_asked_for_again)
+{
+    Fixture fixture;
+    fixture.store.put(RecordKind::Configuration, "main", "4");
+    fixture.sync.start();
+    cr_assert(fixture.reaches(4));
+    const StoreRevision unreadable = fixture.store.put(RecordKind::Configuration, "main", "none");
+    fixture.store.put(RecordKind::Ranges, "s", "{}");
+    cr_assert(runUntilHolds(fixture.context, [&]() {
+        return fixture.sync.configStatus(fixture.clock.now()).position >= unreadable;
+    }));
+    const int lists = fixture.store.lists(RecordKind::Configuration);
+    const TimePoint begun{milliseconds(100)};
+    const SyncTimes times = makeTimes();
+    fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, unreadable}}, begun);
+    fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, unreadable}},
+                                 begun + times.maxConfigLag);
+    fixture.context.restart();
+    fixture.context.run_for(milliseconds(20));
+    cr_assert_eq(fixture.store.lists(RecordKind::Configuration), lists);
+}
+
 // Guards against an old configuration at a node that the store rejects, though other nodes have the
 // new one: lists through them may fail for seconds.
 Test(store_sync, newer_configuration_is_read_from_the_node_that_names_it)
