Fix: [HTTP client] Responses without end are bounded together and end before the request's time is over

What callers saw, or would have: a backend server in trouble may send bytes that are no answer until its connection is closed. Each body was collected up to 16 MiB, so 12 requests at once took 192 MiB on VMs of 160 MB; the node is killed, and all its requests with it. Interim responses, and bodies that end with the connection where none may, were read until the request's time was over; the system's receive buffer grew to megabytes for each connection. Change: all responses of one client share 32 MiB; if one needs more than is left, the largest is cut off and its memory freed at once, so whole responses still find room.

--- a/src/adapter/http/http_client.cpp
+++ b/src/adapter/http/http_client.cpp
@@ -11,7 +11,12 @@
 
 namespace {
 
-constexpr uint64_t MaxResponseBytes = 16 * 1024 * 1024;
+/** Bytes read and not yet parsed: more than a response's head or the size of a chunk may have. */
+constexpr size_t MaxUnparsedBytes = 64 * 1024;
+/** Bytes that the system receives for one connection before they are read. */
+constexpr int ReceiveBufferBytes = 128 * 1024;
+/** Interim responses and responses to other requests that are skipped on one connection. */
+constexpr int MaxSkippedResponses = 16;
 /** An idle connection is discarded this long before the server would close it: a request that
  *  crosses the close is lost, and it is unknown whether it was executed. */
 constexpr milliseconds IdleMargin{1000};
@@ -36,7 +41,8 @@
 
 HttpClient::HttpClient(asio::any_io_executor executor, const std::string &ip, uint16_t port,
                        PoolLimits limits)
-    : executor_(std::move(executor)), endpoint_(asio::ip::make_address(ip), port), limits_(limits)
+    : executor_(std::move(executor)), endpoint_(asio::ip::make_address(ip), port), limits_(limits),
+      budget_(limits.heldBytes)
 { }
 
 void HttpClient::configureSocket(tcp::socket &socket) const
@@ -64,6 +70,9 @@
     }
     stream->expires_at(deadline);
     beast::error_code error;
+    // Set before connecting: otherwise the system lets the buffer grow to megabytes.
+    stream->socket().open(endpoint_.protocol(), error);
+    stream->socket().set_option(asio::socket_base::receive_buffer_size(ReceiveBufferBytes), error);
     co_await stream->async_connect(endpoint_, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         control.refused_ = error == asio::error::connection_refused
@@ -194,21 +203,52 @@
     co_return result;
 }
 
+bool HttpClient::isUnframed(const ResponseParser &parser) const
+{
+    return parser.need_eof() && !parser.skip() && !limits_.allowUnframed;
+}
+
+asio::awaitable<beast::error_code>
+HttpClient::readOne(beast::tcp_stream &stream, beast::flat_buffer &buffer, ResponseParser &parser)
+{
+    ResponseBudget::Share share(budget_, [&stream, &parser]() {
+        stream.close();
+        std::string().swap(parser.get().body());
+    });
+    beast::error_code error;
+    parser.eager(true);
+    while (!error && !parser.is_done()) {
+        co_await http::async_read_some(stream, buffer, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        const std::string &body = parser.get().body();
+        // A string that grows may have up to twice its size allocated.
+        if (!share.resize(std::min(body.capacity(), 2 * body.size()))) {
+            error = http::error::body_limit;
+        }
+        if (parser.is_header_done() && isUnframed(parser)) {
+            break;
+        }
+    }
+    co_return error;
+}
+
 asio::awaitable<Result<HttpResponse>> HttpClient::read(beast::tcp_stream &stream, bool headOnly,
                                                        milliseconds timeout,
                                                        ExchangeControl &control)
 {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(MaxUnparsedBytes);
     HttpResponse response;
     bool misplaced = false;
     bool anyMisplaced = false;
+    int skipped = 0;
     do {
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(MaxResponseBytes);
+        if (skipped++ > MaxSkippedResponses) {
+            co_return Failure{FailureCode::Malformed, "too many responses before the expected one"};
+        }
+        ResponseParser parser;
+        parser.body_limit(limits_.responseBytes);
         parser.skip(headOnly);
-        beast::error_code error;
-        co_await http::async_read(stream, buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, error));
+        const beast::error_code error = co_await readOne(stream, buffer, parser);
         if (parser.got_some()) {
             control.stage_ = RequestStage::PartlyAnswered;
         }
@@ -226,7 +266,7 @@
         }
         // A response that is delimited by the end of the connection cannot be distinguished from a
         // truncated one.
-        if (!headOnly && parser.need_eof() && !limits_.allowUnframed) {
+        if (isUnframed(parser)) {
             co_return Failure{FailureCode::Malformed,
                               "response has neither Content-Length nor chunked coding"};
         }
--- a/src/adapter/http/http_client.h
+++ b/src/adapter/http/http_client.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "adapter/http/http_type.h"
+#include "adapter/http/response_budget.h"
 #include "core/failure_type.h"
 #include "decision/request/outcome_table.h"
 
@@ -68,6 +69,10 @@
     std::chrono::seconds probeInterval{1}; ///< TCP_KEEPINTVL: time between probes.
     uint32_t probes = 3;     ///< TCP_KEEPCNT: unanswered probes before the connection is closed.
     milliseconds connect{0}; ///< Connect timeout; 0: only the timeout of the exchange applies.
+    uint64_t responseBytes = 16 * 1024 * 1024; ///< Maximum size of a response's body.
+    /** Memory for the bodies of all responses that are being received: a server in trouble may send
+     *  bytes until its connection is closed. */
+    size_t heldBytes = 32 * 1024 * 1024;
     bool allowUnframed
             = false; ///< Accept responses that are delimited by the end of the connection.
 };
@@ -98,6 +103,8 @@
 
     uint64_t connectionsOpened() const { return connectionsOpened_; }
     size_t idleConnections() const { return idle_.size(); }
+    /** @return Bytes held for responses that are being received. */
+    size_t heldResponseBytes() const { return budget_.held(); }
 
 private:
     using Connection = std::unique_ptr<beast::tcp_stream>;
@@ -108,8 +115,15 @@
     };
 
     asio::awaitable<Result<Connection>> open(SteadyTime deadline, ExchangeControl &control);
+    using ResponseParser = http::response_parser<http::string_body>;
+
     asio::awaitable<Result<HttpResponse>> read(beast::tcp_stream &stream, bool headOnly,
                                                milliseconds timeout, ExchangeControl &control);
+    /** @return Whether the response ends only with the connection, and may not. */
+    bool isUnframed(const ResponseParser &parser) const;
+    /** Reads one response, within the limits of its size and of the memory for all. */
+    asio::awaitable<beast::error_code> readOne(beast::tcp_stream &stream,
+                                               beast::flat_buffer &buffer, ResponseParser &parser);
     void configureSocket(tcp::socket &socket) const;
     Connection acquireIdle();
     void releaseIdle(Connection connection, std::chrono::milliseconds idleTime);
@@ -120,6 +134,7 @@
     PoolLimits limits_;
     std::deque<Idle> idle_; ///< Most recently used last. Invariant: no request is outstanding on
                             ///< any of them.
+    ResponseBudget budget_;
     uint64_t connectionsOpened_ = 0;
 };
 
