--- a/src/adapter/http/http_client.h
+++ b/src/adapter/http/http_client.h
@@ -72,7 +72,7 @@
     uint64_t responseBytes = 16 * 1024 * 1024; ///< Maximum size of a response's body.
     /** Memory for the bodies of all responses that are being received: a server in trouble may send
      *  bytes until its connection is closed. */
-    size_t heldBytes = 32 * 1024 * 1024;
+    size_t heldBytes = 16 * 1024 * 1024;
     bool allowUnframed
             = false; ///< Accept responses that are delimited by the end of the connection.
 };
--- a/test/unit/http/endless_response_test.cpp
+++ b/test/unit/http/endless_response_test.cpp
@@ -15,8 +15,8 @@
 constexpr size_t Requests = 2 * Slots; ///< At once: more than a server runs.
 constexpr size_t MiB = 1024 * 1024;
 constexpr milliseconds RequestTime{60000};
-/** A fifth of the memory of a small VM (160 MB). */
-constexpr size_t HeldBound = 32 * MiB;
+/** A tenth of the memory of a small VM (160 MB). */
+constexpr size_t HeldBound = 16 * MiB;
 
 constexpr int SendBufferBytes = 64 * 1024;
 
--- a/tool/soak/soak_audit.cpp
+++ b/tool/soak/soak_audit.cpp
@@ -11,11 +11,11 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 16> Names{
-        "sole-owner", "rising-fence",  "at-most-once",    "not-run-is-true",
-        "own-answer", "known-request", "attempt-limit",   "time-left",
-        "leaving",    "planned-work",  "config-in-force", "config-not-back",
-        "work-ends",  "recovery",      "crash-limit",     "request-limit"};
+constexpr std::array<std::string_view, 17> Names{
+        "sole-owner",      "rising-fence",    "at-most-once", "not-run-is-true", "own-answer",
+        "known-request",   "attempt-limit",   "time-left",    "leaving",         "planned-work",
+        "config-in-force", "config-not-back", "work-ends",    "recovery",        "crash-limit",
+        "request-limit",   "memory-bound"};
 constexpr size_t KeyCount = LastShardKey.value() + 1;
 /** Work that goes on after its caller has left is a pattern from so many cases on. */
 constexpr uint64_t LateWorkCases = 4;
@@ -364,6 +364,14 @@
     }
 }
 
+void SoakAudit::onMemory(size_t node, uint64_t bytes, uint64_t bound, TimePoint now)
+{
+    if (bytes > bound && overBound_.insert(node).second) {
+        report(Promise::MemoryBound, now,
+               "node " + std::to_string(node) + " has " + std::to_string(bytes) + " bytes");
+    }
+}
+
 void SoakAudit::onNotRecovered(const std::string &what, TimePoint now)
 {
     report(Promise::Recovery, now, what);
--- a/tool/soak/soak_audit.h
+++ b/tool/soak/soak_audit.h
@@ -33,6 +33,7 @@
     Recovery,      ///< Everything is served again soon after the last fault.
     CrashLimit,    ///< A request that has crashed several backend servers reaches hardly any more.
     RequestLimit,  ///< A backend server gets hardly more requests than the limit that it names.
+    MemoryBound,   ///< A node's memory stays below a bound.
 };
 
 std::string_view promiseName(Promise promise);
@@ -112,6 +113,8 @@
     void onBackendStarted(const std::string &backend, size_t node) { nodeOf_[backend] = node; }
     /** Requests on @p path go to @p service from now on; in force everywhere within the bound. */
     void onRouted(const std::string &path, const std::string &service, TimePoint now);
+    /** Node @p node uses @p bytes of memory. Each node is reported once. */
+    void onMemory(size_t node, uint64_t bytes, uint64_t bound, TimePoint now);
     void onNotRecovered(const std::string &what, TimePoint now);
 
     /** Checks what can be told only at the end. */
@@ -187,6 +190,7 @@
     std::map<std::string, std::map<size_t, TimePoint>> leavingToldAt_;
     std::map<std::string, std::vector<Routing>> routings_;         ///< By path prefix.
     std::map<size_t, std::map<std::string, TimePoint>> seenPaths_; ///< Served by a node's life.
+    std::set<size_t> overBound_; ///< Nodes whose memory has been reported.
     std::vector<Violation> violations_;
     uint64_t answered_ = 0;
     uint64_t leftEarly_ = 0; ///< Work whose caller left well before its end.
--- a/tool/soak/soak_main.cpp
+++ b/tool/soak/soak_main.cpp
@@ -32,6 +32,9 @@
 ABSL_FLAG(bool, announced_leaving, false,
           "backend servers leave, one after the other, that say so first in their answers");
 ABSL_FLAG(bool, frequent_changes, false, "the configuration changes every second or so");
+ABSL_FLAG(bool, endless_answers, false,
+          "backend servers, one after the other, send bytes that end only with the connection");
+ABSL_FLAG(uint32_t, memory_mb, 0, "memory that a node may use; 0: not checked");
 ABSL_FLAG(bool, power_loss, false,
           "after the other faults all nodes and backend servers are lost at once, right after a "
           "change of the configuration, and start on slow links");
@@ -44,6 +47,8 @@
 
 namespace {
 
+constexpr uint64_t BytesPerMegabyte = 1000 * 1000;
+
 /** @return The number that @p text is; nothing if it is none. */
 std::optional<uint64_t> parseNumber(std::string_view text)
 {
@@ -95,6 +100,8 @@
             settings.announcedLeaving = absl::GetFlag(FLAGS_announced_leaving);
             settings.crashingRequests = absl::GetFlag(FLAGS_crashing_requests);
             settings.frequentChanges = absl::GetFlag(FLAGS_frequent_changes);
+            settings.endlessAnswers = absl::GetFlag(FLAGS_endless_answers);
+            settings.memoryBound = absl::GetFlag(FLAGS_memory_mb) * BytesPerMegabyte;
             settings.powerLoss = absl::GetFlag(FLAGS_power_loss);
             settings.callersPerNode = absl::GetFlag(FLAGS_callers);
             settings.strongNodes = absl::GetFlag(FLAGS_strong_nodes);
--- a/tool/soak/soak_node.cpp
+++ b/tool/soak/soak_node.cpp
@@ -82,6 +82,7 @@
       backend_(context, makeIdentity(settings, settings_, index, sharded), observer,
                settings.seed + index)
 {
+    backend_.faults().endlessAnswers = settings.endlessAnswers;
     if (settings.crashingRequests) {
         backend_.faults().crashingTarget = CrashingTarget;
     }
@@ -101,6 +102,18 @@
             base + ".err", base + ".log");
 }
 
+uint64_t SoakNode::memory() const
+{
+    std::ifstream status("/proc/" + std::to_string(process_->id()) + "/status");
+    constexpr std::string_view Field = "VmRSS:";
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(Field)) {
+            return std::stoull(line.substr(Field.size())) * 1024;
+        }
+    }
+    return 0;
+}
+
 void SoakNode::kill()
 {
     if (process_) {
--- a/tool/soak/soak_node.h
+++ b/tool/soak/soak_node.h
@@ -27,6 +27,8 @@
     bool namedLimits = false;       ///< Some backend servers name a limit of requests per second.
     bool announcedLeaving = false;  ///< Backend servers leave that say so first in their answers.
     bool frequentChanges = false;   ///< The configuration changes every second or so.
+    bool endlessAnswers = false;    ///< Some backend servers send bytes until the caller closes.
+    uint64_t memoryBound = 0;       ///< Bytes that a node may use; 0: not checked.
     bool powerLoss = false;         ///< At the end all nodes and backend servers are lost at once.
     size_t callersPerNode = 3;
     size_t strongNodes = 0; ///< The first ones: feeders, and targets of half of the faults.
@@ -48,6 +50,8 @@
 
     bool isRunning() { return process_ != nullptr && !process_->hasEnded(); }
     int exitCode() { return process_->wait(); }
+    /** @return Bytes of memory that the process uses; 0 if it has ended. */
+    uint64_t memory() const;
 
     const std::string &name() const { return settings_.name; }
     const std::string &service() const { return settings_.service; }
--- a/tool/soak/soak_run.cpp
+++ b/tool/soak/soak_run.cpp
@@ -28,6 +28,10 @@
 constexpr double LeastLimit = 2; ///< Requests per second.
 constexpr uint64_t LimitSpread = 8;
 constexpr milliseconds ProbePause{250};
+/** For which one backend server sends bytes without end, and in what share of its answers. */
+constexpr milliseconds EndlessTime{3000};
+constexpr double EndlessShare = 0.8;
+constexpr milliseconds MemoryInterval{100};
 constexpr milliseconds DownTime{1200}; ///< For which all nodes are down after a loss of power.
 /** For which links are slow after that, and how slow. */
 constexpr milliseconds SlowStartTime{2000};
@@ -104,6 +108,12 @@
     if (settings_.announcedLeaving) {
         startTask(context_, announceLeaving());
     }
+    if (settings_.endlessAnswers) {
+        startTask(context_, sendEndless());
+    }
+    if (settings_.memoryBound > 0) {
+        startTask(context_, watchMemory());
+    }
     if (settings_.frequentChanges) {
         startTask(context_, changeOften());
     }
@@ -167,6 +177,30 @@
     }
 }
 
+asio::awaitable<void> SoakRun::sendEndless()
+{
+    while (!healed_) {
+        const size_t index = random_() % fleet_.size();
+        double &share = fleet_.node(index).backend().faults().malformedAnswers;
+        audit_.onDisturbance(index, clock_.now(), clock_.now() + EndlessTime);
+        note(fleet_.node(index).backend().id() + " sends bytes without end");
+        share = EndlessShare;
+        co_await waitUnlessHealed(EndlessTime);
+        share = 0;
+    }
+}
+
+asio::awaitable<void> SoakRun::watchMemory()
+{
+    while (!healed_) {
+        for (size_t index = 0; index < fleet_.size(); ++index) {
+            audit_.onMemory(index, fleet_.node(index).memory(), settings_.memoryBound,
+                            clock_.now());
+        }
+        co_await sleepFor(MemoryInterval);
+    }
+}
+
 asio::awaitable<void> SoakRun::changeOften()
 {
     while (!healed_) {
--- a/tool/soak/soak_run.h
+++ b/tool/soak/soak_run.h
@@ -36,6 +36,9 @@
     asio::awaitable<void> nameLimits();
     /** One backend server after the other says in its answers that it leaves, and leaves later. */
     asio::awaitable<void> announceLeaving();
+    /** One backend server after the other sends bytes without end, until the load ends. */
+    asio::awaitable<void> sendEndless();
+    asio::awaitable<void> watchMemory();
     /** Writes one configuration after the other, until the load ends. */
     asio::awaitable<void> changeOften();
     /** Ends all nodes and backend servers at once and starts them on slow links. */
