Fix: [Store sync] A failed list is repeated while the watch of the configuration waits

What callers saw: a node whose list of members or ranges failed once, as when a whole fleet starts at once, knew no other node until its watch of the configuration had ended: 3 s at the start, 20 s later. Its requests were refused meanwhile. Cause: one flag for all kinds. Any failure set it, and the other kinds then waited for a call for the configuration to succeed; that call was waiting for a change. Change: each kind has its own state; the others wait only while the call for the configuration fails as well. Evidence: store_sync/failed_list_is_repeated_* fails before (no second list within 10 s), passes now; 32 of 32 tests of store_sync, shared_watch, record_feed, config_age and store_relay pass.

--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -57,7 +57,7 @@
     // In a large fleet the watches of the other kinds are short anyway; while the store is
     // unavailable the loop lists.
     return kind == RecordKind::Configuration
-           || (!unavailable_ && view_.members().size() < times_.minMembers);
+           || (!isUnavailable() && view_.members().size() < times_.minMembers);
 }
 
 void StoreSync::onPeerRevisions(NodeId peer, const KnownRevisions &news, TimePoint now)
@@ -171,7 +171,8 @@
         co_await sleepFor(pause);
         const auto members = static_cast<int64_t>(view_.members().size());
         pause = std::min(pause * 2, times_.maxPause + times_.pausePerMember * members);
-        while (unavailable_ && kind != ProbingKind) {
+        // Only while that call fails as well: it may have been waiting for changes since before.
+        while (kind != ProbingKind && failing_.count(ProbingKind) > 0) {
             co_await sleepFor(times_.firstPause);
         }
     }
@@ -348,12 +349,16 @@
 
 void StoreSync::updateAvailability(RecordKind kind, const Failure *failure)
 {
-    const bool lost = failure != nullptr;
-    if (lost == unavailable_) {
+    const bool wasUnavailable = isUnavailable();
+    if (failure != nullptr) {
+        failing_.insert(kind);
+    } else {
+        failing_.erase(kind);
+    }
+    if (isUnavailable() == wasUnavailable) {
         return;
     }
-    unavailable_ = lost;
-    if (lost) {
+    if (failure != nullptr) {
         logEvent(LogEvent::PlatformUnavailable,
                  {{"kind", std::string(recordKindName(kind))}, {"cause", failure->context}});
     } else {
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -103,7 +103,9 @@
     void applyRecord(RecordKind kind, const StoredRecord &record, std::string_view source);
     void applyConfig(const StoredRecord &record, std::string_view source);
     void applyRemoval(RecordKind kind, const std::string &name);
+    /** @param failure Of the last call for @p kind; nullptr: it succeeded. */
     void updateAvailability(RecordKind kind, const Failure *failure);
+    bool isUnavailable() const { return !failing_.empty(); }
     /** The watch of @p kind has received all changes up to @p at; the store had nothing newer at
      *  @p confirmedAt. */
     void onWatched(RecordKind kind, StoreRevision at, TimePoint confirmedAt);
@@ -128,11 +130,11 @@
     std::vector<RecordKind> kinds_{RecordKind::Configuration, RecordKind::Members,
                                    RecordKind::Ranges}; ///< Kinds that are watched.
     std::map<RecordKind, WatchLag> lags_;
-    std::set<RecordKind> catchingUp_;    ///< Kinds that are read while their watch waits.
-    PeerCalls *peers_ = nullptr;         ///< nullptr: configurations are not exchanged.
-    StoredRecord config_;                ///< Record of the configuration in force.
-    TimePoint nextServedAt_ = NeverTime; ///< When it is sent to a node again that is behind.
-    bool unavailable_ = false;
+    std::set<RecordKind> catchingUp_;         ///< Kinds that are read while their watch waits.
+    PeerCalls *peers_ = nullptr;              ///< nullptr: configurations are not exchanged.
+    StoredRecord config_;                     ///< Record of the configuration in force.
+    TimePoint nextServedAt_ = NeverTime;      ///< When it is sent to a node again that is behind.
+    std::set<RecordKind> failing_;            ///< Kinds whose last call failed.
     TimePoint configConfirmedAt_ = NeverTime; ///< The store had no newer configuration then.
     TimePoint configInForceAt_ = NeverTime;
     StoreRevision configPosition_;  ///< Up to which the configuration has been watched.
--- a/test/support/scripted_store.h
+++ b/test/support/scripted_store.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace wisteriahoist::testing {
@@ -42,6 +43,12 @@
     /** The next watch that has changes returns their revision without them. */
     void passOverChanges() { passesOver_ = true; }
 
+    /** The next list of @p kind fails with Unavailable, after a while. */
+    void failNextList(RecordKind kind) { failing_.insert(kind); }
+
+    /** @return Duration that the last watch of @p kind asked for. */
+    milliseconds lastWait(RecordKind kind) const { return waits_.at(kind); }
+
     /** While set, listings that have been made don't arrive. */
     void holdListings(bool held) { held_ = held; }
 
@@ -78,6 +85,10 @@
     Pending<RecordListing> list(RecordKind kind) override
     {
         ++lists_[kind];
+        if (failing_.erase(kind) > 0) {
+            co_await sleepFor(milliseconds(5));
+            co_return unavailable();
+        }
         if (down_) {
             co_return unavailable();
         }
@@ -149,8 +160,9 @@
         co_return answer(put(kind, name, content));
     }
 
-    Pending<RecordChanges> watch(RecordKind kind, StoreRevision since, milliseconds) override
+    Pending<RecordChanges> watch(RecordKind kind, StoreRevision since, milliseconds wait) override
     {
+        waits_[kind] = wait;
         const uint64_t cuts = cuts_;
         while (true) {
             if (cuts_ != cuts) {
@@ -197,6 +209,8 @@
     std::function<void()> written_;
     std::map<RecordKind, int> reads_;
     std::map<RecordKind, int> lists_;
+    std::set<RecordKind> failing_;
+    std::map<RecordKind, milliseconds> waits_;
     bool muted_ = false;
     bool held_ = false;
     bool passesOver_ = false;
--- a/test/unit/store/store_sync_test.cpp
+++ b/test/unit/store/store_sync_test.cpp
@@ -184,6 +184,19 @@
     cr_assert_eq(fixture.store.lists(RecordKind::Configuration), lists);
 }
 
+// Guards against a node that knows no other node for as long as its watch of the configuration
+// waits, because one list failed as it started.
+Test(store_sync, failed_list_is_repeated_while_the_watch_of_the_configuration_waits)
+{
+    Fixture fixture;
+    fixture.store.put(RecordKind::Configuration, "main", "4");
+    fixture.store.failNextList(RecordKind::Members);
+    fixture.sync.start();
+    cr_assert(fixture.reaches(4));
+    cr_assert(runUntilHolds(fixture.context,
+                            [&]() { return fixture.store.lists(RecordKind::Members) == 2; }));
+}
+
 // Guards against an old configuration at a node that the store rejects, though other nodes have the
 // new one: lists through them may fail for seconds.
 Test(store_sync, newer_configuration_is_read_from_the_node_that_names_it)
