Fix: [Shared watch] Watches are short until the members have been listed

What callers may have seen: a node of a large fleet that hears of no change of the configuration for up to 20 s, alone and without a warning anywhere. Cause: how long a watch lasts is decided as it begins, by the members that are known then. A node whose list of members had failed, or was not back, took its fleet for a small one and asked for 20 s (3 s in its first seconds); if that connection fell silent, only its end showed it. Change: until the members have been listed a watch is as short as in a large fleet. Evidence: shared_watch/watch_is_short_until_the_members_have_been_listed fails before (3 s where 0.8 are allowed), passes now. That the incident came about so is not shown.

--- a/src/duty/shared_watch.cpp
+++ b/src/duty/shared_watch.cpp
@@ -67,6 +67,7 @@
     if (listing) {
         feeds_[kind].onList(listing.assume_value(), sentAt);
         confirmedAt_[kind] = std::max(confirmedAt_[kind], sentAt);
+        membersListed_ |= kind == RecordKind::Members;
         wakeFollowers();
     }
     co_return listing;
@@ -108,11 +109,13 @@
                                                        milliseconds wait)
 {
     const TimePoint now = clock_.now();
-    // The fleet size is unknown until the members have been received; a watch of many seconds that
+    // The fleet size is unknown until the members have been listed; a watch of many seconds that
     // starts before would confirm nothing to followers for its whole duration.
-    const bool isLarge = view_.members().size() >= limits_.minMembers;
-    if (isLarge || !isPastStartup(now)) {
-        wait = std::min(wait, isLarge ? watchDuration(kind) : times_.startupPeriod);
+    const bool mayBeLarge = view_.members().size() >= limits_.minMembers || !membersListed_;
+    if (mayBeLarge) {
+        wait = std::min(wait, watchDuration(kind));
+    } else if (!isPastStartup(now)) {
+        wait = std::min(wait, times_.startupPeriod);
     }
     const std::optional<NodeId> feeder = findUsableFeeder(now);
     following_ = feeder.has_value();
--- a/src/duty/shared_watch.h
+++ b/src/duty/shared_watch.h
@@ -115,6 +115,7 @@
     std::map<RecordKind, TimePoint> confirmedAt_;
     std::map<NodeId, Backoff> backoffs_;
     std::set<asio::steady_timer *> waiting_; ///< Timers of followers' calls that wait for a change.
+    bool membersListed_ = false;             ///< Before that, the fleet may be of any size.
     bool following_ = false; ///< This node follows a feeder, so it isn't one itself.
 };
 
--- a/test/unit/store/shared_watch_test.cpp
+++ b/test/unit/store/shared_watch_test.cpp
@@ -234,6 +234,43 @@
     cr_assert(fixture.watchAsFollower(missed).has_value());
 }
 
+// Guards against a watch of 20 s at a node of a large fleet whose first list of members failed: if
+// its connection falls silent, the node has an old configuration for that long.
+Test(shared_watch, watch_is_short_until_the_members_have_been_listed)
+{
+    const SharedWatchTimes times;
+    asio::io_context context;
+    ScriptedStore store(context);
+    ShiftedClock clock;
+    FleetView view;
+    PeerLink peers(context, "127.0.0.1", 0);
+    MemberRecord self;
+    self.node = NodeId(1);
+    view.onMember(self, StoreRevision(1));
+    SharedWatch watch(context, store, clock, peers, view, self);
+    const auto waitOf = [&](RecordKind kind) {
+        const StoreRevision since = store.put(kind, "main", "{}");
+        store.put(kind, "main", "{ }");
+        cr_assert(runUntil(context, watch.watch(kind, since, milliseconds(20000))).has_value());
+        return store.lastWait(kind);
+    };
+    SECTION("as the node starts")
+    {
+        cr_assert_leq(waitOf(RecordKind::Configuration), times.configWait);
+    }
+    clock.advance(2 * times.startupPeriod);
+    SECTION("later as well")
+    {
+        cr_assert_leq(waitOf(RecordKind::Configuration), times.configWait);
+        cr_assert_leq(waitOf(RecordKind::Ranges), times.otherWait);
+    }
+    SECTION("in a small fleet it is long after that")
+    {
+        cr_assert(runUntil(context, watch.list(RecordKind::Members)).has_value());
+        cr_assert_eq(waitOf(RecordKind::Configuration), milliseconds(20000));
+    }
+}
+
 Test(shared_watch, follower_receives_changes_from_the_feeder)
 {
     Fixture fixture;
