Add: [Test] The soak's bound on memory and its aimed faults

Both new parts of the soak are shown to do what they say: a node over its bound is reported once, every other fault of a plan goes to one of the first nodes and nothing else changes.

--- a/test/unit/soak/fault_plan_test.cpp
+++ b/test/unit/soak/fault_plan_test.cpp
@@ -34,3 +34,18 @@
     }
     cr_assert_eq(kinds.size(), FaultKindCount);
 }
+
+Test(fault_plan, every_other_fault_can_be_aimed_at_the_first_nodes)
+{
+    const FaultPlan plan = makeFaultPlan(7, 40);
+    const FaultPlan aimed = aimAtFirst(plan, 3);
+    cr_assert_eq(aimed.faults.size(), plan.faults.size());
+    for (size_t index = 0; index < plan.faults.size(); ++index) {
+        const bool isAimed = index % 2 == 0;
+        cr_assert(isAimed ? aimed.faults[index].target < 3
+                          : aimed.faults[index].target == plan.faults[index].target);
+        cr_assert(aimed.faults[index].kind == plan.faults[index].kind);
+    }
+    const FaultPlan unchanged = aimAtFirst(plan, 0);
+    cr_assert_eq(unchanged.faults.front().target, plan.faults.front().target);
+}
--- a/test/unit/soak/soak_audit_test.cpp
+++ b/test/unit/soak/soak_audit_test.cpp
@@ -411,3 +411,15 @@
         cr_assert(restarted.brokeNothing());
     }
 }
+
+Test(soak_audit, a_node_uses_more_memory_than_it_may)
+{
+    constexpr uint64_t Bound = 1000;
+    Fixture fixture;
+    fixture.audit.onMemory(0, Bound, Bound, at(0));
+    cr_assert(fixture.brokeNothing());
+    fixture.audit.onMemory(0, Bound + 1, Bound, at(1));
+    fixture.audit.onMemory(0, Bound + 1, Bound, at(2));
+    cr_assert(fixture.broke(Promise::MemoryBound));
+    cr_assert_eq(fixture.audit.violations().size(), 1U);
+}
