--- a/src/adapter/http/http_client.cpp
+++ b/src/adapter/http/http_client.cpp
@@ -196,6 +196,10 @@
     const bool headOnly = request.method() == http::verb::head;
     Result<HttpResponse> result = co_await read(*connection, headOnly, timeout, *control);
     control->stream_ = nullptr;
+    const bool timedOut = !result && result.assume_error().code == FailureCode::DeadlineExceeded;
+    if (timedOut && limits_.discardAfterTimeout) {
+        idle_.clear();
+    }
     if (result && result.assume_value().keep_alive() && !control->ownConnection_) {
         const std::chrono::milliseconds idleTime = idleTimeOf(result.assume_value());
         releaseIdle(std::move(connection), idleTime);
--- a/src/adapter/http/http_client.h
+++ b/src/adapter/http/http_client.h
@@ -73,6 +73,9 @@
     /** Memory for the bodies of all responses that are being received: a server in trouble may send
      *  bytes until its connection is closed. */
     size_t heldBytes = 16 * 1024 * 1024;
+    /** Discard all idle connections after a timeout: a fault that silences one of them often
+     * silences all, and each would cost another timeout. */
+    bool discardAfterTimeout = false;
     bool allowUnframed
             = false; ///< Accept responses that are delimited by the end of the connection.
 };
--- a/test/unit/http/http_client_test.cpp
+++ b/test/unit/http/http_client_test.cpp
@@ -29,6 +29,12 @@
     HttpClient client;
 };
 
+asio::awaitable<bool> preconnect(HttpClient &client, size_t count)
+{
+    co_await client.preconnect(count);
+    co_return true;
+}
+
 std::string makeMarkedResponse(const std::string &mark)
 {
     return "HTTP/1.1 200 OK\r\nMark: " + mark + "\r\nContent-Length: 2\r\n\r\n" + mark;
@@ -101,3 +107,33 @@
             fixture.context, unreachable.exchange(std::move(request), milliseconds(2000), control));
     cr_assert(!result && control->isRefused());
 }
+
+// Guards against timeouts in series: when connections fall silent, often all of the pool do, and
+// each call would wait on another one of them.
+Test(http_client, idle_connections_are_discarded_after_a_timeout)
+{
+    const BackendScript answering{makeMarkedResponse("aa"), milliseconds(20)};
+    const BackendScript silent{"", {}, false, true, false};
+    const auto idleAfterTimeout = [&](bool discards) {
+        PoolLimits limits;
+        limits.discardAfterTimeout = discards;
+        Fixture fixture({answering, answering, silent}, limits);
+        (void)runUntil(fixture.context, preconnect(fixture.client, 2));
+        cr_assert_eq(fixture.client.idleConnections(), 2U);
+        cr_assert(fixture.get().has_value());
+        cr_assert(fixture.get().has_value());
+        HttpRequest request(http::verb::get, "/", 11);
+        const auto lost = runUntil(fixture.context,
+                                   fixture.client.exchange(std::move(request), milliseconds(50)));
+        cr_assert(!lost && lost.assume_error().code == FailureCode::DeadlineExceeded);
+        return fixture.client.idleConnections();
+    };
+    SECTION("if the platform's connections fail together")
+    {
+        cr_assert_eq(idleAfterTimeout(true), 0U);
+    }
+    SECTION("but not those to a server that is only slow")
+    {
+        cr_assert_eq(idleAfterTimeout(false), 1U);
+    }
+}
