--- a/test/unit/http/endless_response_test.cpp
+++ b/test/unit/http/endless_response_test.cpp
@@ -203,7 +203,8 @@
     for (size_t number = 0; number < Requests; ++number) {
         endless.push_back(std::make_unique<ResponseBudget::Share>(budget, countCut));
     }
-    for (size_t bytes = 0; cutOff == 0; bytes += WholeBytes) {
+    const auto isFull = [&cutOff]() { return cutOff > 0; };
+    for (size_t bytes = 0; !isFull(); bytes += WholeBytes) {
         for (const auto &share : endless) {
             (void)share->resize(bytes);
         }
