--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -66,5 +66,9 @@
 soak soak-named-limits 1..2 --named_limits
 # Guards against requests to a backend server that has said in its answers that it leaves.
 soak soak-announced-leaving 1..2 --announced_leaving
+# Guards against an old configuration in a fleet with feeders, and after the loss of all nodes at once.
+soak soak-large-fleet 10024 --nodes=24 --callers=1 --strong_nodes=3 --frequent_changes --power_loss
+# Guards against nodes that don't get over backend servers which send bytes without end.
+soak soak-endless-answers 9003 --endless_answers
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
