--- a/test/unit/request/refusal_log_test.cpp
+++ b/test/unit/request/refusal_log_test.cpp
@@ -7,6 +7,7 @@
 #include "duty/stall_monitor.h"
 #include "platform/request_headers.h"
 #include "support/json_text.h"
+#include "support/no_ownership.h"
 #include "support/scripted_backend.h"
 #include "support/test_section.h"
 
@@ -17,16 +18,6 @@
 
 namespace {
 
-class NoOwnership final : public KeyOwnership
-{
-public:
-    RequestEnd check(ShardKey, TimePoint) const override { return RequestEnd::NoLease; }
-    std::optional<KeyOwner> ownerOf(ShardKey) const override { return std::nullopt; }
-    void recordBusyTime(ShardKey, Duration, TimePoint) override { }
-    double demand(TimePoint) override { return 0; }
-    bool isLeaving() const override { return false; }
-};
-
 /** A node that had its configuration from a feeder. */
 class FedConfig final : public RevisionExchange
 {
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -5,6 +5,7 @@
 #include "adapter/clock/boot_clock_adapter.h"
 #include "duty/ingress_message.h"
 #include "platform/request_headers.h"
+#include "support/no_ownership.h"
 #include "support/scripted_backend.h"
 #include "support/test_section.h"
 
@@ -15,17 +16,6 @@
 
 constexpr milliseconds LongTime{20000}; ///< Far above what a test takes.
 
-/** Owns no keys; the tests do not need any. */
-class NoOwnership final : public KeyOwnership
-{
-public:
-    RequestEnd check(ShardKey, TimePoint) const override { return RequestEnd::NoLease; }
-    std::optional<KeyOwner> ownerOf(ShardKey) const override { return std::nullopt; }
-    void recordBusyTime(ShardKey, Duration, TimePoint) override { }
-    double demand(TimePoint) override { return 0; }
-    bool isLeaving() const override { return false; }
-};
-
 /** One node beside one backend server that runs scripts. */
 struct Fixture {
     explicit Fixture(std::vector<BackendScript> scripts)
--- a/test/unit/store/store_sync_test.cpp
+++ b/test/unit/store/store_sync_test.cpp
@@ -44,6 +44,15 @@
     BootClockAdapter clock;
     StoreSync sync{context, store, clock, view, "main", decodeVersion, makeTimes()};
 
+    /** Another node names @p newest until this node has been behind for longer than it may be. */
+    void nameAsNewest(StoreRevision newest)
+    {
+        const TimePoint begun{milliseconds(100)};
+        for (const TimePoint now : {begun, begun + makeTimes().maxConfigLag}) {
+            sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, newest}}, now);
+        }
+    }
+
     bool reaches(uint64_t version)
     {
         return runUntilHolds(context, [&]() { return view.routes().version() == version; });
@@ -153,11 +162,7 @@
         return fixture.sync.configStatus(fixture.clock.now()).position >= missed;
     }));
     cr_assert_eq(fixture.view.routes().version(), 4U);
-    const TimePoint begun{milliseconds(100)};
-    const SyncTimes times = makeTimes();
-    fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, missed}}, begun);
-    fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, missed}},
-                                 begun + times.maxConfigLag);
+    fixture.nameAsNewest(missed);
     cr_assert(fixture.reaches(7));
 }
 
@@ -174,11 +179,7 @@
         return fixture.sync.configStatus(fixture.clock.now()).position >= unreadable;
     }));
     const int lists = fixture.store.lists(RecordKind::Configuration);
-    const TimePoint begun{milliseconds(100)};
-    const SyncTimes times = makeTimes();
-    fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, unreadable}}, begun);
-    fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, unreadable}},
-                                 begun + times.maxConfigLag);
+    fixture.nameAsNewest(unreadable);
     fixture.context.restart();
     fixture.context.run_for(milliseconds(20));
     cr_assert_eq(fixture.store.lists(RecordKind::Configuration), lists);
