Doc: [Shared watch] Why a feed takes a change of equal revision

Comments only: the head comment said that only a later state replaces one, the code takes an equal revision too, and the reason was not plain.

--- a/src/duty/record_feed.cpp
+++ b/src/duty/record_feed.cpp
@@ -30,6 +30,7 @@
     valid_ = valid_ && joins;
     for (const RecordChange &change : changes.changes) {
         RecordChange &known = records_[change.record.name];
+        // Equal as well: a removal may bear the revision of the record's last change.
         if (change.record.revision >= known.record.revision) {
             known = change;
             newest_ = std::max(newest_, change.record.revision);
--- a/src/duty/record_feed.h
+++ b/src/duty/record_feed.h
@@ -13,9 +13,9 @@
 
 /**
  * The latest known change to each record of one kind, and the revision up to which the feed is
- * complete. Listings and changes may arrive in any order: a state of a record is replaced only by a
- * later one, and the feed counts as complete only if what arrives joins what it has. Used by one
- * thread.
+ * complete. Listings and changes may arrive in any order: a state of a record is never replaced by
+ * an earlier one, and the feed counts as complete only if what arrives joins what it has. Used by
+ * one thread.
  */
 class RecordFeed
 {
