Add: [Log] What was sent to a cold server before its limit was known; bytes of calls that were cut off

The record of the two incidents could not tell their hypotheses apart: no line says when a gate knows what its backend server tolerates, and a call for the configuration that ended at its time limit looks the same whether nothing or nearly all had arrived. cold-limit-changed names the limit, whether the server is cold and the requests that it has had; failures of calls to the store and between nodes name the bytes that had arrived; feeder-lost and failed relays name the failure. No decision changes.

--- a/src/adapter/http/http_client.cpp
+++ b/src/adapter/http/http_client.cpp
@@ -259,7 +259,9 @@
         if (error == beast::error::timeout) {
             co_return Failure{FailureCode::DeadlineExceeded,
                               "no complete response within " + std::to_string(timeout.count())
-                                      + " ms; connection closed"};
+                                      + " ms; connection closed after "
+                                      + std::to_string(parser.get().body().size())
+                                      + " bytes of the body"};
         }
         const bool broken = error.category() == make_error_code(http::error::bad_version).category()
                             && error != http::error::end_of_stream
--- a/src/adapter/http2/http2_session.cpp
+++ b/src/adapter/http2/http2_session.cpp
@@ -184,6 +184,12 @@
     return streamId;
 }
 
+size_t Http2Session::receivedBytes(int32_t streamId) const
+{
+    const auto found = streams_.find(streamId);
+    return found == streams_.end() ? 0 : found->second.received.size();
+}
+
 void Http2Session::cancel(int32_t streamId)
 {
     const auto found = streams_.find(streamId);
--- a/src/adapter/http2/http2_session.h
+++ b/src/adapter/http2/http2_session.h
@@ -55,6 +55,9 @@
      */
     int32_t call(const std::string &path, std::string body, Completion completion);
 
+    /** @return Bytes of the reply that have arrived on an open stream. */
+    size_t receivedBytes(int32_t streamId) const;
+
     /** Resets a stream without calling its completion; a late reply is discarded. */
     void cancel(int32_t streamId);
 
--- a/src/adapter/http2/peer_transport.cpp
+++ b/src/adapter/http2/peer_transport.cpp
@@ -185,10 +185,12 @@
     if (outcome->has_value()) {
         co_return std::move(outcome->value());
     }
+    const size_t received = session->receivedBytes(streamId);
     session->cancel(streamId);
-    co_return Failure{FailureCode::DeadlineExceeded, "no reply within "
+    co_return Failure{FailureCode::DeadlineExceeded, "no complete reply within "
                                                              + std::to_string(timeout.count())
-                                                             + " ms; stream cancelled"};
+                                                             + " ms; stream cancelled after "
+                                                             + std::to_string(received) + " bytes"};
 }
 
 } // namespace wisteriahoist
--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -70,6 +70,7 @@
         {LogEvent::LoopStalled, "loop-stalled", LogSeverity::Warning},
         {LogEvent::EvacuationsChanged, "evacuations-changed", LogSeverity::Info},
         {LogEvent::BackendLimitChanged, "backend-limit-changed", LogSeverity::Info},
+        {LogEvent::ColdLimitChanged, "cold-limit-changed", LogSeverity::Info},
         {LogEvent::BackendLimitMalformed, "backend-limit-malformed", LogSeverity::Warning},
         {LogEvent::CrashSuspected, "crash-suspected", LogSeverity::Warning},
         {LogEvent::CrashesRefused, "crashes-refused", LogSeverity::Error},
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -81,6 +81,7 @@
     EvacuationsChanged,  ///< Failure domains to which nothing is sent, as operators request.
     BackendLimitChanged, ///< The backend server names a limit of requests per second, or none any
                          ///< more.
+    ColdLimitChanged,    ///< What the backend server may get while it is cold, once it is known.
     BackendLimitMalformed, ///< A limit in a response cannot be understood and is ignored.
     CrashSuspected,        ///< A backend server ended while this request was running there.
     CrashesRefused, ///< This request is no longer sent to backend servers, since several have ended
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -98,6 +98,19 @@
     return load;
 }
 
+void BackendGate::setColdLimits(const ColdStartLimits &limits)
+{
+    const size_t before = coldLimiter_.windowLimit();
+    coldLimiter_.setLimits(limits);
+    if (coldLimiter_.windowLimit() == before) {
+        return;
+    }
+    logEvent(LogEvent::ColdLimitChanged, {{"backend", monitor_.backend().text()},
+                                          {"cold", monitor_.isCold(clock_.now())},
+                                          {"limit", coldLimiter_.windowLimit()},
+                                          {"sent", sentToIncarnation_}});
+}
+
 bool BackendGate::mayOutlive(TimePoint deadline, TimePoint now) const
 {
     return shutdownDeadline_ && std::min(deadline, now + LongRequestTime) > *shutdownDeadline_;
@@ -284,6 +297,7 @@
 {
     const TimePoint startedAt = clock_.now();
     coldLimiter_.onSent(startedAt);
+    ++sentToIncarnation_;
     HttpRequest forwarded = makeForwardedRequest(request);
     BackendMetadata metadata;
     metadata.timeLeft = timeUntil(call.deadline, startedAt);
@@ -384,6 +398,7 @@
 {
     if (limitedBackend_ != monitor_.backend()) {
         limitedBackend_ = monitor_.backend();
+        sentToIncarnation_ = 0;
         updateLimit([&]() { limiter_.clear(); });
     }
     if (adoptedLimit_ && !limiter_.limit() && adoptedBackend_ == monitor_.backend()) {
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -83,7 +83,7 @@
     void adoptLimit(const BackendIncarnation &backend, double limit);
 
     /** Sets what the backend server may get while it is cold. */
-    void setColdLimits(const ColdStartLimits &limits) { coldLimiter_.setLimits(limits); }
+    void setColdLimits(const ColdStartLimits &limits);
 
     /** @param phase Returns whether the failure domain of this node is evacuated at a time. */
     void setEvacuationPhase(std::function<EvacuationPhase(TimePoint)> phase)
@@ -206,7 +206,8 @@
     std::function<void()> limitChanged_;
     RequestRateLimiter limiter_;
     ColdStartLimiter coldLimiter_;
-    uint64_t coldRefused_ = 0; ///< Requests rejected because the backend server is cold.
+    uint64_t sentToIncarnation_ = 0; ///< Requests sent to limitedBackend_.
+    uint64_t coldRefused_ = 0;       ///< Requests rejected because the backend server is cold.
     std::function<EvacuationPhase(TimePoint)> evacuationPhase_; ///< Empty: none is evacuated.
     BackendIncarnation limitedBackend_;  ///< Incarnation that limiter_ is about.
     std::optional<double> adoptedLimit_; ///< Of adoptedBackend_, until that one reports.
--- a/src/duty/shared_watch.cpp
+++ b/src/duty/shared_watch.cpp
@@ -163,10 +163,12 @@
     }
     if (!whole || !reply.fresh()) {
         backOff(feeder.node, now);
-        logEvent(LogEvent::FeederLost, {{"feeder", feeder.name},
-                                        {"kind", static_cast<int64_t>(kind)},
-                                        {"cause", whole ? std::string("its records are stale")
-                                                        : std::string("no valid reply")}});
+        std::string cause = whole ? "its records are stale" : "no valid reply";
+        if (!bytes) {
+            cause += ": " + bytes.assume_error().context;
+        }
+        logEvent(LogEvent::FeederLost,
+                 {{"feeder", feeder.name}, {"kind", static_cast<int64_t>(kind)}, {"cause", cause}});
         co_return listAgain("feeder failed or is stale; listing the records from the store");
     }
     backoffs_.erase(feeder.node);
--- a/src/duty/store_relay.cpp
+++ b/src/duty/store_relay.cpp
@@ -111,6 +111,7 @@
                                                     "reach it either; not asking them again yet"};
     }
     const std::string body = request.SerializeAsString();
+    std::string cause = "none is known";
     for (const NodeId node : choice_.candidates(view_.members(), clock_.now())) {
         const MemberRecord *member = view_.findMember(node);
         if (member == nullptr) {
@@ -120,6 +121,7 @@
         Result<v1::StoreReply> reply = co_await callRelay(*member, body);
         if (!reply) {
             choice_.onFailure(node, clock_.now());
+            cause = name + ": " + reply.assume_error().context;
             continue;
         }
         if (choice_.onSuccess(node)) {
@@ -131,7 +133,9 @@
         co_return std::move(reply.assume_value());
     }
     nextRelayAttempt_ = clock_.now() + times_.relayRetryDelay;
-    co_return Failure{FailureCode::Unavailable, "store unavailable: no other node could reach it"};
+    co_return Failure{FailureCode::Unavailable,
+                      "store unavailable: no other node could reach it; the last one tried is "
+                              + cause};
 }
 
 RecordStore::Pending<RecordListing> RelayedStore::list(RecordKind kind)
