--- a/test/unit/platform/object_store_test.cpp
+++ b/test/unit/platform/object_store_test.cpp
@@ -2,7 +2,9 @@
 
 #include "platform/object_store.h"
 #include "platform/standin/object_store_standin.h"
+#include "support/random_text.h"
 #include "support/scripted_backend.h"
+#include "support/slow_link.h"
 #include "support/test_section.h"
 
 using namespace wisteriahoist;
@@ -120,3 +122,37 @@
     const auto refused = fixture.run(fixture.client.list(RecordKind::Ranges));
     cr_assert(refused.assume_error().code == FailureCode::Unavailable);
 }
+
+// Guards against a large configuration that is never read over a slow link, since each call ends
+// while the response arrives.
+Test(object_store, response_that_keeps_arriving_is_not_cut_off)
+{
+    constexpr size_t LargeBytes = 400 * 1024;
+    constexpr size_t PartBytes = 16 * 1024;
+    constexpr milliseconds PartInterval{20};
+    constexpr milliseconds SilenceLimit{150};
+    Fixture fixture;
+    const std::string content = "\"" + makeRandomText(LargeBytes) + "\"";
+    (void)fixture.create("a", content);
+    auto link = std::make_shared<SlowLink>(fixture.context, fixture.store.addEndpoint("127.0.0.1"),
+                                           PartBytes, PartInterval);
+    link->start();
+    ObjectStore client(fixture.context.get_executor(),
+                       {"127.0.0.1", link->port(), SilenceLimit, SilenceLimit});
+    SECTION("of a list")
+    {
+        const auto listed = fixture.run(client.list(RecordKind::Ranges));
+        cr_assert(listed.has_value() && listed.assume_value().records.size() == 1);
+    }
+    SECTION("of a watch")
+    {
+        const auto seen = fixture.run(client.watch(RecordKind::Ranges, StoreRevision(0), Wait));
+        cr_assert(seen.has_value() && seen.assume_value().changes.size() == 1);
+    }
+    SECTION("but one that has stopped")
+    {
+        link->fallSilentAfter(LargeBytes / 4);
+        const auto listed = fixture.run(client.list(RecordKind::Ranges));
+        cr_assert(!listed && listed.assume_error().code == FailureCode::DeadlineExceeded);
+    }
+}
--- a/test/unit/request/cold_start_limiter_test.cpp
+++ b/test/unit/request/cold_start_limiter_test.cpp
@@ -90,3 +90,23 @@
     }
     cr_assert(limiter.hasRoom(true, 1000, at(0)));
 }
+
+// Guards against a cold backend server that is flooded by other nodes while the one beside it has
+// not yet read what it tolerates.
+Test(cold_start_limiter, a_cold_server_is_limited_before_its_rate_is_known)
+{
+    ColdStartLimiter limiter;
+    size_t sent = 0;
+    const auto sendFor = [&](int64_t begin, int64_t end) {
+        for (int64_t now = begin; now < end; now += 5) {
+            if (limiter.hasRoom(true, 0, at(now))) {
+                limiter.onSent(at(now));
+                ++sent;
+            }
+        }
+    };
+    sendFor(0, 200);
+    limiter.setLimits(Limits);
+    sendFor(200, 1000);
+    cr_assert_leq(sent, MostInOneSecond);
+}
--- a/test/unit/store/shared_watch_test.cpp
+++ b/test/unit/store/shared_watch_test.cpp
@@ -2,9 +2,12 @@
 
 #include "duty/shared_watch.h"
 
+#include "adapter/http2/transport_bytes.h"
+#include "support/random_text.h"
 #include "support/scripted_backend.h"
 #include "support/scripted_store.h"
 #include "support/shifted_clock.h"
+#include "support/slow_link.h"
 #include "support/test_section.h"
 
 using namespace wisteriahoist;
@@ -36,6 +39,12 @@
     co_return std::string();
 }
 
+constexpr size_t LargeBytes = 400 * 1024;
+/** A call that is silent for this time has failed; a large reply on a slow link takes longer. */
+constexpr milliseconds SilenceLimit{150};
+constexpr size_t PartBytes = 16 * 1024;
+constexpr milliseconds PartInterval{20};
+
 /** Half the validity of a confirmation of the store; longer than any pause of a test machine. */
 constexpr milliseconds HalfConfirmationValidity{60000};
 
@@ -76,6 +85,14 @@
                                                 feeder, limits, times);
     }
 
+    /** The follower reaches its feeder over @p link. */
+    void connectBy(const SlowLink &link)
+    {
+        MemberRecord feeder = *followerView.findMember(NodeId(2));
+        feeder.peerPort = link.port();
+        followerView.onMember(feeder, StoreRevision(3));
+    }
+
     template <typename T>
     T run(asio::awaitable<T> work)
     {
@@ -455,3 +472,74 @@
     feed.onLost();
     cr_assert(!feed.changesSince(StoreRevision(4)));
 }
+
+// Guards against a large configuration that is cut off while it arrives, asked for again from the
+// store and from other nodes, and cut off there: the links are full, and nothing gets into force.
+Test(shared_watch, transfer_that_keeps_arriving_is_not_cut_off)
+{
+    Fixture fixture;
+    fixture.times.followTimeout = SilenceLimit;
+    fixture.restart();
+    auto link = std::make_shared<SlowLink>(fixture.context, fixture.feederPeers.port(), PartBytes,
+                                           PartInterval);
+    link->start();
+    fixture.connectBy(*link);
+    fixture.store.put(RecordKind::Configuration, "main", "1");
+    cr_assert(fixture.run(fixture.feeder_->list(RecordKind::Configuration)).has_value());
+    const std::string large = makeRandomText(LargeBytes);
+    fixture.store.put(RecordKind::Configuration, "main", large);
+    cr_assert(fixture.watchAsFeeder(StoreRevision(1)).has_value());
+
+    SECTION("while it arrives")
+    {
+        const auto received = fixture.watchAsFollower(StoreRevision(1));
+        cr_assert(received.has_value());
+        cr_assert_eq(received.assume_value().changes.size(), 1U);
+        cr_assert(received.assume_value().changes[0].record.content == large);
+    }
+    SECTION("but once it has stopped")
+    {
+        link->fallSilentAfter(LargeBytes / 4);
+        cr_assert(!fixture.watchAsFollower(StoreRevision(1)).has_value());
+    }
+}
+
+// Guards against links that are full of a large configuration, because each version of it is sent
+// whole to each node.
+Test(shared_watch, only_the_difference_of_a_large_configuration_is_sent)
+{
+    Fixture fixture;
+    const auto makeRoutes = [](size_t count, const std::string &timeout) {
+        std::string routes = "[";
+        for (size_t route = 0; route < count; ++route) {
+            routes += R"({"name":")" + makeRandomText(100, static_cast<uint32_t>(route))
+                      + R"(","timeout":")" + (route == 7 ? timeout : "1500ms") + R"("},)";
+        }
+        return routes + "{}]";
+    };
+    const std::string first = makeRoutes(4000, "1500ms");
+    fixture.store.put(RecordKind::Configuration, "main", first);
+    cr_assert(fixture.run(fixture.feeder_->list(RecordKind::Configuration)).has_value());
+    fixture.followerStore.put(RecordKind::Configuration, "main", first);
+    cr_assert(fixture.run(fixture.follower_->list(RecordKind::Configuration)).has_value());
+
+    const auto bytesOfChange = [&](const std::string &content, StoreRevision since) {
+        fixture.store.put(RecordKind::Configuration, "main", content);
+        cr_assert(fixture.watchAsFeeder(since).has_value());
+        const uint64_t before = peerBytesSent().load();
+        const auto received = fixture.watchAsFollower(since);
+        cr_assert(received.has_value());
+        cr_assert_eq(received.assume_value().changes.size(), 1U);
+        cr_assert(received.assume_value().changes[0].record.content == content);
+        return peerBytesSent().load() - before;
+    };
+    SECTION("one changed route")
+    {
+        cr_assert_lt(bytesOfChange(makeRoutes(4000, "900ms"), StoreRevision(1)), 4096U);
+    }
+    SECTION("each further one")
+    {
+        (void)bytesOfChange(makeRoutes(4000, "900ms"), StoreRevision(1));
+        cr_assert_lt(bytesOfChange(makeRoutes(4001, "900ms"), StoreRevision(2)), 4096U);
+    }
+}
