Fix: [Cold start] A cold server's limit that is not known yet is not taken for none

What callers saw: after a loss of power of all VMs, cold servers got 27 and 28 requests within 0.12 s of their start where 26 a second are allowed, and more after that (the report is written at the crossing). Cause: a node that has not read the configuration set a rate of 0, which means that the service declares none; what was sent until then was not counted either. Two states in one field. Other nodes, which had read it, already sent requests. Now the rate is optional. While it is unknown a cold server gets what is allowed at any rate (cold_slack, at least one request), each is counted, and refused callers are told to return after 300 ms at most. A service that the node's configuration doesn't have counts as unknown too: nodes with a newer one may know it.

--- a/src/decision/request/cold_start_limiter.cpp
+++ b/src/decision/request/cold_start_limiter.cpp
@@ -11,18 +11,20 @@
 
 /** Longer than the second in which requests are counted, since they arrive with varying delay. */
 constexpr milliseconds Window{1150};
+/** A node that has started knows the configuration after this time, if the store is available. */
+constexpr milliseconds UnknownRateTime{300};
 /** Bounds the memory; more than a backend server runs in one window. */
 constexpr size_t MaxCounted = 4096;
 
 } // namespace
 
-size_t ColdStartLimiter::windowLimit() const
+std::optional<size_t> ColdStartLimiter::windowLimit() const
 {
-    if (limits_.perSecond <= 0) {
-        return 0;
+    if (limits_.perSecond && *limits_.perSecond <= 0) {
+        return std::nullopt;
     }
-    const double most = std::floor(limits_.perSecond * limits_.overshoot + limits_.slack);
-    return static_cast<size_t>(std::max(1.0, most));
+    const double declared = limits_.perSecond.value_or(0) * limits_.overshoot;
+    return static_cast<size_t>(std::max(1.0, std::floor(declared + limits_.slack)));
 }
 
 size_t ColdStartLimiter::sentSince(TimePoint time) const
@@ -32,13 +34,13 @@
 
 bool ColdStartLimiter::hasRoom(bool isCold, size_t reserved, TimePoint now) const
 {
-    const size_t most = windowLimit();
-    return !isCold || most == 0 || sentSince(now - Window) + reserved < most;
+    const std::optional<size_t> most = windowLimit();
+    return !isCold || !most || sentSince(now - Window) + reserved < *most;
 }
 
 void ColdStartLimiter::onSent(TimePoint now)
 {
-    if (windowLimit() == 0) {
+    if (!windowLimit()) {
         return;
     }
     sent_.push_back(now);
@@ -51,7 +53,8 @@
 {
     const auto oldest = std::upper_bound(sent_.begin(), sent_.end(), now - Window);
     const Duration wait = oldest == sent_.end() ? Duration(0) : *oldest + Window - now;
-    return std::chrono::ceil<milliseconds>(wait);
+    const auto untilRoom = std::chrono::ceil<milliseconds>(wait);
+    return limits_.perSecond ? untilRoom : std::min(untilRoom, UnknownRateTime);
 }
 
 } // namespace wisteriahoist
--- a/src/decision/request/cold_start_limiter.h
+++ b/src/decision/request/cold_start_limiter.h
@@ -7,12 +7,15 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace wisteriahoist {
 
 /** What a cold backend server may get from all nodes together. */
 struct ColdStartLimits {
-    double perSecond = 0; ///< Requests per second that it tolerates; 0: not declared, unlimited.
+    /** Requests per second that it tolerates; 0: none is declared, unlimited; nullopt: not known
+     *  yet. */
+    std::optional<double> perSecond;
     double overshoot = 1; ///< Multiple of that rate which is allowed.
     double slack = 0;     ///< Requests in a second that are allowed in addition.
     bool operator==(const ColdStartLimits &) const = default;
@@ -29,6 +32,7 @@
 {
 public:
     void setLimits(const ColdStartLimits &limits) { limits_ = limits; }
+    const ColdStartLimits &limits() const { return limits_; }
 
     /** @return Whether one more request may be sent beside @p reserved ones that wait. */
     bool hasRoom(bool isCold, size_t reserved, TimePoint now) const;
@@ -39,8 +43,9 @@
     /** @return When a caller that is rejected now should retry. */
     milliseconds retryAfter(TimePoint now) const;
 
-    /** @return Requests that a cold backend server gets in one window; 0: unlimited. */
-    size_t windowLimit() const;
+    /** @return Requests that a cold backend server gets in one window; nullopt: unlimited. While
+     *          its rate is not known, what is allowed at any rate. */
+    std::optional<size_t> windowLimit() const;
 
 private:
     size_t sentSince(TimePoint time) const;
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -100,14 +100,14 @@
 
 void BackendGate::setColdLimits(const ColdStartLimits &limits)
 {
-    const size_t before = coldLimiter_.windowLimit();
-    coldLimiter_.setLimits(limits);
-    if (coldLimiter_.windowLimit() == before) {
+    if (limits == coldLimiter_.limits()) {
         return;
     }
+    coldLimiter_.setLimits(limits);
     logEvent(LogEvent::ColdLimitChanged, {{"backend", monitor_.backend().text()},
                                           {"cold", monitor_.isCold(clock_.now())},
-                                          {"limit", coldLimiter_.windowLimit()},
+                                          {"known", limits.perSecond.has_value()},
+                                          {"limit", coldLimiter_.windowLimit().value_or(0)},
                                           {"sent", sentToIncarnation_}});
 }
 
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -155,6 +155,7 @@
             [this](RecordKind kind, const StoredRecord &record) { sync_.onRecord(kind, record); });
     ranges_.onMonitorChange([this]() { onBackendChange(); });
     ranges_.setPeerProbe([this](const MemberRecord &member) { return router_.probe(member); });
+    updateColdLimits();
     registerMetrics();
 }
 
@@ -221,9 +222,13 @@
 void SidecarProgram::updateColdLimits()
 {
     const std::string &name = monitor_.service().empty() ? settings_.service : monitor_.service();
+    // Nodes with a newer configuration may send requests for a service that this one doesn't know.
     const ServiceConfig *service = view_.routes().findService(name);
-    gate_.setColdLimits({service == nullptr ? 0 : service->coldRequestRate, settings_.coldOvershoot,
-                         settings_.coldSlack});
+    std::optional<double> perSecond;
+    if (service != nullptr) {
+        perSecond = service->coldRequestRate;
+    }
+    gate_.setColdLimits({perSecond, settings_.coldOvershoot, settings_.coldSlack});
 }
 
 void SidecarProgram::onEvacuations()
--- a/test/unit/request/cold_start_limiter_test.cpp
+++ b/test/unit/request/cold_start_limiter_test.cpp
@@ -85,6 +85,7 @@
 Test(cold_start_limiter, a_service_that_declares_no_rate_is_not_limited)
 {
     ColdStartLimiter limiter;
+    limiter.setLimits({0, 1, 0});
     for (int request = 0; request < 1000; ++request) {
         limiter.onSent(at(0));
     }
@@ -110,3 +111,23 @@
     sendFor(200, 1000);
     cr_assert_leq(sent, MostInOneSecond);
 }
+
+// Guards against callers that are refused for longer than it takes to read the configuration.
+Test(cold_start_limiter, before_the_rate_is_known_what_any_rate_allows_is_sent)
+{
+    ColdStartLimiter limiter;
+    limiter.setLimits({std::nullopt, Limits.overshoot, Limits.slack});
+    for (int request = 0; request < 8; ++request) {
+        cr_assert(limiter.hasRoom(true, 0, at(0)));
+        limiter.onSent(at(0));
+    }
+    cr_assert(!limiter.hasRoom(true, 0, at(0)));
+    cr_assert(limiter.hasRoom(false, 0, at(0)));
+    cr_assert_leq(limiter.retryAfter(at(0)), milliseconds(300));
+    SECTION("and as soon as it is known, the rest")
+    {
+        limiter.setLimits(Limits);
+        cr_assert(limiter.hasRoom(true, MostInOneSecond - 9, at(200)));
+        cr_assert(!limiter.hasRoom(true, MostInOneSecond - 8, at(200)));
+    }
+}
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -458,6 +458,33 @@
     }
 }
 
+// Guards against a cold backend server that is flooded by nodes which have the configuration while
+// the one beside it has not yet read it.
+Test(request_router, a_cold_server_gets_few_requests_before_its_rate_is_known)
+{
+    Fixture fixture({{answerWith("200 OK")}});
+    fixture.gate.setColdLimits({std::nullopt, 1.5, 3});
+    BackendReport report;
+    report.backend = "b-1";
+    report.service = "one";
+    report.slots = 4;
+    report.sequence = 2;
+    report.warmUpLeft = LongTime;
+    (void)fixture.monitor.onReport(report, fixture.clock.now());
+    for (int request = 0; request < 10; ++request) {
+        (void)fixture.ask();
+    }
+    cr_assert_eq(fixture.backend->requests().size(), 3U);
+    SECTION("what it got then counts when the rate is known")
+    {
+        fixture.gate.setColdLimits({2, 1, 3});
+        for (int request = 0; request < 10; ++request) {
+            (void)fixture.ask();
+        }
+        cr_assert_eq(fixture.backend->requests().size(), 5U);
+    }
+}
+
 // Guards against requests that reach the backend servers of an evacuated failure domain from nodes
 // that have not heard of it.
 Test(request_router, an_evacuated_server_gets_no_requests)
