Fix: [HTTP/2] A large message is serialized in parts, so that others pass it and a cancelled one ends

What callers saw: while a large configuration changed, a tenth to a third of all requests were late, at nodes whose own requests had nothing to do with it; links of 10 Mbit/s received 0.7 to 1.2 MB in each second for eight seconds. Cause: the session serialized all that its streams had to send, up to a megabyte each, into one buffer. What came after it on that connection waited, and a call that was given up had its whole reply sent all the same. Now 64 KiB are serialized at a time; the rest stays with its stream, which takes turns with the others and can be reset.

--- a/src/adapter/http2/http2_session.cpp
+++ b/src/adapter/http2/http2_session.cpp
@@ -24,6 +24,9 @@
  *  session would be 6 MB of the 13 MB that a node uses. */
 constexpr size_t ReadChunkBytes = 8 * 1024;
 constexpr size_t MaxMessageBytes = 17 * 1024 * 1024;
+/** What has been serialized is sent in this order, also if its call is cancelled; the rest of a
+ *  large message shares the connection with others. */
+constexpr size_t MaxSerializedBytes = 64 * 1024;
 
 nghttp2_nv makeHeader(std::string_view name, std::string_view value)
 {
@@ -269,20 +272,29 @@
     if (!open_) {
         return;
     }
-    const uint8_t *data = nullptr;
-    for (ssize_t count = nghttp2_session_mem_send(session_, &data); count > 0;
-         count = nghttp2_session_mem_send(session_, &data)) {
-        outgoing_.append(reinterpret_cast<const char *>(data), static_cast<size_t>(count));
-    }
-    if (writing_ || outgoing_.empty()) {
-        return;
+    serialize();
+    while (!writing_ && !outgoing_.empty()) {
+        writeAvailable();
+        if (!outgoing_.empty()) {
+            writing_ = true;
+            asio::co_spawn(
+                    socket_.get_executor(),
+                    [self = shared_from_this()]() { return self->writeLoop(); }, asio::detached);
+        } else {
+            serialize();
+        }
     }
-    writeAvailable();
-    if (open_ && !outgoing_.empty()) {
-        writing_ = true;
-        asio::co_spawn(
-                socket_.get_executor(), [self = shared_from_this()]() { return self->writeLoop(); },
-                asio::detached);
+}
+
+void Http2Session::serialize()
+{
+    while (outgoing_.size() < MaxSerializedBytes) {
+        const uint8_t *data = nullptr;
+        const ssize_t count = nghttp2_session_mem_send(session_, &data);
+        if (count <= 0) {
+            return;
+        }
+        outgoing_.append(reinterpret_cast<const char *>(data), static_cast<size_t>(count));
     }
 }
 
@@ -306,6 +318,8 @@
                                    asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             close();
+        } else if (open_) {
+            serialize();
         }
     }
     writing_ = false;
--- a/src/adapter/http2/http2_session.h
+++ b/src/adapter/http2/http2_session.h
@@ -87,6 +87,8 @@
     asio::awaitable<void> writeLoop();
     void registerForMonitoring();
     void flush();
+    /** Appends frames to outgoing_, up to a limit. */
+    void serialize();
     void writeAvailable();
     void onStreamEnd(int32_t streamId);
     void onStreamClose(int32_t streamId, uint32_t errorCode);
