Fix: [Transfers] A large record that keeps arriving is not cut off and begun again

What callers saw: routes of a version were refused with 404 4.4 s after it had been acknowledged, at nodes whose links were full of parts of that version. Cause: each way to the configuration (list, watch, a follower's call to its feeder, relay, peer) had a limit for its whole duration, from 50 ms to 2 s. 850 KB take 0.7 s on an empty link of 10 Mbit/s. A call that ended gave up what had arrived, and the next way began anew beside it, so that the link was full and no call ended well. Calls that get no answer end as before (config_age/* is unchanged), and so do forwarded requests. The test of the store's client watched from revision 0, which the stand-in answers as compacted; it now watches from a revision before the large record, with the same bounds.

--- a/src/adapter/http/http_client.cpp
+++ b/src/adapter/http/http_client.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
+#include <optional>
 
 namespace wisteriahoist {
 
@@ -194,7 +195,7 @@
     }
     control->stage_ = RequestStage::Sent;
     const bool headOnly = request.method() == http::verb::head;
-    Result<HttpResponse> result = co_await read(*connection, headOnly, timeout, *control);
+    Result<HttpResponse> result = co_await read(*connection, headOnly, deadline, *control);
     control->stream_ = nullptr;
     const bool timedOut = !result && result.assume_error().code == FailureCode::DeadlineExceeded;
     if (timedOut && limits_.discardAfterTimeout) {
@@ -212,8 +213,9 @@
     return parser.need_eof() && !parser.skip() && !limits_.allowUnframed;
 }
 
-asio::awaitable<beast::error_code>
-HttpClient::readOne(beast::tcp_stream &stream, beast::flat_buffer &buffer, ResponseParser &parser)
+asio::awaitable<beast::error_code> HttpClient::readOne(beast::tcp_stream &stream,
+                                                       beast::flat_buffer &buffer,
+                                                       ResponseParser &parser, SteadyTime deadline)
 {
     ResponseBudget::Share share(budget_, [&stream, &parser]() {
         stream.close();
@@ -221,9 +223,15 @@
     });
     beast::error_code error;
     parser.eager(true);
+    std::optional<SteadyTime> transferEnd; ///< Set by the first bytes.
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(stream, buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
+        if (!error && limits_.silence.count() > 0) {
+            const SteadyTime now = std::chrono::steady_clock::now();
+            transferEnd = transferEnd.value_or(now + limits_.transfer);
+            stream.expires_at(std::max(deadline, std::min(now + limits_.silence, *transferEnd)));
+        }
         const std::string &body = parser.get().body();
         // A string that grows may have up to twice its size allocated.
         if (!share.resize(std::min(body.capacity(), 2 * body.size()))) {
@@ -237,9 +245,10 @@
 }
 
 asio::awaitable<Result<HttpResponse>> HttpClient::read(beast::tcp_stream &stream, bool headOnly,
-                                                       milliseconds timeout,
+                                                       SteadyTime deadline,
                                                        ExchangeControl &control)
 {
+    const SteadyTime begun = std::chrono::steady_clock::now();
     beast::flat_buffer buffer(MaxUnparsedBytes);
     HttpResponse response;
     bool misplaced = false;
@@ -252,13 +261,15 @@
         ResponseParser parser;
         parser.body_limit(limits_.responseBytes);
         parser.skip(headOnly);
-        const beast::error_code error = co_await readOne(stream, buffer, parser);
+        const beast::error_code error = co_await readOne(stream, buffer, parser, deadline);
         if (parser.got_some()) {
             control.stage_ = RequestStage::PartlyAnswered;
         }
         if (error == beast::error::timeout) {
+            const auto waited = std::chrono::duration_cast<milliseconds>(
+                    std::chrono::steady_clock::now() - begun);
             co_return Failure{FailureCode::DeadlineExceeded,
-                              "no complete response within " + std::to_string(timeout.count())
+                              "no complete response within " + std::to_string(waited.count())
                                       + " ms; connection closed after "
                                       + std::to_string(parser.get().body().size())
                                       + " bytes of the body"};
--- a/src/adapter/http/http_client.h
+++ b/src/adapter/http/http_client.h
@@ -69,6 +69,10 @@
     std::chrono::seconds probeInterval{1}; ///< TCP_KEEPINTVL: time between probes.
     uint32_t probes = 3;     ///< TCP_KEEPCNT: unanswered probes before the connection is closed.
     milliseconds connect{0}; ///< Connect timeout; 0: only the timeout of the exchange applies.
+    /** Once a response has begun, the exchange ends when nothing has arrived for this time instead
+     *  of at its timeout, if that is earlier; 0: it always ends at its timeout. */
+    milliseconds silence{0};
+    milliseconds transfer{5000}; ///< Longest time from the beginning of such a response to its end.
     uint64_t responseBytes = 16 * 1024 * 1024; ///< Maximum size of a response's body.
     /** Memory for the bodies of all responses that are being received: a server in trouble may send
      *  bytes until its connection is closed. */
@@ -121,12 +125,13 @@
     using ResponseParser = http::response_parser<http::string_body>;
 
     asio::awaitable<Result<HttpResponse>> read(beast::tcp_stream &stream, bool headOnly,
-                                               milliseconds timeout, ExchangeControl &control);
+                                               SteadyTime deadline, ExchangeControl &control);
     /** @return Whether the response ends only with the connection, and may not. */
     bool isUnframed(const ResponseParser &parser) const;
     /** Reads one response, within the limits of its size and of the memory for all. */
     asio::awaitable<beast::error_code> readOne(beast::tcp_stream &stream,
-                                               beast::flat_buffer &buffer, ResponseParser &parser);
+                                               beast::flat_buffer &buffer, ResponseParser &parser,
+                                               SteadyTime deadline);
     void configureSocket(tcp::socket &socket) const;
     Connection acquireIdle();
     void releaseIdle(Connection connection, std::chrono::milliseconds idleTime);
--- a/src/adapter/http2/peer_transport.cpp
+++ b/src/adapter/http2/peer_transport.cpp
@@ -9,9 +9,17 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <optional>
+#include <utility>
 
 namespace wisteriahoist {
 
+namespace {
+
+/** A transfer of which nothing arrives for this time is lost; longer than a retransmission. */
+constexpr milliseconds TransferSilence{500};
+
+} // namespace
+
 PeerListener::PeerListener(asio::io_context &context, const std::string &ip, uint16_t port,
                            PeerHandler handler)
     : acceptor_(context, tcp::endpoint(asio::ip::make_address(ip), port)),
@@ -156,39 +164,46 @@
 }
 
 asio::awaitable<Result<std::string>> PeerCaller::call(PeerEndpoint peer, std::string path,
-                                                      std::string body, milliseconds timeout)
+                                                      std::string body, CallTimes times)
 {
-    auto connected = co_await connect(peer, timeout);
+    auto connected = co_await connect(peer, times.reply);
     if (!connected) {
         co_return std::move(connected).as_failure();
     }
     co_return co_await callSession(connected.assume_value(), std::move(path), std::move(body),
-                                   timeout);
+                                   times);
 }
 
 asio::awaitable<Result<std::string>> PeerCaller::callSession(std::shared_ptr<Http2Session> session,
                                                              std::string path, std::string body,
-                                                             milliseconds timeout)
+                                                             CallTimes times)
 {
+    const auto begun = std::chrono::steady_clock::now();
     // Waits on the timer, which ends at the timeout or is cancelled by the completion.
-    auto timer = std::make_shared<asio::steady_timer>(context_, timeout);
+    auto timer = std::make_shared<asio::steady_timer>(context_, times.reply);
     auto outcome = std::make_shared<std::optional<Result<std::string>>>();
     const int32_t streamId
             = session->call(path, std::move(body), [timer, outcome](Result<std::string> result) {
                   outcome->emplace(std::move(result));
                   timer->cancel();
               });
-    if (!outcome->has_value()) {
+    size_t received = 0;
+    for (bool waits = !outcome->has_value(); waits;) {
         beast::error_code ignored;
         co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        const size_t before = std::exchange(received, session->receivedBytes(streamId));
+        waits = !outcome->has_value() && received > before
+                && std::chrono::steady_clock::now() < begun + times.transfer;
+        timer->expires_after(TransferSilence);
     }
     if (outcome->has_value()) {
         co_return std::move(outcome->value());
     }
-    const size_t received = session->receivedBytes(streamId);
     session->cancel(streamId);
+    const auto waited
+            = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begun);
     co_return Failure{FailureCode::DeadlineExceeded, "no complete reply within "
-                                                             + std::to_string(timeout.count())
+                                                             + std::to_string(waited.count())
                                                              + " ms; stream cancelled after "
                                                              + std::to_string(received) + " bytes"};
 }
--- a/src/adapter/http2/peer_transport.h
+++ b/src/adapter/http2/peer_transport.h
@@ -4,6 +4,7 @@
 
 #include "adapter/auth/peer_hello.h"
 #include "adapter/http2/keepalive_monitor.h"
+#include "port/peer_calls.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -57,12 +58,12 @@
     explicit PeerCaller(asio::io_context &context);
 
     /**
-     * Calls @p path at @p peer and waits at most @p timeout for the reply.
+     * Calls @p path at @p peer and waits for the reply within the limits of @p times.
      * @return The reply body; Unavailable if the peer has not processed the call; Ambiguous or
      *         DeadlineExceeded if it may have.
      */
     asio::awaitable<Result<std::string>> call(PeerEndpoint peer, std::string path, std::string body,
-                                              milliseconds timeout);
+                                              CallTimes times);
 
     /** Closes all connections. */
     void closeAll();
@@ -79,7 +80,7 @@
 private:
     asio::awaitable<Result<std::string>> callSession(std::shared_ptr<Http2Session> session,
                                                      std::string path, std::string body,
-                                                     milliseconds timeout);
+                                                     CallTimes times);
     asio::awaitable<Result<void>> performHello(std::shared_ptr<Http2Session> session,
                                                milliseconds timeout);
     /** A connection attempt in progress; all calls to the same peer wait for it. */
--- a/src/duty/peer_link.cpp
+++ b/src/duty/peer_link.cpp
@@ -50,14 +50,13 @@
     listener_->start();
 }
 
-asio::awaitable<Result<std::string>> PeerLink::call(const MemberRecord &member,
-                                                    std::string_view path, std::string body,
-                                                    milliseconds timeout)
+asio::awaitable<Result<std::string>>
+PeerLink::call(const MemberRecord &member, std::string_view path, std::string body, CallTimes times)
 {
     const PeerEndpoint peer{member.ip, member.peerPort};
     std::string addressed = std::string(path) + "/" + std::to_string(member.node.value());
     Result<std::string> reply
-            = co_await caller_.call(peer, std::move(addressed), std::move(body), timeout);
+            = co_await caller_.call(peer, std::move(addressed), std::move(body), times);
     if (reply && reply.assume_value() == MisdirectedReply) {
         co_return Failure{FailureCode::Unavailable, "the address is used by another node"};
     }
--- a/src/duty/peer_link.h
+++ b/src/duty/peer_link.h
@@ -29,7 +29,7 @@
     uint16_t port() const { return listener_->port(); }
 
     asio::awaitable<Result<std::string>> call(const MemberRecord &member, std::string_view path,
-                                              std::string body, milliseconds timeout) override;
+                                              std::string body, CallTimes times) override;
 
 private:
     asio::awaitable<std::string> dispatch(std::string path, std::string body);
--- a/src/duty/shared_watch.cpp
+++ b/src/duty/shared_watch.cpp
@@ -150,8 +150,8 @@
     request.set_kind(static_cast<uint32_t>(kind));
     request.set_since(since.value());
     std::string body = request.SerializeAsString();
-    const milliseconds timeout = followTimeout(kind, clock_.now());
-    Result<std::string> bytes = co_await peers_.call(feeder, FeedPath, std::move(body), timeout);
+    const CallTimes limits(followTimeout(kind, clock_.now()), times_.transferTimeout);
+    Result<std::string> bytes = co_await peers_.call(feeder, FeedPath, std::move(body), limits);
     v1::FeedReply reply;
     const bool whole
             = bytes && !bytes.assume_value().empty() && reply.ParseFromString(bytes.assume_value());
--- a/src/duty/shared_watch.h
+++ b/src/duty/shared_watch.h
@@ -39,7 +39,10 @@
      */
     milliseconds startupPeriod{3000};
     milliseconds startupBackoff{500}; ///< How long a feeder is skipped that rejects the node then.
-    milliseconds minBackoff{2000};    ///< How long a failed feeder is skipped; doubles each time.
+    /** Longest call whose reply keeps arriving: one that is cut off is asked for again elsewhere,
+     *  and its bytes have filled the link for nothing. */
+    milliseconds transferTimeout{5000};
+    milliseconds minBackoff{2000}; ///< How long a failed feeder is skipped; doubles each time.
     milliseconds maxBackoff{30000};
     /** With this many feeders skipped, a node watches the store itself: each failed feeder costs a
      *  list, and when so many fail, the others are likely to fail as well. */
--- a/src/duty/store_relay.cpp
+++ b/src/duty/store_relay.cpp
@@ -88,8 +88,8 @@
 
 RecordStore::Pending<v1::StoreReply> RelayedStore::callRelay(MemberRecord member, std::string body)
 {
-    Result<std::string> bytes
-            = co_await peers_.call(member, StorePath, std::move(body), times_.callTimeout);
+    const CallTimes limits(times_.callTimeout, times_.transferTimeout);
+    Result<std::string> bytes = co_await peers_.call(member, StorePath, std::move(body), limits);
     if (!bytes) {
         co_return std::move(bytes).as_failure();
     }
--- a/src/duty/store_relay.h
+++ b/src/duty/store_relay.h
@@ -21,6 +21,7 @@
     /** Between two lists while watches are not available. */
     milliseconds listInterval{1000};
     milliseconds callTimeout{800};
+    milliseconds transferTimeout{5000}; ///< Limit if the reply keeps arriving.
     /** Minimum interval between two log lines on calls carried out for other nodes. */
     milliseconds logInterval{1000};
 };
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -107,8 +107,9 @@
     request.set_known(config_.revision.value());
     const MemberRecord copy = *member;
     std::string body = request.SerializeAsString();
+    const CallTimes limits(times_.peerReadTimeout, times_.peerTransferTimeout);
     const Result<std::string> bytes
-            = co_await peers_->call(copy, ConfigPath, std::move(body), times_.peerReadTimeout);
+            = co_await peers_->call(copy, ConfigPath, std::move(body), limits);
     v1::ConfigReply reply;
     if (!bytes || !reply.ParseFromString(bytes.assume_value()) || !reply.has_record()) {
         co_return false;
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -52,9 +52,10 @@
      * has named the newer revision. That way needs neither the store nor a feeder.
      */
     milliseconds maxConfigLag{500};
-    /** Enough for a large configuration on a busy link: a shorter one would cut the transfer off
-     * and begin it again, with the link full all the while. */
     milliseconds peerReadTimeout{2000};
+    /** Limit if the reply keeps arriving: a shorter one would cut the transfer off and begin it
+     *  again, with the link full all the while. */
+    milliseconds peerTransferTimeout{5000};
     milliseconds peerReadPause{200}; ///< Until another node is asked after a failure.
     /** Bytes per second of configurations that are sent to nodes which are behind, on average. A
      *  node that is the first of many to have a large one would otherwise fill its link. */
--- a/src/port/peer_calls.h
+++ b/src/port/peer_calls.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/failure_type.h"
+#include "core/time_type.h"
 #include "decision/member/member_type.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -12,6 +13,17 @@
 
 namespace wisteriahoist {
 
+/** Time limits of a call. */
+struct CallTimes {
+    CallTimes(milliseconds replyTimeout, milliseconds transferTimeout = milliseconds(0))
+        : reply(replyTimeout), transfer(transferTimeout)
+    { }
+
+    milliseconds reply; ///< Until the reply has arrived, or begins to arrive if that is allowed.
+    /** If longer than that: the limit of a reply that keeps arriving. */
+    milliseconds transfer;
+};
+
 /** Sends calls to other nodes and dispatches incoming calls to handlers. Used by one thread. */
 class PeerCalls
 {
@@ -28,8 +40,7 @@
     /** @return The reply body; Unavailable if the peer has not processed the call, also if another
      *          node now uses its address. */
     virtual boost::asio::awaitable<Result<std::string>>
-    call(const MemberRecord &member, std::string_view path, std::string body, milliseconds timeout)
-            = 0;
+    call(const MemberRecord &member, std::string_view path, std::string body, CallTimes times) = 0;
 };
 
 } // namespace wisteriahoist
--- a/test/unit/platform/object_store_test.cpp
+++ b/test/unit/platform/object_store_test.cpp
@@ -133,7 +133,8 @@
     constexpr milliseconds SilenceLimit{150};
     Fixture fixture;
     const std::string content = "\"" + makeRandomText(LargeBytes) + "\"";
-    (void)fixture.create("a", content);
+    const StoreRevision before = fixture.create("a", R"({"x":1})");
+    (void)fixture.create("b", content);
     auto link = std::make_shared<SlowLink>(fixture.context, fixture.store.addEndpoint("127.0.0.1"),
                                            PartBytes, PartInterval);
     link->start();
@@ -142,11 +143,11 @@
     SECTION("of a list")
     {
         const auto listed = fixture.run(client.list(RecordKind::Ranges));
-        cr_assert(listed.has_value() && listed.assume_value().records.size() == 1);
+        cr_assert(listed.has_value() && listed.assume_value().records.size() == 2);
     }
     SECTION("of a watch")
     {
-        const auto seen = fixture.run(client.watch(RecordKind::Ranges, StoreRevision(0), Wait));
+        const auto seen = fixture.run(client.watch(RecordKind::Ranges, before, Wait));
         cr_assert(seen.has_value() && seen.assume_value().changes.size() == 1);
     }
     SECTION("but one that has stopped")
--- a/test/unit/range/ownership_node.cpp
+++ b/test/unit/range/ownership_node.cpp
@@ -148,12 +148,12 @@
     }
 
     asio::awaitable<Result<std::string>> call(const MemberRecord &member, std::string_view path,
-                                              std::string body, milliseconds timeout) override
+                                              std::string body, CallTimes times) override
     {
         const auto outcome = std::make_shared<Outcome<Result<std::string>>>(
                 node_.context_, Failure{FailureCode::DeadlineExceeded, member.name});
         node_.world_.sendPeerCall(node_.index_, member.node, std::string(path), std::move(body),
-                                  timeout, setterOf(outcome));
+                                  times.reply, setterOf(outcome));
         co_return co_await outcome->wait();
     }
 
--- a/test/unit/store/store_sync_test.cpp
+++ b/test/unit/store/store_sync_test.cpp
@@ -272,7 +272,7 @@
         v1::ConfigRequest request;
         const Result<std::string> bytes
                 = runUntil(context, asker.call(member, "/config", request.SerializeAsString(),
-                                               std::chrono::minutes(1)));
+                                               milliseconds(60000)));
         v1::ConfigReply reply;
         return bytes && reply.ParseFromString(bytes.assume_value()) && reply.has_record();
     };
