Fix: [Router] A route is not refused for good while a newer configuration is known

What callers saw: 404 for a route of a version that had been acknowledged 4.4 s before. A 404 is final: no client comes back. Cause: the node compared the request with what it had, though other nodes had named a newer configuration to it (watch-silent lines of both nodes before the refusals): it could not know that there is no such route. Now it answers 503 configuration-behind with Retry-After 0.5 s until it has that configuration, and 404 from then on. A node that has not heard of a newer one answers 404 as before; route-unknown says which (behind).

--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds OwnerRetryInterval{100};
 /** A node reads the first configuration within a second of its start if the store is available. */
 constexpr milliseconds RetryAfterNoConfig{1000};
+/** A node that knows of a newer configuration has it after this time. */
+constexpr milliseconds RetryAfterNewerConfig{500};
 /** The keys of a lost node are served again after about three seconds. */
 constexpr milliseconds RetryAfterLostNode{1000};
 /** Used until other nodes have reported when they expect to have capacity. */
@@ -104,6 +106,12 @@
     const Route *route = routes->find({host.data(), host.size()}, {target.data(), target.size()});
     if (route == nullptr) {
         logRefusal(unknownRoutes_, request, "no-route", *routes);
+        if (revisions_ != nullptr && revisions_->configStatus(clock_.now()).behind) {
+            co_return refuse(http::status::service_unavailable, "configuration-behind",
+                             "No route matches the request yet; a newer configuration is on its "
+                             "way.",
+                             RetryAfterNewerConfig);
+        }
         co_return refuse(http::status::not_found, "no-route", "No route matches the request.",
                          milliseconds(0));
     }
--- a/src/duty/request_router_log.cpp
+++ b/src/duty/request_router_log.cpp
@@ -24,6 +24,7 @@
                {"position", config.position.value()},
                {"unconfirmed_ms", config.unconfirmed.count()},
                {"in_force_ms", config.inForce.count()},
+               {"behind", config.behind},
                {"running_ms", running.count()}});
 }
 
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -334,6 +334,8 @@
     status.record = config_.revision;
     status.position = configPosition_;
     status.unconfirmed = configUnconfirmedFor(now);
+    const auto lag = lags_.find(RecordKind::Configuration);
+    status.behind = lag != lags_.end() && lag->second.isBehind();
     status.inForce = configInForceAt_ == NeverTime
                              ? milliseconds(0)
                              : std::chrono::duration_cast<milliseconds>(now - configInForceAt_);
--- a/src/duty/watch_lag.h
+++ b/src/duty/watch_lag.h
@@ -29,6 +29,9 @@
         }
     }
 
+    /** @return Whether a change is missing that another node has. */
+    bool isBehind() const { return since_ != NeverTime; }
+
     /** @return Whether the local watch has been behind for longer than the allowance. */
     bool onPeerRevisions(StoreRevision newest, TimePoint now)
     {
--- a/src/port/revision_exchange.h
+++ b/src/port/revision_exchange.h
@@ -22,6 +22,7 @@
     StoreRevision position;      ///< Revision up to which this node has watched the configuration.
     milliseconds unconfirmed{0}; ///< Since the store had nothing newer.
     milliseconds inForce{0};     ///< Since this node applied it.
+    bool behind = false;         ///< Another node has named a newer one, which is not here yet.
 };
 
 /** Compares the store revisions known to this node and to a peer whenever the two communicate. */
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -427,6 +427,51 @@
     }
 }
 
+namespace {
+
+/** Another node may have named a newer configuration. */
+class NamedConfig final : public RevisionExchange
+{
+public:
+    KnownRevisions news() const override { return {}; }
+    void onPeerRevisions(NodeId, const KnownRevisions &, TimePoint) override { }
+    ConfigStatus configStatus(TimePoint) const override
+    {
+        ConfigStatus status;
+        status.behind = behind;
+        return status;
+    }
+
+    bool behind = true;
+};
+
+} // namespace
+
+// Guards against callers that give up, since a route is refused for good by a node that knows of a
+// newer configuration and does not have it yet.
+Test(request_router, a_route_may_be_in_a_newer_configuration)
+{
+    Fixture fixture({{answerWith("200 OK")}});
+    RouteConfig config = *fixture.view.routes().config();
+    ++config.version;
+    config.routes[0].pathPrefix = "/known/";
+    (void)fixture.view.onConfig(std::move(config));
+    NamedConfig revisions;
+    fixture.router.setRevisionExchange(revisions);
+    const HttpResponse refused = fixture.ask("/added/1");
+    cr_assert_eq(refused.result_int(), 503U);
+    cr_assert(refused.count(http::field::retry_after) == 1);
+    SECTION("routes that it has are served")
+    {
+        cr_assert_eq(fixture.ask("/known/1").result_int(), 200U);
+    }
+    SECTION("once it has the newest configuration, there is no such route")
+    {
+        revisions.behind = false;
+        cr_assert_eq(fixture.ask("/added/1").result_int(), 404U);
+    }
+}
+
 // Guards against a cold backend server that crashes: it gets no more requests in a second than it
 // tolerates, whoever sends them.
 Test(request_router, a_cold_server_gets_no_more_requests_than_it_tolerates)
--- a/test/unit/store/store_sync_test.cpp
+++ b/test/unit/store/store_sync_test.cpp
@@ -319,3 +319,22 @@
         cr_assert(!evacuations.isEvacuated("south"));
     }
 }
+
+// Guards against a node that refuses requests as if it had the newest configuration.
+Test(store_sync, node_knows_that_its_configuration_is_behind)
+{
+    Fixture fixture;
+    fixture.store.put(RecordKind::Configuration, "main", "4");
+    fixture.sync.start();
+    cr_assert(fixture.reaches(4));
+    const TimePoint now{milliseconds(100)};
+    const auto isBehind = [&]() { return fixture.sync.configStatus(now).behind; };
+    cr_assert(!isBehind());
+    fixture.store.muteWatches(true);
+    const StoreRevision missed = fixture.store.put(RecordKind::Configuration, "main", "7");
+    fixture.sync.onPeerRevisions(NodeId(9), {{RecordKind::Configuration, missed}}, now);
+    cr_assert(isBehind());
+    fixture.store.muteWatches(false);
+    cr_assert(fixture.reaches(7));
+    cr_assert(!isBehind());
+}
