Fix: [Cold start] Requests to a cold server count when they are sent, not when they are admitted

Cause: a request counted at its admission, and was written after its connection had opened (300 ms at most) or when the process had processor time again. The window has 150 ms for that; later ones reach the server in one second with those of the next window.

--- a/src/decision/request/cold_start_limiter.cpp
+++ b/src/decision/request/cold_start_limiter.cpp
@@ -35,7 +35,15 @@
 bool ColdStartLimiter::hasRoom(bool isCold, size_t reserved, TimePoint now) const
 {
     const std::optional<size_t> most = windowLimit();
-    return !isCold || !most || sentSince(now - Window) + reserved < *most;
+    return !isCold || !most || sentSince(now - Window) + admitted_ + reserved < *most;
+}
+
+void ColdStartLimiter::endAdmission(bool sent, TimePoint now)
+{
+    --admitted_;
+    if (sent) {
+        onSent(now);
+    }
 }
 
 void ColdStartLimiter::onSent(TimePoint now)
--- a/src/decision/request/cold_start_limiter.h
+++ b/src/decision/request/cold_start_limiter.h
@@ -37,6 +37,12 @@
     /** @return Whether one more request may be sent beside @p reserved ones that wait. */
     bool hasRoom(bool isCold, size_t reserved, TimePoint now) const;
 
+    /** A request will be sent; it may wait for a connection or for processor time first. */
+    void admit() { ++admitted_; }
+
+    /** The request that was admitted is sent at @p now, or never if @p sent is false. */
+    void endAdmission(bool sent, TimePoint now);
+
     /** Counts a request that is sent. */
     void onSent(TimePoint now);
 
@@ -52,6 +58,7 @@
 
     ColdStartLimits limits_;
     std::deque<TimePoint> sent_; ///< Of the last window, in ascending order.
+    size_t admitted_ = 0;        ///< Not sent yet.
 };
 
 } // namespace wisteriahoist
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -296,8 +296,14 @@
                                                  v1::HopReply &reply)
 {
     const TimePoint startedAt = clock_.now();
-    coldLimiter_.onSent(startedAt);
-    ++sentToIncarnation_;
+    bool sent = false;
+    coldLimiter_.admit();
+    call.control->sendOnlyIf([this, &sent]() {
+        sent = true;
+        ++sentToIncarnation_;
+        coldLimiter_.endAdmission(true, clock_.now());
+        return true;
+    });
     HttpRequest forwarded = makeForwardedRequest(request);
     BackendMetadata metadata;
     metadata.timeLeft = timeUntil(call.deadline, startedAt);
@@ -313,6 +319,9 @@
     Result<HttpResponse> answer
             = co_await client_.exchange(std::move(forwarded), metadata.timeLeft, control);
     const TimePoint now = clock_.now();
+    if (!sent) {
+        coldLimiter_.endAdmission(false, now);
+    }
     if (request.keyed()) {
         ownership_.recordBusyTime(ShardKey(request.shard_key()), now - startedAt, now);
     }
--- a/test/unit/request/cold_start_limiter_test.cpp
+++ b/test/unit/request/cold_start_limiter_test.cpp
@@ -131,3 +131,33 @@
         cr_assert(!limiter.hasRoom(true, MostInOneSecond - 8, at(200)));
     }
 }
+
+// Guards against requests of two seconds that reach a cold backend server in one: some of them had
+// been admitted and waited for their connection.
+Test(cold_start_limiter, requests_count_when_they_are_sent)
+{
+    ColdStartLimiter limiter;
+    limiter.setLimits(Limits);
+    for (size_t request = 0; request < MostInOneSecond; ++request) {
+        cr_assert(limiter.hasRoom(true, 0, at(0)));
+        limiter.admit();
+    }
+    cr_assert(!limiter.hasRoom(true, 0, at(0)));
+    SECTION("while they wait")
+    {
+        cr_assert(!limiter.hasRoom(true, 0, at(1200)));
+    }
+    SECTION("and a second from then on")
+    {
+        for (size_t request = 0; request < MostInOneSecond - 1; ++request) {
+            limiter.endAdmission(true, at(1200));
+        }
+        cr_assert(!limiter.hasRoom(true, 0, at(2200)));
+    }
+    SECTION("but not those that were never sent")
+    {
+        limiter.endAdmission(false, at(1200));
+        cr_assert(limiter.hasRoom(true, 0, at(2200)));
+        cr_assert(!limiter.hasRoom(true, 1, at(2200)));
+    }
+}
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -503,6 +503,34 @@
     }
 }
 
+// Guards against a limiter that loses count of requests that never reached the backend server.
+Test(request_router, requests_that_were_not_sent_do_not_count_at_a_cold_server)
+{
+    Fixture fixture({{answerWith("200 OK")}});
+    asio::io_context unused;
+    tcp::acceptor closed(unused, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    const uint16_t port = closed.local_endpoint().port();
+    closed.close();
+    BackendGate gate(fixture.context, fixture.clock, fixture.protocol, "127.0.0.1", port,
+                     fixture.monitor, fixture.keys, fixture.crashes);
+    gate.setColdLimits({2, 1, 0});
+    gate.onBackendChange();
+    BackendReport report;
+    report.backend = "b-1";
+    report.service = "one";
+    report.slots = 4;
+    report.warmUpLeft = LongTime;
+    for (uint64_t attempt = 2; attempt < 12; ++attempt) {
+        report.sequence = attempt;
+        (void)fixture.monitor.onReport(report, fixture.clock.now());
+        v1::HopRequest request;
+        request.set_service("one");
+        request.set_deadline_left_ms(LongTime.count());
+        (void)runUntil(fixture.context, gate.run(request));
+    }
+    cr_assert_eq(gate.coldRefused(), 0U);
+}
+
 // Guards against a cold backend server that is flooded by nodes which have the configuration while
 // the one beside it has not yet read it.
 Test(request_router, a_cold_server_gets_few_requests_before_its_rate_is_known)
