Fix: [Cold start] A node that starts again beside a running cold server waits for the requests of its predecessor

A process that starts again has no count of what the one before it has sent in the last second to a server that ran on, so that server could get twice what it tolerates.

--- a/src/decision/member/backend_monitor.cpp
+++ b/src/decision/member/backend_monitor.cpp
@@ -90,6 +90,9 @@
     } else if (report.sequence <= sequence_) {
         return false;
     }
+    if (!hasReported()) {
+        reportedBefore_ = report.sequence > 1;
+    }
     sequence_ = report.sequence;
     coldUntil_ = now + report.warmUpLeft;
     heardAt_ = now;
--- a/src/decision/member/backend_monitor.h
+++ b/src/decision/member/backend_monitor.h
@@ -105,6 +105,9 @@
 
     /** @return Whether the current incarnation has reported; otherwise only its id is known. */
     bool hasReported() const { return sequence_ > 0; }
+    /** @return Whether the current incarnation had sent reports before the first one that has been
+     *          seen here, so that an earlier process of this node may have served it. */
+    bool reportedBefore() const { return reportedBefore_; }
     uint32_t slots() const { return slots_; }
     const std::string &service() const { return service_; }
     TimePoint heardAt() const { return heardAt_; }
@@ -139,6 +142,7 @@
     BackendEvidence evidence_ = BackendEvidence::Nothing; ///< For the latest change.
     uint32_t slots_ = 0;
     uint64_t sequence_ = 0;
+    bool reportedBefore_ = false;
     uint32_t refusals_ = 0; ///< Consecutive refused connections.
     uint64_t refusedConnections_ = 0;
     bool refusing_ = false;
--- a/src/decision/request/cold_start_limiter.cpp
+++ b/src/decision/request/cold_start_limiter.cpp
@@ -35,7 +35,15 @@
 bool ColdStartLimiter::hasRoom(bool isCold, size_t reserved, TimePoint now) const
 {
     const std::optional<size_t> most = windowLimit();
-    return !isCold || !most || sentSince(now - Window) + admitted_ + reserved < *most;
+    if (!isCold || !most) {
+        return true;
+    }
+    return now >= fullUntil_ && sentSince(now - Window) + admitted_ + reserved < *most;
+}
+
+void ColdStartLimiter::assumeSentUntil(TimePoint until)
+{
+    fullUntil_ = until + Window;
 }
 
 void ColdStartLimiter::endAdmission(bool sent, TimePoint now)
@@ -60,7 +68,8 @@
 milliseconds ColdStartLimiter::retryAfter(TimePoint now) const
 {
     const auto oldest = std::upper_bound(sent_.begin(), sent_.end(), now - Window);
-    const Duration wait = oldest == sent_.end() ? Duration(0) : *oldest + Window - now;
+    const Duration ofSent = oldest == sent_.end() ? Duration(0) : *oldest + Window - now;
+    const Duration wait = now < fullUntil_ ? std::max(ofSent, fullUntil_ - now) : ofSent;
     const auto untilRoom = std::chrono::ceil<milliseconds>(wait);
     return limits_.perSecond ? untilRoom : std::min(untilRoom, UnknownRateTime);
 }
--- a/src/decision/request/cold_start_limiter.h
+++ b/src/decision/request/cold_start_limiter.h
@@ -37,6 +37,9 @@
     /** @return Whether one more request may be sent beside @p reserved ones that wait. */
     bool hasRoom(bool isCold, size_t reserved, TimePoint now) const;
 
+    /** An earlier process may have sent as much as is allowed until @p until. */
+    void assumeSentUntil(TimePoint until);
+
     /** A request will be sent; it may wait for a connection or for processor time first. */
     void admit() { ++admitted_; }
 
@@ -57,8 +60,9 @@
     size_t sentSince(TimePoint time) const;
 
     ColdStartLimits limits_;
-    std::deque<TimePoint> sent_; ///< Of the last window, in ascending order.
-    size_t admitted_ = 0;        ///< Not sent yet.
+    std::deque<TimePoint> sent_;      ///< Of the last window, in ascending order.
+    size_t admitted_ = 0;             ///< Not sent yet.
+    TimePoint fullUntil_ = NeverTime; ///< Assumed: requests of an earlier process fill the window.
 };
 
 } // namespace wisteriahoist
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -58,7 +58,7 @@
                          const RequestProtocol &protocol, const std::string &ip, uint16_t port,
                          BackendMonitor &monitor, KeyOwnership &ownership, CrashLedger &crashes)
     : context_(context), clock_(clock), protocol_(protocol), monitor_(monitor),
-      ownership_(ownership), crashes_(crashes),
+      ownership_(ownership), crashes_(crashes), startedAt_(clock.now()),
       client_(context.get_executor(), ip, port, makePoolLimits())
 {
     monitor_.setBusyCheck([this]() { return isWorking(); });
@@ -408,6 +408,9 @@
     if (limitedBackend_ != monitor_.backend()) {
         limitedBackend_ = monitor_.backend();
         sentToIncarnation_ = 0;
+        if (monitor_.reportedBefore()) {
+            coldLimiter_.assumeSentUntil(startedAt_);
+        }
         updateLimit([&]() { limiter_.clear(); });
     }
     if (adoptedLimit_ && !limiter_.limit() && adoptedBackend_ == monitor_.backend()) {
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -192,6 +192,7 @@
     BackendMonitor &monitor_;
     KeyOwnership &ownership_;
     CrashLedger &crashes_;
+    TimePoint startedAt_; ///< Of this process.
     HttpClient client_;
     AdmissionControl admission_{AdmissionLimits{}};
     CircuitBreaker breaker_;
