--- a/src/adapter/http/http_client.h
+++ b/src/adapter/http/http_client.h
@@ -69,8 +69,8 @@
     std::chrono::seconds probeInterval{1}; ///< TCP_KEEPINTVL: time between probes.
     uint32_t probes = 3;     ///< TCP_KEEPCNT: unanswered probes before the connection is closed.
     milliseconds connect{0}; ///< Connect timeout; 0: only the timeout of the exchange applies.
-    /** Once a response has begun, the exchange ends when nothing has arrived for this time instead
-     *  of at its timeout, if that is earlier; 0: it always ends at its timeout. */
+    /** A response that has begun may outlast the timeout of its exchange, until nothing has arrived
+     *  for this time; 0: it may not. */
     milliseconds silence{0};
     milliseconds transfer{5000}; ///< Longest time from the beginning of such a response to its end.
     uint64_t responseBytes = 16 * 1024 * 1024; ///< Maximum size of a response's body.
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -22,13 +22,7 @@
         : backend(std::make_shared<ScriptedBackend>(context, std::move(scripts)))
     {
         backend->start();
-        BackendReport report;
-        report.backend = "b-1";
-        report.service = "one";
-        report.slots = 4;
-        report.sequence = 1;
-        (void)monitor.onReport(report, clock.now());
-        gate.onBackendChange();
+        report("b-1", 1);
         MemberRecord self;
         self.node = NodeId(1);
         self.service = "one";
@@ -63,18 +57,26 @@
         view.onRanges("one", std::move(record), StoreRevision(1));
     }
 
-    /** The next incarnation of the backend server has reported. */
-    void startNextIncarnation()
+    /** The backend server has reported, and is cold for @p coldTime. */
+    void report(const BackendIncarnation &incarnation, uint64_t sequence,
+                milliseconds coldTime = milliseconds(0))
     {
         BackendReport report;
-        report.backend = BackendIncarnation("b-" + std::to_string(++incarnations));
+        report.backend = incarnation;
         report.service = "one";
         report.slots = 4;
-        report.sequence = 1;
+        report.sequence = sequence;
+        report.warmUpLeft = coldTime;
         (void)monitor.onReport(report, clock.now());
         gate.onBackendChange();
     }
 
+    /** The next incarnation of the backend server has reported. */
+    void startNextIncarnation()
+    {
+        report(BackendIncarnation("b-" + std::to_string(++incarnations)), 1);
+    }
+
     HttpResponse ask(const std::string &target = "/x", milliseconds timeLeft = LongTime)
     {
         HttpRequest request(http::verb::get, target, 11);
@@ -527,14 +529,8 @@
                      fixture.monitor, fixture.keys, fixture.crashes);
     gate.setColdLimits({2, 1, 0});
     gate.onBackendChange();
-    BackendReport report;
-    report.backend = "b-1";
-    report.service = "one";
-    report.slots = 4;
-    report.warmUpLeft = LongTime;
     for (uint64_t attempt = 2; attempt < 12; ++attempt) {
-        report.sequence = attempt;
-        (void)fixture.monitor.onReport(report, fixture.clock.now());
+        fixture.report("b-1", attempt, LongTime);
         (void)fixture.askGate(gate);
     }
     cr_assert_eq(gate.coldRefused(), 0U);
@@ -546,14 +542,8 @@
 {
     Fixture fixture({{answerWith("200 OK")}});
     const auto askAfterReport = [&](uint64_t sequence) {
-        BackendReport report;
-        report.backend = BackendIncarnation("b-" + std::to_string(++fixture.incarnations));
-        report.service = "one";
-        report.slots = 4;
-        report.sequence = sequence;
-        report.warmUpLeft = LongTime;
-        (void)fixture.monitor.onReport(report, fixture.clock.now());
-        fixture.gate.onBackendChange();
+        fixture.report(BackendIncarnation("b-" + std::to_string(++fixture.incarnations)), sequence,
+                       LongTime);
         return fixture.ask().result_int();
     };
     fixture.gate.setColdLimits({20, 1, 0});
@@ -573,13 +563,7 @@
 {
     Fixture fixture({{answerWith("200 OK")}});
     fixture.gate.setColdLimits({std::nullopt, 1.5, 3});
-    BackendReport report;
-    report.backend = "b-1";
-    report.service = "one";
-    report.slots = 4;
-    report.sequence = 2;
-    report.warmUpLeft = LongTime;
-    (void)fixture.monitor.onReport(report, fixture.clock.now());
+    fixture.report("b-1", 2, LongTime);
     for (int request = 0; request < 10; ++request) {
         (void)fixture.askGate(fixture.gate);
     }
