--- a/review/world/world.h
+++ b/review/world/world.h
@@ -530,6 +530,12 @@
         }
         note("node " + machine_.name + " is started");
     }
+    /** Writes the settings file anew, for @p machine; the process isn't told. */
+    void rewrite(const Machine &machine)
+    {
+        machine_ = machine;
+        std::ofstream(directory_ + "/" + machine_.name + ".toml") << text(false);
+    }
     void signal(int number) { ::kill(pid_, number); }
     void kill()
     {
