--- a/review/world/world.h
+++ b/review/world/world.h
@@ -194,6 +194,7 @@
             fd_ = -1;
         }
     }
+    int fd() const { return fd_; }
     void shutdownBoth() { ::shutdown(fd_, SHUT_RDWR); }
 
 private:
@@ -467,6 +468,59 @@
     Server server_;
 };
 
+// ---- Links --------------------------------------------------------------------------------------
+
+/** A link to another address whose open connections can go silent for good. */
+class Link
+{
+public:
+    Link(const std::string &ip, uint16_t port, std::string toIp, uint16_t toPort)
+        : toIp_(std::move(toIp)), toPort_(toPort),
+          server_(ip, port, [this](Conn &conn) { serve(conn); })
+    { }
+
+    /** All connections that are open now carry nothing any more; new ones work. */
+    void silence() { ++silenced_; }
+
+private:
+    void serve(Conn &from)
+    {
+        const int born = silenced_;
+        auto to = Conn::open(toIp_, toPort_);
+        if (!to) {
+            return;
+        }
+        pollfd both[2] = {{from.fd(), POLLIN, 0}, {to->fd(), POLLIN, 0}};
+        char bytes[65536];
+        while (true) {
+            if (silenced_ != born) {
+                sleepMs(50);
+                if (from.gone()) {
+                    return;
+                }
+                continue;
+            }
+            if (poll(both, 2, 20) <= 0 || silenced_ != born) {
+                continue;
+            }
+            for (int side = 0; side < 2; ++side) {
+                if ((both[side].revents & (POLLIN | POLLHUP | POLLERR)) == 0) {
+                    continue;
+                }
+                const ssize_t n = recv(both[side].fd, bytes, sizeof bytes, 0);
+                if (n <= 0 || !(side == 0 ? *to : from).send(std::string(bytes, static_cast<size_t>(n)))) {
+                    return;
+                }
+            }
+        }
+    }
+
+    std::string toIp_;
+    uint16_t toPort_;
+    std::atomic<int> silenced_{0};
+    Server server_;
+};
+
 // ---- Machines -----------------------------------------------------------------------------------
 
 struct Machine {
@@ -636,15 +690,18 @@
     void startReports(int everyMs = 1500)
     {
         std::thread([this, everyMs]() {
-            while (!ended_) {
+            while (!ended_ && !silent_) {
                 report(++sequence_);
-                for (int waited = 0; waited < everyMs && !ended_; waited += 20) {
+                for (int waited = 0; waited < everyMs && !ended_ && !silent_; waited += 20) {
                     sleepMs(20);
                 }
             }
         }).detach();
     }
 
+    /** The instance sends no further liveness reports. */
+    void stopReports() { silent_ = true; }
+
     /** Sends one liveness report. @return The status of the answer; 0: none. */
     int report(uint64_t sequence)
     {
@@ -793,6 +850,7 @@
     int workMs_;
     Hook hook_;
     std::atomic<bool> ended_{false};
+    std::atomic<bool> silent_{false};
     std::atomic<uint64_t> sequence_{0};
     std::mutex mutex_;
     std::map<int, int64_t> seen_;
