Add a review case: a restarted instance gets the old fencing token

An instance that starts again under its id answers a health check before its first report. The node takes it for the former lifetime and grants the keys with the token that the former one had.

--- a/review/world/world.h
+++ b/review/world/world.h
@@ -685,6 +685,20 @@
     const Machine &machine() const { return machine_; }
     std::atomic<bool> leaving{false};
     std::atomic<int> ran{0};
+    int64_t born = 0; ///< Told in reports unless 0.
+
+    /** @return The first fencing token with which this lifetime has taken each key. */
+    std::map<int, int64_t> firstFences()
+    {
+        std::lock_guard<std::mutex> guard(mutex_);
+        return first_;
+    }
+    /** @return The highest fencing token with which this lifetime has taken each key. */
+    std::map<int, int64_t> fences()
+    {
+        std::lock_guard<std::mutex> guard(mutex_);
+        return seen_;
+    }
 
     /** Sends liveness reports until the lifetime ends. */
     void startReports(int everyMs = 1500)
@@ -714,6 +728,9 @@
         body["state"] = leaving ? "draining" : "ready";
         body["cold_remaining"] = "0ms";
         body["sequence"] = sequence;
+        if (born != 0) {
+            body["born"] = born;
+        }
         return call("/-/instances/" + id_ + "/heartbeat", json::serialize(body));
     }
 
@@ -837,7 +854,12 @@
             }
         }
         const auto until = Clock::now() + milliseconds(hold);
+        if (seen_.count(from) == 0 || seen_[from] < fence) {
+            note("instance " + id_ + " takes the keys " + std::to_string(from) + " to " + std::to_string(to)
+                 + " with the fencing token " + std::to_string(fence));
+        }
         for (int key = from; key <= to; ++key) {
+            first_.emplace(key, fence);
             seen_[key] = fence;
             held_[key] = {fence, until};
         }
@@ -854,6 +876,7 @@
     std::atomic<uint64_t> sequence_{0};
     std::mutex mutex_;
     std::map<int, int64_t> seen_;
+    std::map<int, int64_t> first_;
     std::map<int, std::pair<int64_t, Clock::time_point>> held_;
     std::unique_ptr<Server> server_;
 };
