Add a review case: a booking runs at two instances

A rejection names no attempt. Its second copy, late on a kept connection, is taken for the answer to the next request, which the instance has begun to run; the node sends that request to another instance as well.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,4 +1,4 @@
-// Additional bytes after a complete answer are given to the next client as its answer.
+// A refused request with a key is sent again on the connection on which its refusal was sent twice.
 #include "../world/world.h"
 
 #include <random>
@@ -8,54 +8,74 @@
 namespace {
 
 constexpr int Machines = 5;
-constexpr int Garbling = 3;          // share 0.6 of five instances
-constexpr double GarbleShare = 0.03; // x of their answers
+constexpr int Garbling = 3;           // share 0.6 of five instances
+constexpr double GarbleShare = 0.03;  // x of their answers get a second answer
 constexpr double GarbleSeconds = 5.0;
+constexpr double ShedShare = 0.3;     // x 0.45 at most
 constexpr int WorkMs = 48;
-const char *const Service = "fixtures";
+const char *const Service = "archive";
 
 std::atomic<bool> garbles{false};
+std::atomic<bool> sheds{false};
 std::atomic<bool> stops{false};
+
 std::mutex mutex;
-int requests = 0;
-int answered = 0;
-int foreign = 0;
+std::map<std::string, int> runs;     // by attempt
+std::map<std::string, int> statuses; // by attempt
 
+/** What one instance does beside sound work. */
 struct Behaviour {
     bool garbling = false;
     std::mutex guard;
-    int answers = 0;
+    std::mt19937 random{1};
+    int answers = 0; ///< While it garbles.
     int extras = 0;
-    std::map<Conn *, std::string> late;
+    std::map<Conn *, std::string> late; ///< Second answers that are still to be sent.
 
     bool handle(Instance &instance, Conn &conn, const Message &request)
     {
         const std::string attempt = request.get("X-Wisteriahoist-Attempt-Id");
-        if (attempt.empty() || request.get("X-Wisteriahoist-Expect-Instance") != instance.id()) {
-            instance.ordinary(conn, request);
-            return true;
-        }
         std::string extra;
+        bool shed = false;
         {
             std::lock_guard<std::mutex> lock(guard);
             if (const auto found = late.find(&conn); found != late.end()) {
                 extra = found->second;
                 late.erase(found);
             }
+            shed = sheds && std::uniform_real_distribution<>(0, 1)(random) < ShedShare;
+            answers += garbles ? 1 : 0;
         }
         if (!extra.empty()) {
-            note("instance " + instance.id() + " sends additional bytes where the answer to " + attempt + " is due");
+            note("instance " + instance.id() + " sends its second answer where that to " + attempt + " is due");
             conn.send(extra);
         }
-        instance.run(conn, request);
-        std::lock_guard<std::mutex> lock(guard);
-        answers += garbles ? 1 : 0;
-        if (garbling && garbles && extras + 1 <= answers * GarbleShare) {
-            ++extras;
-            late[&conn] = response(200, {{"X-Wisteriahoist-Server-Seal", "3e1b.07.5a2.600.0.c9f2a4d1"}},
-                                   "done " + attempt);
-            note("instance " + instance.id() + " will send the answer to " + attempt + " again, without its id");
+        const int key = atoi(request.get("X-Wisteriahoist-Shard-Key").c_str());
+        const std::string expected = request.get("X-Wisteriahoist-Expect-Instance");
+        if (attempt.empty() || !instance.holds(key) || expected != instance.id()) {
+            instance.ordinary(conn, request);
+            return true;
+        }
+        if (shed) {
+            const std::string answer = Instance::notExecuted(503, attempt);
+            std::string more;
+            {
+                std::lock_guard<std::mutex> lock(guard);
+                if (garbling && garbles && extras + 1 <= answers * GarbleShare) {
+                    ++extras;
+                    late[&conn] = answer;
+                    more = ", and again later";
+                }
+            }
+            note("instance " + instance.id() + " rejects " + attempt + " as not run" + more);
+            conn.send(answer);
+            return true;
+        }
+        {
+            std::lock_guard<std::mutex> lock(mutex);
+            ++runs[attempt];
         }
+        instance.run(conn, request);
         return true;
     }
 };
@@ -73,19 +93,16 @@
             }
         }
         Call call;
+        call.method = "DELETE";
         call.host = "jepu9.example";
-        call.target = "/fixtures/2f";
-        call.deadlineMs = 2000;
+        call.target = "/yank/2f";
+        call.key = std::to_string(std::uniform_int_distribution<>(0, 65535)(random));
+        call.deadlineMs = 500;
         Message answer;
         const int status = exchange(*conn, call, machine.name, &answer);
         {
             std::lock_guard<std::mutex> lock(mutex);
-            ++requests;
-            answered += status == 200 ? 1 : 0;
-            if (status == 200 && answer.body != "done " + call.attempt) {
-                ++foreign;
-                note("BROKEN: the client of " + call.attempt + " gets 200 with \"" + answer.body + "\"");
-            }
+            statuses[call.attempt] = status;
         }
         if (status == 0 || lower(answer.get("Connection")) == "close") {
             conn.reset();
@@ -102,9 +119,9 @@
     const std::string storeIp = net + "12";
     Store store(storeIp, 8627);
     json::array routes;
-    routes.push_back(makeRoute("r-fixtures", "/fixtures/", "idempotent", Service, 2500, 1500));
+    routes.push_back(makeRoute("r-yank", "/yank/", "non_idempotent", Service, 500, 150));
     json::array services;
-    services.push_back(makeService(Service, false));
+    services.push_back(makeService(Service, true));
     store.put("config", "main", makeConfig(routes, services));
 
     const std::vector<std::string> zones{"hall-north", "hall-south", "hall-annex"};
@@ -114,62 +131,80 @@
     for (int i = 0; i < Machines; ++i) {
         const Machine machine{net + std::to_string(i + 1), zones[static_cast<size_t>(i) % 3], Service,
                               "sidecar-" + std::to_string(i + 1)};
-        behaviours.push_back(std::make_unique<Behaviour>());
-        Behaviour *each = behaviours.back().get();
-        each->garbling = i < Garbling;
+        auto behaviour = std::make_unique<Behaviour>();
+        behaviour->garbling = i < Garbling;
+        behaviour->random.seed(static_cast<unsigned>(i) + 1);
+        Behaviour *each = behaviour.get();
+        behaviours.push_back(std::move(behaviour));
         instances.push_back(std::make_unique<Instance>(
-                machine, "i-" + std::to_string(i + 1), false, WorkMs,
+                machine, "i-" + std::to_string(i + 1), true, WorkMs,
                 [each](Instance &a, Conn &b, const Message &c) { return each->handle(a, b, c); }));
         nodes.push_back(std::make_unique<Node>(machine, arguments.binary, arguments.directory, storeIp + ":8627"));
         nodes.back()->start();
         instances.back()->startReports();
     }
-    const auto stop = [&]() {
-        for (auto &node : nodes) {
-            node->kill();
-        }
-    };
     const bool served = waitFor(20000, [&]() {
         return std::all_of(nodes.begin(), nodes.end(), [](const auto &node) {
             Call call;
+            call.method = "DELETE";
             call.host = "jepu9.example";
-            call.target = "/fixtures/2f";
+            call.target = "/yank/2f";
+            call.key = "1";
             return exchange(node->machine(), call) == 200;
         });
     });
     if (!served) {
         note("the deployment doesn't serve");
-        stop();
+        for (auto &node : nodes) {
+            node->kill();
+        }
         return 2;
     }
     sleepMs(3000);
     std::vector<std::thread> clients;
-    for (int i = 0; i < Machines * 4; ++i) {
-        clients.emplace_back(client, nodes[static_cast<size_t>(i % Machines)]->machine(),
-                             100U + static_cast<unsigned>(i));
+    for (int i = 0; i < Machines * 5; ++i) {
+        clients.emplace_back(client, nodes[static_cast<size_t>(i % Machines)]->machine(), 100U + static_cast<unsigned>(i));
     }
-    sleepMs(3000);
-    for (int window = 0; window < 3; ++window) {
+    sleepMs(4000);
+    for (int window = 0; window < 4; ++window) {
+        note("some requests are rejected as not run");
+        sheds = true;
         garbles = arguments.trouble;
-        note(garbles ? "instances send additional bytes after answers" : "instances send sound answers");
+        note(garbles ? "instances send second answers" : "instances send each answer once");
         sleepMs(static_cast<int64_t>(GarbleSeconds * 1000));
         garbles = false;
+        sheds = false;
         note("that is over");
-        sleepMs(5000);
+        sleepMs(7000);
     }
     stops = true;
     for (std::thread &thread : clients) {
         thread.join();
     }
-    stop();
+    sleepMs(1000);
+    int refusedAndRun = 0;
+    int answered = 0;
+    std::lock_guard<std::mutex> lock(mutex);
+    for (const auto &[attempt, status] : statuses) {
+        answered += status == 200 ? 1 : 0;
+        const bool promise = status == 503 || status == 429 || status == 408 || status == 421;
+        if (promise && runs.count(attempt) > 0) {
+            ++refusedAndRun;
+            note("BROKEN: " + attempt + " was answered " + std::to_string(status) + " and has run");
+        }
+    }
     int extras = 0;
     for (const auto &behaviour : behaviours) {
         extras += behaviour->extras;
     }
-    const std::string result = "requests=" + std::to_string(requests) + " answered=" + std::to_string(answered)
-                               + " additional_answers=" + std::to_string(extras) + " foreign=" + std::to_string(foreign);
+    for (auto &node : nodes) {
+        node->kill();
+    }
+    const std::string result = "requests=" + std::to_string(statuses.size()) + " answered=" + std::to_string(answered)
+                               + " second_answers=" + std::to_string(extras)
+                               + " refused_and_run=" + std::to_string(refusedAndRun);
     note(result);
     printf("%s\n", result.c_str());
     fflush(stdout);
-    _exit(foreign > 0 ? 1 : answered > 0 ? 0 : 2);
+    _exit(refusedAndRun > 0 ? 1 : answered > 0 ? 0 : 2);
 }
