--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -10,7 +10,8 @@
 constexpr size_t LargeBody = 60 * 1024 * 1024; // max_body_bytes is 64 MiB
 const char *const Service = "scheduler";
 
-std::atomic<bool> stops{false};
+std::atomic<bool> stops{false};         ///< For the clients.
+std::atomic<bool> platformStops{false}; ///< The nodes that it started end with its thread.
 std::mutex mutex;
 std::map<std::string, bool> reached; ///< Attempts that an instance has begun to work on.
 
@@ -115,7 +116,7 @@
     // The platform: kills a process that exceeds its memory, and starts it again.
     std::vector<double> most(Machines, 0);
     std::thread platform([&]() {
-        while (!stops) {
+        while (!platformStops) {
             for (int i = 0; i < Machines; ++i) {
                 Node &node = *nodes[static_cast<size_t>(i)];
                 const double used = node.memory("VmRSS");
@@ -164,10 +165,11 @@
     }
     largeServed = largeServedNow;
     stops = true;
-    platform.join();
     for (std::thread &thread : clients) {
         thread.join();
     }
+    platformStops = true;
+    platform.join();
     // LOST: passed on from a kept connection to a sound instance, closed without an answer.
     int lost = 0;
     int answered = 0;
