Fix: [Requests] Bodies, connections and messages between nodes keep to a node's memory

A body of more than 17 MiB ended the connection to the next node with all other requests on it.

Cause: nothing bounded the sum of what a node holds, and each body was held four to five times: the request, the message between nodes, its encoding, the gate's copy, the request to the backend server. The evidence is the memory by body: one of 62.9 million bytes takes 266 MB, four times its size.

Change: a body is held once on each node. It moves from the caller's request into the message, is sent from there to the backend server and to other nodes, and is taken out of a received message in place; the encoding between nodes is the same as before. A process-wide MemoryBudget (0.6 of memory_mb) covers bodies that arrive from callers and from nodes, and connections: an announced body is reserved at its head, a chunked one as it grows, and what does not fit is told 503 with Retry-After at once (REFUSED_STREAM between nodes, which ends no other stream). An eighth is kept for messages below 64 KiB. Responses keep to a second budget (0.15) until their receiver has read them. Blocks of 128 KiB and more return to the system when they are freed. New metrics: wisteriahoist_request_bytes, _response_bytes, _memory_rejected_total.

Tests: request_memory/* and large_call/*; with the budget's check taken out, body_without_room_is_rejected_at_its_head, chunked_body_is_rejected_..., connections_count, large_messages_leave_room_for_small_ones and large_call/call_without_room_is_refused fail.

--- a/src/adapter/http/http_client.cpp
+++ b/src/adapter/http/http_client.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
 #include <optional>
@@ -43,7 +44,8 @@
 HttpClient::HttpClient(asio::any_io_executor executor, const std::string &ip, uint16_t port,
                        PoolLimits limits)
     : executor_(std::move(executor)), endpoint_(asio::ip::make_address(ip), port), limits_(limits),
-      budget_(limits.heldBytes)
+      budget_(limits.responseMemory ? limits.responseMemory
+                                    : std::make_shared<ResponseBudget>(limits.heldBytes))
 { }
 
 void HttpClient::configureSocket(tcp::socket &socket) const
@@ -150,7 +152,8 @@
 
 asio::awaitable<Result<HttpResponse>> HttpClient::exchange(HttpRequest request,
                                                            milliseconds timeout,
-                                                           std::shared_ptr<ExchangeControl> control)
+                                                           std::shared_ptr<ExchangeControl> control,
+                                                           std::string_view body)
 {
     const SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
     if (!control) {
@@ -176,16 +179,19 @@
                           "deadline check failed before sending; request not sent"};
     }
     control->stream_ = connection.get();
-    request.version(11);
-    if (request.find(http::field::host) == request.end()) {
-        request.set(http::field::host, endpoint_.address().to_string());
+    http::request<http::span_body<const char>> message(std::move(request.base()));
+    const std::string_view payload = body.empty() ? std::string_view(request.body()) : body;
+    message.body() = {payload.data(), payload.size()};
+    message.version(11);
+    if (message.find(http::field::host) == message.end()) {
+        message.set(http::field::host, endpoint_.address().to_string());
     }
-    request.prepare_payload();
+    message.prepare_payload();
     connection->expires_at(deadline);
     beast::error_code error;
     control->stage_ = RequestStage::PartlySent;
     const size_t sent = co_await http::async_write(
-            *connection, request, asio::redirect_error(asio::use_awaitable, error));
+            *connection, message, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         control->stream_ = nullptr;
         // The operating system accepted no byte: the server cannot have executed the request.
@@ -195,7 +201,7 @@
                           "sending the request failed: " + error.message()};
     }
     control->stage_ = RequestStage::Sent;
-    const bool headOnly = request.method() == http::verb::head;
+    const bool headOnly = message.method() == http::verb::head;
     Result<HttpResponse> result = co_await read(*connection, headOnly, deadline, *control);
     control->stream_ = nullptr;
     const bool timedOut = !result && result.assume_error().code == FailureCode::DeadlineExceeded;
@@ -218,7 +224,7 @@
                                                        beast::flat_buffer &buffer,
                                                        ResponseParser &parser, SteadyTime deadline)
 {
-    ResponseBudget::Share share(budget_, [&stream, &parser]() {
+    ResponseBudget::Share share(*budget_, [&stream, &parser]() {
         stream.close();
         std::string().swap(parser.get().body());
     });
--- a/src/adapter/http/http_client.h
+++ b/src/adapter/http/http_client.h
@@ -82,6 +82,8 @@
     /** Memory for the bodies of all responses that are being received: a server in trouble may send
      *  bytes until its connection is closed. */
     size_t heldBytes = 16 * 1024 * 1024;
+    /** Memory for all responses of the process instead, if set. */
+    std::shared_ptr<ResponseBudget> responseMemory{};
     /** Discard all idle connections after a timeout: a fault that silences one of them often
      * silences all, and each would cost another timeout. */
     bool discardAfterTimeout = false;
@@ -106,9 +108,12 @@
     /**
      * Sends @p request and waits at most @p timeout for the complete response.
      * @param control Optional; tracks the progress of the exchange and can cancel it.
+     * @param body Optional; sent instead of the request's own, so that it need not be copied. Must
+     *        exist until the exchange has ended.
      */
     asio::awaitable<Result<HttpResponse>> exchange(HttpRequest request, milliseconds timeout,
-                                                   std::shared_ptr<ExchangeControl> control = {});
+                                                   std::shared_ptr<ExchangeControl> control = {},
+                                                   std::string_view body = {});
 
     /** Opens connections in advance until @p count are idle. */
     asio::awaitable<void> preconnect(size_t count);
@@ -116,7 +121,7 @@
     uint64_t connectionsOpened() const { return connectionsOpened_; }
     size_t idleConnections() const { return idle_.size(); }
     /** @return Bytes held for responses that are being received. */
-    size_t heldResponseBytes() const { return budget_.held(); }
+    size_t heldResponseBytes() const { return budget_->held(); }
 
 private:
     using Connection = std::unique_ptr<beast::tcp_stream>;
@@ -147,7 +152,7 @@
     PoolLimits limits_;
     std::deque<Idle> idle_; ///< Most recently used last. Invariant: no request is outstanding on
                             ///< any of them.
-    ResponseBudget budget_;
+    std::shared_ptr<ResponseBudget> budget_; ///< Never nullptr.
     uint64_t connectionsOpened_ = 0;
 };
 
--- a/src/adapter/http/http_connection.cpp
+++ b/src/adapter/http/http_connection.cpp
@@ -29,6 +29,10 @@
  * has read it closes its side immediately.
  */
 constexpr milliseconds LingerTime{1000};
+/** The same for a caller that goes on sending a body which was rejected at its head. */
+constexpr milliseconds MaxLingerTime{5000};
+/** Bodies that are being received need this long to make room. */
+constexpr milliseconds RetryAfterFullMemory{1000};
 
 /** @return The response to input that the parser rejected. */
 HttpResponse makeParserErrorResponse(beast::error_code error, const HttpLimits &limits)
@@ -62,8 +66,10 @@
 
 } // namespace
 
-HttpConnection::HttpConnection(std::shared_ptr<HttpServerState> server, tcp::socket socket)
-    : server_(std::move(server)), socket_(std::move(socket)), idleTimer_(socket_.get_executor())
+HttpConnection::HttpConnection(std::shared_ptr<HttpServerState> server, tcp::socket socket,
+                               MemoryBudget::Reservation memory)
+    : server_(std::move(server)), socket_(std::move(socket)), idleTimer_(socket_.get_executor()),
+      memory_(std::move(memory)), bodyMemory_(server_->requestMemory)
 {
     server_->connections.insert(this);
 }
@@ -115,6 +121,10 @@
             stopReading();
             continue;
         }
+        if (!memory_.resize(OwnBytes + buffer_.size() + count)) {
+            rejectForMemory();
+            continue;
+        }
         const asio::mutable_buffer space = buffer_.prepare(count);
         std::copy_n(chunk_.begin(), count, static_cast<char *>(space.data()));
         buffer_.commit(count);
@@ -153,6 +163,10 @@
     if (!hadHead && parser_->is_header_done() && !checkHead()) {
         return false;
     }
+    if (!reserveBody()) {
+        rejectForMemory();
+        return false;
+    }
     if (!parser_->is_done()) {
         return buffer_.size() > 0;
     }
@@ -162,6 +176,26 @@
     return true;
 }
 
+bool HttpConnection::reserveBody()
+{
+    if (!parser_->is_header_done()) {
+        return true;
+    }
+    const size_t received = parser_->get().body().size();
+    const size_t announced = static_cast<size_t>(parser_->content_length().value_or(0));
+    const size_t needed = std::max(received, announced);
+    return needed <= bodyMemory_.bytes() || bodyMemory_.resize(needed);
+}
+
+/** The request has provably not run; the rest of its body is read and discarded. */
+void HttpConnection::rejectForMemory()
+{
+    ++server_->rejectedForMemory;
+    reject(makeProblemResponse({http::status::service_unavailable, "memory-full",
+                                "The request has not run: this node holds too many large bodies.",
+                                RetryAfterFullMemory}));
+}
+
 /** Checks the header section of the current request. @return Whether reading it may continue. */
 bool HttpConnection::checkHead()
 {
@@ -174,6 +208,10 @@
                 "Transfer-Encoding, or an unsupported transfer coding."));
         return false;
     }
+    if (!reserveBody()) {
+        rejectForMemory();
+        return false;
+    }
     if (!parser_->is_done()
         && beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
         const auto exchange = std::make_shared<Exchange>();
@@ -216,6 +254,8 @@
     exchange->runsExclusively = runsExclusively(request);
     reading_ = exchange->keepAlive; // Stop reading after the last request.
     countedAsOpen_ = false;         // The exchange counts as open from here on.
+    exchange->disconnect->holdMemory(std::move(bodyMemory_));
+    bodyMemory_ = MemoryBudget::Reservation(server_->requestMemory);
     pending_.push_back(exchange);
     asio::co_spawn(
             socket_.get_executor(),
@@ -246,6 +286,8 @@
     }
     countedAsOpen_ = false;
     reading_ = false;
+    parser_.reset();
+    (void)bodyMemory_.resize(0);
     pending_.push_back(exchange);
     startWriting(exchange);
 }
@@ -253,6 +295,7 @@
 asio::awaitable<void> HttpConnection::runHandler(ExchangePtr exchange, HttpRequest request)
 {
     HttpResponse response = co_await server_->handler(std::move(request), exchange->disconnect);
+    exchange->delivery.emplace(server_->responseMemory, response.body().size());
     exchange->response = std::move(response);
     co_await writeResponses();
 }
@@ -335,6 +378,8 @@
 {
     reading_ = false;
     waitingRequest_.reset();
+    parser_.reset();
+    (void)bodyMemory_.resize(0);
     // Drop a queued 100 Continue: its body is not read and no final response would follow. If it is
     // the first in the queue it may be in transmission; the connection closes after it.
     if (pending_.size() > 1 && pending_.back()->isInterim) {
@@ -360,6 +405,7 @@
     beast::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     sendingShutDown_ = true;
+    lingerEnd_ = std::chrono::steady_clock::now() + MaxLingerTime;
     startIdleTimer(LingerTime);
 }
 
@@ -421,12 +467,15 @@
         if (error || !connection || connection->closed_) {
             return;
         }
-        const auto idleFor = std::chrono::duration_cast<milliseconds>(
-                std::chrono::steady_clock::now() - connection->lastActivity_);
+        const auto now = std::chrono::steady_clock::now();
+        const auto idleFor
+                = std::chrono::duration_cast<milliseconds>(now - connection->lastActivity_);
         const milliseconds bound = connection->server_->limits.idle;
         const bool isRunning
                 = !connection->pending_.empty() && !connection->pending_.front()->response;
-        if (connection->sendingShutDown_ || (idleFor >= bound && !isRunning)) {
+        if (connection->sendingShutDown_ && idleFor < LingerTime && now < connection->lingerEnd_) {
+            connection->startIdleTimer(LingerTime - idleFor);
+        } else if (connection->sendingShutDown_ || (idleFor >= bound && !isRunning)) {
             connection->close();
         } else {
             connection->startIdleTimer(isRunning ? bound : bound - idleFor);
--- a/src/adapter/http/http_connection.h
+++ b/src/adapter/http/http_connection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "adapter/http/http_type.h"
+#include "adapter/http/response_budget.h"
 
 #include <array>
 #include <atomic>
@@ -21,6 +22,9 @@
     HttpLimits limits;
     CancellableHttpHandler handler;
     std::atomic<size_t> openRequests{0};
+    std::shared_ptr<MemoryBudget> requestMemory;    ///< nullptr: not limited.
+    std::shared_ptr<ResponseBudget> responseMemory; ///< nullptr: not limited.
+    uint64_t rejectedForMemory = 0;         ///< Requests rejected since there was no memory.
     std::set<HttpConnection *> connections; ///< Invariant: at most limits.connections.
     bool stopping = false;                  ///< No new connections are accepted.
     bool closingAfterResponses = false;     ///< Connections close after their pending responses.
@@ -40,9 +44,15 @@
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
 {
 public:
-    HttpConnection(std::shared_ptr<HttpServerState> server, tcp::socket socket);
+    /** @param memory What the connection itself needs, see OwnBytes. */
+    HttpConnection(std::shared_ptr<HttpServerState> server, tcp::socket socket,
+                   MemoryBudget::Reservation memory);
     ~HttpConnection();
 
+    /** Memory of a connection without a body, in bytes: its buffers and coroutines, and a head that
+     *  is being received. */
+    static constexpr size_t OwnBytes = 16 * 1024;
+
     void start();
 
     /** Closes the connection unless a request has begun to arrive; such a request is answered. */
@@ -55,6 +65,7 @@
     struct Exchange {
         std::shared_ptr<DisconnectSignal> disconnect = std::make_shared<DisconnectSignal>();
         std::optional<HttpResponse> response;
+        std::optional<ResponseBudget::Delivery> delivery; ///< Memory of the response.
         bool headOnly = false;
         bool keepAlive = true;
         bool runsExclusively = false; ///< No other request may run concurrently.
@@ -69,6 +80,9 @@
     void parse();
     bool parseOne();
     bool checkHead();
+    /** Takes memory for the body as far as it is known. @return Whether there is room. */
+    bool reserveBody();
+    void rejectForMemory();
     void onRequest(HttpRequest request);
     bool canRun(const HttpRequest &request) const;
     void dispatch(HttpRequest request);
@@ -90,9 +104,12 @@
     std::array<char, 8192> chunk_; ///< Buffer of the current read.
     beast::flat_buffer buffer_;    ///< Received but not parsed.
     std::optional<Parser> parser_;
+    MemoryBudget::Reservation memory_;          ///< Of the connection itself.
+    MemoryBudget::Reservation bodyMemory_;      ///< Of the request being read or waiting.
     std::optional<HttpRequest> waitingRequest_; ///< Complete; waits until it may run.
     std::deque<ExchangePtr> pending_;           ///< In request order.
     std::chrono::steady_clock::time_point lastActivity_;
+    std::chrono::steady_clock::time_point lingerEnd_; ///< Latest end of a connection that lingers.
     bool countedAsOpen_ = false;   ///< Whether the request being read is counted in openRequests.
     bool reading_ = true;          ///< False: received bytes are discarded.
     bool writing_ = false;         ///< Invariant: at most one coroutine writes.
--- a/src/adapter/http/http_server.cpp
+++ b/src/adapter/http/http_server.cpp
@@ -35,6 +35,13 @@
             asio::detached);
 }
 
+void HttpServer::limitMemory(std::shared_ptr<MemoryBudget> requests,
+                             std::shared_ptr<ResponseBudget> responses)
+{
+    state_->requestMemory = std::move(requests);
+    state_->responseMemory = std::move(responses);
+}
+
 void HttpServer::stop()
 {
     state_->stopping = true;
@@ -73,8 +80,10 @@
 
 void HttpServer::serve(tcp::socket socket)
 {
-    if (state_->connections.size() < state_->limits.connections) {
-        std::make_shared<HttpConnection>(state_, std::move(socket))->start();
+    MemoryBudget::Reservation memory(state_->requestMemory);
+    if (state_->connections.size() < state_->limits.connections
+        && memory.resize(HttpConnection::OwnBytes)) {
+        std::make_shared<HttpConnection>(state_, std::move(socket), std::move(memory))->start();
     }
 }
 
--- a/src/adapter/http/http_server.h
+++ b/src/adapter/http/http_server.h
@@ -44,6 +44,14 @@
     /** Sets new limits, which apply to requests read from now on. */
     void setLimits(const HttpLimits &limits) { state_->limits = limits; }
 
+    /** Bounds the memory of requests and responses; connections for which there is none are not
+     *  accepted. @pre Called before start(). */
+    void limitMemory(std::shared_ptr<MemoryBudget> requests,
+                     std::shared_ptr<ResponseBudget> responses);
+
+    /** @return Number of requests that were rejected since there was no memory for them. */
+    uint64_t rejectedForMemory() const { return state_->rejectedForMemory; }
+
     uint16_t port() const { return acceptor_.local_endpoint().port(); }
     size_t openConnections() const { return state_->connections.size(); }
 
--- a/src/adapter/http/http_type.h
+++ b/src/adapter/http/http_type.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "core/memory_budget.h"
 #include "core/time_type.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -38,11 +39,15 @@
 /**
  * Notifies a request handler that the caller has closed the connection before the response. A
  * caller that has closed only its sending side also counts as disconnected, because the two cases
- * cannot be distinguished.
+ * cannot be distinguished. Whoever keeps the request's body also keeps this object, which holds the
+ * memory that is reserved for it.
  */
 class DisconnectSignal
 {
 public:
+    /** Keeps @p memory, reserved for the body, as long as this object exists. */
+    void holdMemory(MemoryBudget::Reservation memory) { memory_ = std::move(memory); }
+
     bool isDisconnected() const { return disconnected_; }
 
     /** Sets the action to run on disconnect; called at most once, on the server's thread. */
@@ -58,6 +63,7 @@
 
 private:
     std::function<void()> action_;
+    MemoryBudget::Reservation memory_;
     bool disconnected_ = false;
 };
 
--- a/src/adapter/http/response_budget.cpp
+++ b/src/adapter/http/response_budget.cpp
@@ -28,17 +28,36 @@
     bytes_ = bytes;
     while (budget_.held_ > budget_.limit_) {
         Share *share = budget_.largest();
+        if (share == nullptr) {
+            break; // All that is held waits for its receivers.
+        }
         budget_.held_ -= std::exchange(share->bytes_, 0);
         std::exchange(share->cutOff_, nullptr)();
     }
     return !isCutOff();
 }
 
+ResponseBudget::Delivery::Delivery(std::shared_ptr<ResponseBudget> budget, size_t bytes)
+    : budget_(std::move(budget)), bytes_(bytes)
+{
+    if (budget_) {
+        budget_->held_ += bytes_;
+    }
+}
+
+ResponseBudget::Delivery::~Delivery()
+{
+    if (budget_) {
+        budget_->held_ -= bytes_;
+    }
+}
+
 ResponseBudget::Share *ResponseBudget::largest() const
 {
     Share *found = nullptr;
     for (Share *share : shares_) {
-        if (!share->isCutOff() && (found == nullptr || share->bytes_ > found->bytes_)) {
+        if (!share->isCutOff() && share->bytes_ > 0
+            && (found == nullptr || share->bytes_ > found->bytes_)) {
             found = share;
         }
     }
--- a/src/adapter/http2/http2_session.cpp
+++ b/src/adapter/http2/http2_session.cpp
@@ -8,10 +8,14 @@
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <charconv>
 #include <cstring>
+#include <utility>
 
 namespace wisteriahoist {
 
@@ -23,7 +27,10 @@
 /** Messages between nodes have 0.5 to 2 KB. With 91 nodes each node has 180 sessions; 32 KB per
  *  session would be 6 MB of the 13 MB that a node uses. */
 constexpr size_t ReadChunkBytes = 8 * 1024;
-constexpr size_t MaxMessageBytes = 17 * 1024 * 1024;
+/** A call that is larger than this is reset if nothing of it arrives for StallTimeout, so that the
+ *  memory that is reserved for it is freed. */
+constexpr size_t LargeCallBytes = MemoryBudget::SmallBytes;
+constexpr std::chrono::seconds StallTimeout{10};
 /** What has been serialized is sent in this order, also if its call is cancelled; the rest of a
  *  large message shares the connection with others. */
 constexpr size_t MaxSerializedBytes = 64 * 1024;
@@ -47,9 +54,13 @@
                         void *userData)
     {
         const std::string_view headerName(reinterpret_cast<const char *>(name), nameLength);
+        const std::string_view text(reinterpret_cast<const char *>(value), valueLength);
         if (headerName == ":path") {
-            self(userData).streams_[frame->hd.stream_id].path.assign(
-                    reinterpret_cast<const char *>(value), valueLength);
+            self(userData).openStream(frame->hd.stream_id).path = text;
+        } else if (headerName == "content-length" && self(userData).role_ == Role::Server) {
+            size_t bytes = 0;
+            (void)std::from_chars(text.data(), text.data() + text.size(), bytes);
+            (void)self(userData).reserve(frame->hd.stream_id, bytes);
         }
         return 0;
     }
@@ -59,13 +70,13 @@
     {
         auto &streams = self(userData).streams_;
         const auto found = streams.find(streamId);
-        if (found == streams.end()) {
+        if (found == streams.end() || found->second.isReset) {
             return 0;
         }
-        if (found->second.received.size() + length > MaxMessageBytes) {
-            return NGHTTP2_ERR_CALLBACK_FAILURE;
+        std::string &received = found->second.received;
+        if (self(userData).reserve(streamId, received.size() + length)) {
+            received.append(reinterpret_cast<const char *>(data), length);
         }
-        found->second.received.append(reinterpret_cast<const char *>(data), length);
         return 0;
     }
 
@@ -90,12 +101,18 @@
     {
         auto &streams = self(userData).streams_;
         const auto found = streams.find(streamId);
-        if (found == streams.end()) {
+        if (found == streams.end() || found->second.isReset) {
             return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
         }
         Stream &stream = found->second;
-        const size_t count = std::min(length, stream.toSend.size() - stream.sent);
-        std::memcpy(buffer, stream.toSend.data() + stream.sent, count);
+        const size_t headSize = stream.toSend.head.size();
+        const bool inHead = stream.sent < headSize;
+        const std::string_view part = inHead               ? std::string_view(stream.toSend.head)
+                                      : stream.toSend.tail ? std::string_view(*stream.toSend.tail)
+                                                           : std::string_view();
+        const size_t offset = inHead ? stream.sent : stream.sent - headSize;
+        const size_t count = std::min(length, part.size() - offset);
+        std::memcpy(buffer, part.data() + offset, count);
         stream.sent += count;
         if (stream.sent == stream.toSend.size()) {
             *flags |= NGHTTP2_DATA_FLAG_EOF;
@@ -105,8 +122,9 @@
 };
 
 Http2Session::Http2Session(tcp::socket socket, Role role, PeerHandler handler,
-                           const std::shared_ptr<KeepaliveMonitor> &monitor)
-    : socket_(std::move(socket)), role_(role), handler_(std::move(handler)), monitor_(monitor)
+                           const std::shared_ptr<KeepaliveMonitor> &monitor, PeerMemory memory)
+    : socket_(std::move(socket)), role_(role), handler_(std::move(handler)), monitor_(monitor),
+      memory_(std::move(memory))
 {
     nghttp2_session_callbacks *callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
@@ -162,15 +180,18 @@
     }
 }
 
-int32_t Http2Session::call(const std::string &path, std::string body, Completion completion)
+int32_t Http2Session::call(const std::string &path, PeerBody body, Completion completion)
 {
     if (!open_) {
         completion(Failure{FailureCode::Unavailable, "HTTP/2 connection is closed"});
         return -1;
     }
-    const std::array<nghttp2_nv, 4> headers{
+    // The peer takes memory for the whole call before it receives the body, or refuses it.
+    const std::string length = std::to_string(body.size());
+    const std::array<nghttp2_nv, 5> headers{
             makeHeader(":method", "POST"), makeHeader(":scheme", "http"),
-            makeHeader(":authority", "node"), makeHeader(":path", path)};
+            makeHeader(":authority", "node"), makeHeader(":path", path),
+            makeHeader("content-length", length)};
     nghttp2_data_provider provider{};
     provider.read_callback = Callbacks::readBody;
     const int32_t streamId = nghttp2_submit_request(session_, nullptr, headers.data(),
@@ -200,6 +221,8 @@
         return;
     }
     found->second.completion = nullptr;
+    found->second.isReset = true;
+    found->second.toSend = {};
     nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, streamId, NGHTTP2_CANCEL);
     flush();
 }
@@ -218,6 +241,8 @@
     if (found == streams_.end() || !open_) {
         return;
     }
+    found->second.delivery
+            = std::make_unique<ResponseBudget::Delivery>(memory_.replies, body.size());
     found->second.toSend = std::move(body);
     const std::array<nghttp2_nv, 1> headers{makeHeader(":status", "200")};
     nghttp2_data_provider provider{};
@@ -226,12 +251,96 @@
     flush();
 }
 
-void Http2Session::onStreamEnd(int32_t streamId)
+Http2Session::Stream &Http2Session::openStream(int32_t streamId)
+{
+    const auto [stream, isNew] = streams_.try_emplace(streamId);
+    if (isNew) {
+        stream->second.memory = MemoryBudget::Reservation(memory_.requests);
+    }
+    return stream->second;
+}
+
+bool Http2Session::reserve(int32_t streamId, size_t bytes)
+{
+    Stream &stream = openStream(streamId);
+    if (role_ == Role::Client) {
+        if (!memory_.replies) {
+            return true;
+        }
+        if (!stream.share) {
+            stream.share = std::make_unique<ResponseBudget::Share>(
+                    *memory_.replies, [self = weak_from_this(), streamId]() {
+                        if (const auto session = self.lock()) {
+                            session->cutOffReply(streamId);
+                        }
+                    });
+        }
+        return stream.share->resize(bytes);
+    }
+    const size_t before = stream.memory.bytes();
+    if (bytes <= before) {
+        return true;
+    }
+    if (!stream.memory.resize(bytes)) {
+        stream.isReset = true;
+        std::string().swap(stream.received);
+        (void)stream.memory.resize(0);
+        nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, streamId, NGHTTP2_REFUSED_STREAM);
+        return false;
+    }
+    if (before <= LargeCallBytes && bytes > LargeCallBytes) {
+        asio::co_spawn(
+                socket_.get_executor(),
+                [self = shared_from_this(), streamId]() { return self->resetIfStalled(streamId); },
+                asio::detached);
+    }
+    return true;
+}
+
+void Http2Session::cutOffReply(int32_t streamId)
 {
     const auto found = streams_.find(streamId);
     if (found == streams_.end()) {
         return;
     }
+    found->second.isReset = true;
+    std::string().swap(found->second.received);
+    nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, streamId, NGHTTP2_CANCEL);
+    // Possibly called while another session receives, or this one: its next turn sends the reset.
+    asio::post(socket_.get_executor(), [self = shared_from_this()]() { self->flush(); });
+}
+
+asio::awaitable<void> Http2Session::resetIfStalled(int32_t streamId)
+{
+    asio::steady_timer timer(socket_.get_executor());
+    size_t before = 0;
+    while (open_) {
+        timer.expires_after(StallTimeout);
+        beast::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        const auto found = streams_.find(streamId);
+        if (found == streams_.end() || found->second.ended || found->second.isReset) {
+            co_return;
+        }
+        const size_t received = found->second.received.size();
+        if (std::exchange(before, received) == received) {
+            found->second.isReset = true;
+            std::string().swap(found->second.received);
+            (void)found->second.memory.resize(0);
+            nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, streamId,
+                                      NGHTTP2_REFUSED_STREAM);
+            flush();
+            co_return;
+        }
+    }
+}
+
+void Http2Session::onStreamEnd(int32_t streamId)
+{
+    const auto found = streams_.find(streamId);
+    if (found == streams_.end() || found->second.isReset) {
+        return;
+    }
     found->second.ended = true;
     if (role_ == Role::Client) {
         return;
@@ -239,7 +348,8 @@
     asio::co_spawn(
             socket_.get_executor(),
             [self = shared_from_this(), streamId, path = std::move(found->second.path),
-             body = std::move(found->second.received)]() mutable -> asio::awaitable<void> {
+             body = std::move(found->second.received),
+             memory = std::move(found->second.memory)]() mutable -> asio::awaitable<void> {
                 std::string replyBody = co_await self->handler_(std::move(path), std::move(body));
                 self->reply(streamId, std::move(replyBody));
             },
@@ -261,7 +371,7 @@
         stream.completion(std::move(stream.received));
     } else if (errorCode == NGHTTP2_REFUSED_STREAM) {
         stream.completion(
-                Failure{FailureCode::Unavailable, "peer refused the stream without processing it"});
+                Failure{FailureCode::Overloaded, "peer refused the stream without processing it"});
     } else {
         stream.completion(Failure{FailureCode::Ambiguous, nghttp2_http2_strerror(errorCode)});
     }
--- a/src/adapter/http2/http2_session.h
+++ b/src/adapter/http2/http2_session.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "adapter/http/http_type.h"
+#include "adapter/http/response_budget.h"
 #include "core/failure_type.h"
 
 #include <deque>
@@ -16,6 +17,27 @@
 class KeepaliveMonitor;
 struct KeepaliveLimits;
 
+/** Memory for what is received from peers; each may be nullptr: not limited. */
+struct PeerMemory {
+    std::shared_ptr<MemoryBudget> requests;
+    std::shared_ptr<ResponseBudget> replies;
+};
+
+/** A call's body. */
+struct PeerBody {
+    PeerBody() = default;
+    PeerBody(std::string start) : head(std::move(start)) { }
+    PeerBody(const char *start) : head(start) { }
+    PeerBody(std::string start, std::shared_ptr<const std::string> rest)
+        : head(std::move(start)), tail(std::move(rest))
+    { }
+
+    size_t size() const { return head.size() + (tail ? tail->size() : 0); }
+
+    std::string head;
+    std::shared_ptr<const std::string> tail; ///< Sent after head without a copy; may be nullptr.
+};
+
 /** Handles one call from a peer: receives path and body, returns the reply body. */
 using PeerHandler = std::function<asio::awaitable<std::string>(std::string path, std::string body)>;
 
@@ -32,9 +54,11 @@
     using Completion = std::function<void(Result<std::string>)>;
 
     /** @param monitor Closes the session when its calls get no replies; nullptr: no monitoring. Not
-     *         owned; the session continues unmonitored after it has been destroyed. */
+     *         owned; the session continues unmonitored after it has been destroyed.
+     *  @param memory Calls for which there is no room are refused, the largest replies cut off. */
     Http2Session(tcp::socket socket, Role role, PeerHandler handler,
-                 const std::shared_ptr<KeepaliveMonitor> &monitor = nullptr);
+                 const std::shared_ptr<KeepaliveMonitor> &monitor = nullptr,
+                 PeerMemory memory = {});
     ~Http2Session();
     Http2Session(const Http2Session &) = delete;
     Http2Session &operator=(const Http2Session &) = delete;
@@ -50,10 +74,10 @@
 
     /**
      * Sends one call. @p completion receives the reply body, Unavailable if the peer has not
-     * processed the call, or Ambiguous if it may have.
+     * processed the call, Overloaded if it refused to, or Ambiguous if it may have.
      * @return The stream id, for cancel(); negative if the call failed immediately.
      */
-    int32_t call(const std::string &path, std::string body, Completion completion);
+    int32_t call(const std::string &path, PeerBody body, Completion completion);
 
     /** @return Bytes of the reply that have arrived on an open stream. */
     size_t receivedBytes(int32_t streamId) const;
@@ -75,10 +99,14 @@
     struct Stream {
         std::string path;
         std::string received;
-        std::string toSend;
+        PeerBody toSend;
         size_t sent = 0;
-        Completion completion; ///< Client role only.
-        bool ended = false;    ///< END_STREAM of the peer has been received.
+        Completion completion;                        ///< Client role only.
+        bool ended = false;                           ///< END_STREAM of the peer has been received.
+        bool isReset = false;                         ///< Nothing more is sent or received on it.
+        MemoryBudget::Reservation memory;             ///< Server role: of received.
+        std::unique_ptr<ResponseBudget::Share> share; ///< Client role: of received.
+        std::unique_ptr<ResponseBudget::Delivery> delivery; ///< Server role: of toSend.
     };
     struct Callbacks;
     friend struct Callbacks;
@@ -90,6 +118,12 @@
     /** Appends frames to outgoing_, up to a limit. */
     void serialize();
     void writeAvailable();
+    Stream &openStream(int32_t streamId);
+    /** Takes memory for @p bytes of a message that is being received. @return Whether there is
+     *  room; otherwise the stream is reset. */
+    bool reserve(int32_t streamId, size_t bytes);
+    void cutOffReply(int32_t streamId);
+    asio::awaitable<void> resetIfStalled(int32_t streamId);
     void onStreamEnd(int32_t streamId);
     void onStreamClose(int32_t streamId, uint32_t errorCode);
     void reply(int32_t streamId, std::string body);
@@ -98,6 +132,7 @@
     Role role_;
     PeerHandler handler_;
     std::weak_ptr<KeepaliveMonitor> monitor_;
+    PeerMemory memory_;
     nghttp2_session *session_ = nullptr;
     std::map<int32_t, Stream> streams_; ///< Open streams by id, in both roles.
     std::string outgoing_;              ///< Serialized bytes that are not written yet.
--- a/src/adapter/http2/peer_transport.cpp
+++ b/src/adapter/http2/peer_transport.cpp
@@ -56,7 +56,7 @@
         }
         PeerHandler handler = guard_ ? guard_->guard(handler_) : handler_;
         auto session = std::make_shared<Http2Session>(std::move(socket), Http2Session::Role::Server,
-                                                      std::move(handler));
+                                                      std::move(handler), nullptr, memory_);
         if (sessions_.size() >= pruneAt_) {
             std::erase_if(sessions_, [](const auto &weak) { return weak.expired(); });
             pruneAt_ = std::max(MinPruneCount, 2 * sessions_.size());
@@ -126,8 +126,8 @@
                           "connecting to the peer failed: " + error.message()};
     }
     stream.expires_never();
-    auto session = std::make_shared<Http2Session>(stream.release_socket(),
-                                                  Http2Session::Role::Client, nullptr, monitor_);
+    auto session = std::make_shared<Http2Session>(
+            stream.release_socket(), Http2Session::Role::Client, nullptr, monitor_, memory_);
     session->start();
     if (!keys_.empty()) {
         const Result<void> handshake = co_await performHello(session, timeout);
@@ -164,7 +164,7 @@
 }
 
 asio::awaitable<Result<std::string>> PeerCaller::call(PeerEndpoint peer, std::string path,
-                                                      std::string body, CallTimes times)
+                                                      PeerBody body, CallTimes times)
 {
     auto connected = co_await connect(peer, times.reply);
     if (!connected) {
@@ -175,7 +175,7 @@
 }
 
 asio::awaitable<Result<std::string>> PeerCaller::callSession(std::shared_ptr<Http2Session> session,
-                                                             std::string path, std::string body,
+                                                             std::string path, PeerBody body,
                                                              CallTimes times)
 {
     const auto begun = std::chrono::steady_clock::now();
--- a/src/adapter/http2/peer_transport.h
+++ b/src/adapter/http2/peer_transport.h
@@ -31,6 +31,9 @@
     void start();
     void stop();
 
+    /** Bounds the memory for calls and their replies. @pre Called before start(). */
+    void limitMemory(PeerMemory memory) { memory_ = std::move(memory); }
+
     /** Requires a successful hello handshake on each new connection before its calls are handled.
      */
     void requireHello(FleetKeys keys) { guard_ = std::make_shared<PeerGuard>(std::move(keys)); }
@@ -45,6 +48,7 @@
 
     tcp::acceptor acceptor_;
     PeerHandler handler_;
+    PeerMemory memory_;
     std::shared_ptr<PeerGuard> guard_; ///< nullptr: peers are not authenticated.
     std::vector<std::weak_ptr<Http2Session>> sessions_;
     size_t pruneAt_ = MinPruneCount; ///< Number of sessions at which closed ones are removed.
@@ -59,12 +63,15 @@
 
     /**
      * Calls @p path at @p peer and waits for the reply within the limits of @p times.
-     * @return The reply body; Unavailable if the peer has not processed the call; Ambiguous or
-     *         DeadlineExceeded if it may have.
+     * @return The reply body; Unavailable if the peer has not processed the call, Overloaded if it
+     *         refused to; Ambiguous or DeadlineExceeded if it may have.
      */
-    asio::awaitable<Result<std::string>> call(PeerEndpoint peer, std::string path, std::string body,
+    asio::awaitable<Result<std::string>> call(PeerEndpoint peer, std::string path, PeerBody body,
                                               CallTimes times);
 
+    /** Bounds the memory for replies. */
+    void limitMemory(PeerMemory memory) { memory_ = std::move(memory); }
+
     /** Closes all connections. */
     void closeAll();
 
@@ -79,7 +86,7 @@
 
 private:
     asio::awaitable<Result<std::string>> callSession(std::shared_ptr<Http2Session> session,
-                                                     std::string path, std::string body,
+                                                     std::string path, PeerBody body,
                                                      CallTimes times);
     asio::awaitable<Result<void>> performHello(std::shared_ptr<Http2Session> session,
                                                milliseconds timeout);
@@ -96,6 +103,7 @@
 
     asio::io_context &context_;
     std::shared_ptr<KeepaliveMonitor> monitor_;
+    PeerMemory memory_;
     std::map<PeerEndpoint, std::shared_ptr<Http2Session>>
             sessions_;               ///< If keys_ is set, all have completed the hello handshake.
     size_t pruneAt_ = MinPruneCount; ///< Number of sessions at which closed ones are removed.
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -33,9 +33,10 @@
 /** Bounds the memory; more than run at once. */
 constexpr size_t MaxLostRuns = 256;
 
-PoolLimits makePoolLimits()
+PoolLimits makePoolLimits(std::shared_ptr<ResponseBudget> responseMemory)
 {
     PoolLimits limits;
+    limits.responseMemory = std::move(responseMemory);
     limits.connect = ConnectTimeout;
     limits.allowUnframed = true;
     limits.idleTime = std::chrono::seconds(8);
@@ -56,10 +57,11 @@
 
 BackendGate::BackendGate(asio::io_context &context, const Clock &clock,
                          const RequestProtocol &protocol, const std::string &ip, uint16_t port,
-                         BackendMonitor &monitor, KeyOwnership &ownership, CrashLedger &crashes)
+                         BackendMonitor &monitor, KeyOwnership &ownership, CrashLedger &crashes,
+                         std::shared_ptr<ResponseBudget> responseMemory)
     : context_(context), clock_(clock), protocol_(protocol), monitor_(monitor),
       ownership_(ownership), crashes_(crashes), startedAt_(clock.now()),
-      client_(context.get_executor(), ip, port, makePoolLimits())
+      client_(context.get_executor(), ip, port, makePoolLimits(std::move(responseMemory)))
 {
     monitor_.setBusyCheck([this]() { return isWorking(); });
 }
@@ -153,7 +155,7 @@
                            : RequestEnd::None;
 }
 
-asio::awaitable<v1::HopReply> BackendGate::run(v1::HopRequest request)
+asio::awaitable<v1::HopReply> BackendGate::run(const v1::HopRequest &request)
 {
     v1::HopReply reply;
     const CallId name{request.origin_node(), request.request_id()};
@@ -312,7 +314,7 @@
         coldLimiter_.endAdmission(true, clock_.now());
         return true;
     });
-    HttpRequest forwarded = makeForwardedRequest(request);
+    HttpRequest forwarded = makeForwardedHead(request);
     BackendMetadata metadata;
     metadata.timeLeft = timeUntil(call.deadline, startedAt);
     metadata.backend = monitor_.backend().id;
@@ -324,8 +326,8 @@
     });
     const std::shared_ptr<ExchangeControl> control = call.control;
     const BackendIncarnation backend = monitor_.backend();
-    Result<HttpResponse> answer
-            = co_await client_.exchange(std::move(forwarded), metadata.timeLeft, control);
+    Result<HttpResponse> answer = co_await client_.exchange(std::move(forwarded), metadata.timeLeft,
+                                                            control, request.body());
     const TimePoint now = clock_.now();
     if (!sent) {
         coldLimiter_.endAdmission(false, now);
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -65,10 +65,11 @@
 public:
     BackendGate(asio::io_context &context, const Clock &clock, const RequestProtocol &protocol,
                 const std::string &ip, uint16_t port, BackendMonitor &monitor,
-                KeyOwnership &ownership, CrashLedger &crashes);
+                KeyOwnership &ownership, CrashLedger &crashes,
+                std::shared_ptr<ResponseBudget> responseMemory = nullptr);
 
-    /** Runs one request or refuses it. */
-    asio::awaitable<v1::HopReply> run(v1::HopRequest request);
+    /** Runs one request or refuses it. @param request Must exist until it has ended. */
+    asio::awaitable<v1::HopReply> run(const v1::HopRequest &request);
 
     /** The caller of a request has disconnected: removes it from the queue or cancels it. */
     void cancel(uint64_t originNode, uint64_t requestId);
--- a/src/duty/gate_message.cpp
+++ b/src/duty/gate_message.cpp
@@ -7,7 +7,7 @@
 
 namespace wisteriahoist {
 
-HttpRequest makeForwardedRequest(const v1::HopRequest &request)
+HttpRequest makeForwardedHead(const v1::HopRequest &request)
 {
     HttpRequest forwarded;
     forwarded.method_string(request.method());
@@ -15,7 +15,6 @@
     for (const v1::HeaderField &field : request.headers()) {
         forwarded.insert(field.name(), field.value());
     }
-    forwarded.body() = request.body();
     return forwarded;
 }
 
@@ -39,7 +38,8 @@
 
 HttpRequest makeBackendRequest(const v1::HopRequest &request, const BackendGrant &grant)
 {
-    HttpRequest forwarded = makeForwardedRequest(request);
+    HttpRequest forwarded = makeForwardedHead(request);
+    forwarded.body() = request.body();
     if (request.keyed()) {
         forwarded.set("Wisteriahoist-Key", request.key());
         forwarded.set("Wisteriahoist-Epoch", std::to_string(grant.epoch.value()));
--- a/src/duty/gate_message.h
+++ b/src/duty/gate_message.h
@@ -18,8 +18,8 @@
     milliseconds deadline{0}; ///< Remaining time for the request.
 };
 
-/** @return The request as its caller sent it, without hop-by-hop headers. */
-HttpRequest makeForwardedRequest(const v1::HopRequest &request);
+/** @return The head of the request as its caller sent it, without hop-by-hop headers. */
+HttpRequest makeForwardedHead(const v1::HopRequest &request);
 
 /** @return What identifies @p request over all attempts of its callers. */
 RequestFingerprint fingerprintOf(const v1::HopRequest &request);
--- a/src/duty/peer_link.cpp
+++ b/src/duty/peer_link.cpp
@@ -50,8 +50,21 @@
     listener_->start();
 }
 
+void PeerLink::limitMemory(const PeerMemory &memory)
+{
+    caller_.limitMemory(memory);
+    listener_->limitMemory(memory);
+}
+
 asio::awaitable<Result<std::string>>
 PeerLink::call(const MemberRecord &member, std::string_view path, std::string body, CallTimes times)
+{
+    return callWithBody(member, path, PeerBody(std::move(body)), times);
+}
+
+asio::awaitable<Result<std::string>> PeerLink::callWithBody(const MemberRecord &member,
+                                                            std::string_view path, PeerBody body,
+                                                            CallTimes times)
 {
     const PeerEndpoint peer{member.ip, member.peerPort};
     std::string addressed = std::string(path) + "/" + std::to_string(member.node.value());
--- a/src/duty/peer_link.h
+++ b/src/duty/peer_link.h
@@ -31,6 +31,13 @@
     asio::awaitable<Result<std::string>> call(const MemberRecord &member, std::string_view path,
                                               std::string body, CallTimes times) override;
 
+    /** The same with a body of which a part need not be copied. */
+    asio::awaitable<Result<std::string>>
+    callWithBody(const MemberRecord &member, std::string_view path, PeerBody body, CallTimes times);
+
+    /** Bounds the memory for calls and their replies. @pre Called before start(). */
+    void limitMemory(const PeerMemory &memory);
+
 private:
     asio::awaitable<std::string> dispatch(std::string path, std::string body);
 
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -5,6 +5,7 @@
 #include "adapter/http/header_rules.h"
 #include "adapter/log/event_log.h"
 #include "duty/gate_message.h"
+#include "duty/hop_codec.h"
 #include "duty/ingress_message.h"
 
 #include <algorithm>
@@ -148,8 +149,8 @@
 }
 
 std::shared_ptr<RequestRouter::RequestState>
-RequestRouter::makeState(const HttpRequest &request, const RequestMetadata &metadata,
-                         const Route &route, std::shared_ptr<DisconnectSignal> caller)
+RequestRouter::makeState(HttpRequest &request, const RequestMetadata &metadata, const Route &route,
+                         std::shared_ptr<DisconnectSignal> caller)
 {
     const TimePoint now = clock_.now();
     auto state = std::make_shared<RequestState>();
@@ -174,7 +175,7 @@
         header->set_name(field.name);
         header->set_value(field.value);
     }
-    hop.set_body(request.body());
+    hop.set_body(std::move(request.body()));
     const ServiceConfig *service = view_.routes().findService(hop.service());
     state->history.sharded = service != nullptr && service->sharded;
     state->history.objective = route.latencyObjective;
@@ -430,24 +431,31 @@
     }
     ++counters_.forwarded;
     const MemberRecord peer = *member;
-    co_return co_await forward(peer, hop);
+    co_return co_await forward(peer, std::move(state));
 }
 
-asio::awaitable<v1::HopReply> RequestRouter::forward(MemberRecord member, const v1::HopRequest &hop)
+asio::awaitable<v1::HopReply> RequestRouter::forward(MemberRecord member,
+                                                     std::shared_ptr<RequestState> state)
 {
+    v1::HopRequest &hop = state->hop;
     const milliseconds timeout = milliseconds(hop.deadline_left_ms()) + HopGrace;
     loads_.onSent(member.node);
-    std::string body = hop.SerializeAsString();
-    Result<std::string> bytes = co_await peers_.call(member, HopPath, std::move(body), timeout);
+    // The connection may still read the body after the call has ended, so it shares the state.
+    PeerBody body(encodeHead(hop), std::shared_ptr<const std::string>(state, &hop.body()));
+    Result<std::string> bytes
+            = co_await peers_.callWithBody(member, HopPath, std::move(body), timeout);
     v1::HopReply reply;
     bool reached = bytes.has_value();
     if (!bytes) {
         const FailureCode code = bytes.assume_error().code;
-        const bool neverSent = code == FailureCode::Unavailable;
-        reply = neverSent ? makeOutcomeReply(RequestStage::Received, RequestEnd::Unreachable)
+        const bool neverSent = code == FailureCode::Unavailable || code == FailureCode::Overloaded;
+        reached = code == FailureCode::Overloaded;
+        reply = neverSent ? makeOutcomeReply(RequestStage::Received,
+                                             reached ? RequestEnd::Overloaded
+                                                     : RequestEnd::Unreachable)
                           : makeOutcomeReply(RequestStage::Sent, requestEndOfExchange(code, false));
         reply.set_reached_backend(!neverSent);
-    } else if (!reply.ParseFromString(bytes.assume_value())
+    } else if (!decodeMessage(std::move(bytes.assume_value()), reply)
                || reply.outcome() == v1::HOP_OUTCOME_UNSPECIFIED) {
         reply = makeOutcomeReply(RequestStage::Sent, RequestEnd::InvalidResponse);
         reply.set_reached_backend(true);
@@ -509,15 +517,15 @@
 {
     v1::HopReply reply;
     v1::HopRequest hop;
-    if (!hop.ParseFromString(body)) {
+    if (!decodeMessage(std::move(body), hop)) {
         reply = makeOutcomeReply(RequestStage::Received, RequestEnd::InvalidResponse);
     } else if (hop.cancel()) {
         gate_.cancel(hop.origin_node(), hop.request_id());
     } else {
-        reply = co_await gate_.run(std::move(hop));
+        reply = co_await gate_.run(hop);
         addRevisions(reply);
     }
-    co_return reply.SerializeAsString();
+    co_return encodeReply(std::move(reply));
 }
 
 asio::awaitable<void> RequestRouter::sendCancel(NodeId target, uint64_t requestId)
--- a/src/duty/request_router.h
+++ b/src/duty/request_router.h
@@ -105,12 +105,13 @@
      *  configuration that decided so. */
     void logRefusal(RateLimitedEvent &event, const HttpRequest &request, std::string_view reason,
                     const RouteTable &routes);
-    std::shared_ptr<RequestState> makeState(const HttpRequest &request,
-                                            const RequestMetadata &metadata, const Route &route,
+    /** Takes the body of @p request. */
+    std::shared_ptr<RequestState> makeState(HttpRequest &request, const RequestMetadata &metadata,
+                                            const Route &route,
                                             std::shared_ptr<DisconnectSignal> caller);
     asio::awaitable<v1::HopReply> runAttempts(std::shared_ptr<RequestState> state);
     asio::awaitable<v1::HopReply> attempt(std::shared_ptr<RequestState> state);
-    asio::awaitable<v1::HopReply> forward(MemberRecord member, const v1::HopRequest &hop);
+    asio::awaitable<v1::HopReply> forward(MemberRecord member, std::shared_ptr<RequestState> state);
     asio::awaitable<std::string> onHop(std::string body);
     asio::awaitable<std::string> onProbe();
     void addRevisions(v1::HopReply &reply) const;
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -10,6 +10,7 @@
 #include <absl/flags/usage.h>
 #include <algorithm>
 #include <iostream>
+#include <malloc.h>
 
 ABSL_FLAG(std::string, config, "", "node: the settings file");
 ABSL_FLAG(std::string, announced_peers, "",
@@ -190,8 +191,17 @@
 
 } // namespace wisteriahoist
 
+namespace {
+
+/** Larger blocks are returned to the system when they are freed. Left alone, the threshold grows
+ *  with each such block, up to 32 MB, and the memory of large bodies stays with the process. */
+constexpr int MappedBlockBytes = 128 * 1024;
+
+} // namespace
+
 int main(int argc, char **argv)
 {
+    mallopt(M_MMAP_THRESHOLD, MappedBlockBytes);
     wisteriahoist::normalizeFlags(argc, argv);
     absl::SetProgramUsageMessage(wisteriahoist::Usage);
     return wisteriahoist::run(absl::ParseCommandLine(argc, argv));
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -37,6 +37,16 @@
 /** Reading the small file is cheap, and settings that may change at run time are not urgent. */
 constexpr milliseconds SettingsPollInterval{5000};
 
+/** Share of the process's memory for the requests that it holds; the rest is for responses, what
+ *  the process itself needs, and one copy of a response. */
+constexpr double RequestMemoryShare = 0.6;
+constexpr double ResponseMemoryShare = 0.15;
+
+size_t shareOf(uint64_t bytes, double share)
+{
+    return static_cast<size_t>(static_cast<double>(bytes) * share);
+}
+
 GrantTimes makeGrantTimes(const SidecarSettings &settings)
 {
     GrantTimes times;
@@ -95,13 +105,17 @@
 SidecarProgram::SidecarProgram(asio::io_context &context, const SidecarSettings &settings,
                                const SidecarPorts &ports)
     : context_(context), settings_(settings), lastRead_(settings), ports_(ports),
-      node_(makeNodeId(settings)), peers_(context, settings.peers.ip, settings.peers.port),
+      node_(makeNodeId(settings)), requestMemory_(std::make_shared<MemoryBudget>(
+                                           shareOf(settings.memoryBytes, RequestMemoryShare))),
+      responseMemory_(
+              std::make_shared<ResponseBudget>(shareOf(settings.memoryBytes, ResponseMemoryShare))),
+      peers_(context, settings.peers.ip, settings.peers.port),
       relay_(ports.store, clock_, peers_, view_, node_),
       store_(context, relay_, clock_, peers_, view_, makeSelf(settings, node_)), timers_(context),
       ranges_({context, clock_, timers_, random_, store_, ports.backend, peers_}, view_, monitor_,
               loads_, makeSelf(settings, node_), makeGrantTimes(settings)),
       gate_(context, clock_, ports.protocol, settings.backend.ip, settings.backend.port, monitor_,
-            ranges_, crashes_),
+            ranges_, crashes_, responseMemory_),
       router_(context, clock_, ports.protocol, view_, loads_, gate_, peers_, crashes_,
               makeRouterSettings(settings, node_)),
       sync_(context, store_, clock_, view_, ports.configName, ports.decodeConfig),
@@ -114,6 +128,7 @@
                      [this]() { onBackendChange(); })
 {
     peers_.identifyAs(node_);
+    peers_.limitMemory({requestMemory_, responseMemory_});
     view_.onChange([this]() {
         callerServer_->setLimits(makeCallerLimits(
                 view_.routes().config() ? view_.routes().config()->limits : CallerLimits{}));
@@ -164,6 +179,7 @@
     const auto listen = [this](const Endpoint &address, auto handler) {
         auto server = std::make_shared<HttpServer>(context_, address.ip, address.port, HttpLimits{},
                                                    std::move(handler));
+        server->limitMemory(requestMemory_, responseMemory_);
         server->start();
         return server;
     };
@@ -350,6 +366,13 @@
     counter("wisteriahoist_cold_refused_total",
             "Requests rejected because the backend server has just started and takes no more.",
             [this]() { return gate_.coldRefused(); });
+    gauge("wisteriahoist_request_bytes", "Memory held for requests, in bytes.",
+          [this]() { return requestMemory_->held(); });
+    gauge("wisteriahoist_response_bytes", "Memory held for responses, in bytes.",
+          [this]() { return responseMemory_->held(); });
+    counter("wisteriahoist_memory_rejected_total",
+            "Requests of callers rejected because there was no memory for them.",
+            [this]() { return callerServer_->rejectedForMemory(); });
     counter("wisteriahoist_sent_again_total",
             "Attempts sent to the backend server again, on a new connection.",
             [this]() { return gate_.sentAgain(); });
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -108,6 +108,8 @@
     BackendMonitor monitor_{MonitorLimits{}};
     PeerLoads loads_;
     CrashLedger crashes_;
+    std::shared_ptr<MemoryBudget> requestMemory_;
+    std::shared_ptr<ResponseBudget> responseMemory_;
     PeerLink peers_;
     RelayedStore relay_;
     SharedWatch store_;
--- a/src/program/sidecar_settings.h
+++ b/src/program/sidecar_settings.h
@@ -44,7 +44,9 @@
     milliseconds evacuationTime{0};
     double coldOvershoot = 1; ///< Multiple of the declared rate that a cold backend server may get.
     double coldSlack = 0;     ///< Requests per second that it may get in addition.
-    double cpuShare = 0;      ///< Share of a core available to this process; 0: unknown.
+    /** Memory that this process may use, in bytes. */
+    uint64_t memoryBytes = 256'000'000;
+    double cpuShare = 0; ///< Share of a core available to this process; 0: unknown.
     bool operator==(const SidecarSettings &) const = default;
 };
 
--- a/test/support/raw_http_client.h
+++ b/test/support/raw_http_client.h
@@ -30,7 +30,13 @@
     void send(const std::string &bytes)
     {
         beast::error_code error;
-        asio::write(socket_, asio::buffer(bytes), error);
+        for (size_t sent = 0; !error && sent < bytes.size();) {
+            sent += socket_.write_some(asio::buffer(bytes) + sent, error);
+            if (error == asio::error::would_block) {
+                error = {};
+                std::this_thread::yield();
+            }
+        }
         for (int unread = 0;
              !error && ioctl(socket_.native_handle(), SIOCOUTQ, &unread) == 0 && unread > 0;) {
             std::this_thread::yield();
