Fix: [Members] The acknowledgement that a backend server leaves outlasts the process

Cause: the node acknowledged at once and wrote its member record later. While the store was down nothing but the process knew of the leaving. The next process took a late report for the state of the backend server, and read the record of its predecessor only when its first write met a conflict, which is after the backend server had counted as ready.

Change: a leaving is acknowledged after the store has the record. A process that starts reads its predecessor's record, and asks the nodes that may keep a newer one, before its backend server counts as ready. A deregistration that arrives before the first report is published like any other. Heartbeats that say "draining" are acknowledged in the same way. New events: leaving-kept, leaving-restored, leaving-not-acknowledged.

--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -67,7 +67,10 @@
     RangesNotWritten,  ///< The update failed, or its outcome is unknown.
     RangesLeftOut,     ///< A heartbeat response was too small for all ranges to be held.
     MemberPublished,   ///< This node has written its member record, including the backend server.
-    NodeFailed,        ///< Unhandled error; the process terminates.
+    LeavingKept,     ///< Other nodes keep that the backend server leaves; the store doesn't answer.
+    LeavingRestored, ///< An earlier process of this node acknowledged that it leaves.
+    LeavingNotAcknowledged, ///< Neither the store nor other nodes have recorded that it leaves.
+    NodeFailed,             ///< Unhandled error; the process terminates.
     NodeFenced,    ///< At another node's request, this node as witness no longer answers the fenced
                    ///< node.
     WatchSilent,   ///< Other nodes know of changes that this node's watch has not delivered.
--- a/src/decision/member/backend_monitor.cpp
+++ b/src/decision/member/backend_monitor.cpp
@@ -115,7 +115,10 @@
             = backend.born != 0 && backend_.born != 0 && backend.born != backend_.born;
     if (backend.id != backend_.id || otherIncarnation) {
         remember(deregistered_, backend);
-        return false;
+        if (!backend_.empty()) {
+            return false;
+        }
+        beginIncarnation(backend);
     }
     if (state_ == BackendState::Draining) {
         return false;
--- a/src/decision/member/backend_monitor.h
+++ b/src/decision/member/backend_monitor.h
@@ -55,9 +55,9 @@
     bool onReport(const BackendReport &report, TimePoint now);
 
     /**
-     * The backend server has announced its shutdown. An incarnation that is not known yet (because
-     * this node has just started) is remembered as leaving, since its deregistration is
-     * acknowledged and no request may reach it afterwards.
+     * The backend server has announced its shutdown. If none is known yet (because this node has
+     * just started), it is the current one from now on. Another incarnation that is not known is
+     * remembered as leaving, since no request may reach it after the acknowledgement.
      * @return Whether anything changed.
      */
     bool onDeregister(const BackendIncarnation &backend);
@@ -78,6 +78,15 @@
      */
     bool onRefusedConnection();
 
+    /** This node's process has just started: what an earlier one has acknowledged is not known, so
+     *  the backend server does not count as ready until onPredecessorKnown(). */
+    void awaitPredecessor() { predecessorKnown_ = false; }
+
+    /** What an earlier process of this node has acknowledged has been applied. */
+    void onPredecessorKnown() { predecessorKnown_ = true; }
+
+    bool isPredecessorKnown() const { return predecessorKnown_; }
+
     /** @param isWorking Returns whether the backend server is running requests now. */
     void setBusyCheck(std::function<bool()> isWorking) { isWorking_ = std::move(isWorking); }
 
@@ -94,7 +103,10 @@
      */
     bool onNoResponse();
 
-    BackendState state() const { return state_; }
+    BackendState state() const
+    {
+        return state_ == BackendState::Ready && !predecessorKnown_ ? BackendState::Absent : state_;
+    }
     const BackendIncarnation &backend() const { return backend_; }
 
     /** @return Whether @p report is the newest one of the current incarnation. */
@@ -146,6 +158,7 @@
     uint32_t refusals_ = 0; ///< Consecutive refused connections.
     uint64_t refusedConnections_ = 0;
     bool refusing_ = false;
+    bool predecessorKnown_ = true;
     bool leaving_ = false; ///< Deregistered or draining; reset only by a new incarnation.
     TimePoint heardAt_ = NeverTime;
     TimePoint coldUntil_ = NeverTime;        ///< As the latest report says.
--- a/src/duty/member_publisher.cpp
+++ b/src/duty/member_publisher.cpp
@@ -42,6 +42,7 @@
 
 asio::awaitable<void> MemberPublisher::run()
 {
+    co_await readPrevious();
     if (describe_().state == BackendState::Absent) {
         co_await waitFor(BackendStartTimeout);
     }
@@ -55,6 +56,48 @@
     }
 }
 
+/** What an earlier process has acknowledged must be known before this one says anything else. */
+asio::awaitable<void> MemberPublisher::readPrevious()
+{
+    std::optional<MemberRecord> previous;
+    while (true) {
+        Result<StoredRecord> stored
+                = co_await store_.read(RecordKind::Members, memberRecordName(describe_().node));
+        if (stored) {
+            revision_ = stored.assume_value().revision;
+            Result<MemberRecord> record = decodeMember(stored.assume_value().content);
+            if (record) {
+                previous = std::move(record.assume_value());
+            }
+            break;
+        }
+        if (stored.assume_error().code == FailureCode::NotFound) {
+            break;
+        }
+        co_await sleepFor(RetryPause);
+    }
+    if (earlier_) {
+        co_await earlier_(std::move(previous));
+    }
+}
+
+asio::awaitable<bool>
+MemberPublisher::awaitStored(std::function<bool(const MemberRecord &)> isEnough,
+                             milliseconds longest)
+{
+    asio::steady_timer timer(context_, longest);
+    const auto end = timer.expiry();
+    const auto isStored = [&]() { return published_ && isEnough(stored_); };
+    while (!isStored() && asio::steady_timer::clock_type::now() < end) {
+        timer.expires_at(end);
+        waiting_.insert(&timer);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        waiting_.erase(&timer);
+    }
+    co_return isStored();
+}
+
 /** Waits until wake() is called, for at most @p longest. */
 asio::awaitable<void> MemberPublisher::waitFor(milliseconds longest)
 {
@@ -78,18 +121,15 @@
                                              {"stopping", member.stopping},
                                              {"revision", revision_.value()}});
         written_(member, revision_);
+        for (asio::steady_timer *timer : waiting_) {
+            timer->cancel();
+        }
         co_return true;
     }
-    // There is a record of an earlier incarnation, or the response to a write was lost: continue
-    // from the stored record.
+    // The response to an earlier write was lost: continue from the stored record.
     Result<StoredRecord> stored = co_await store_.read(RecordKind::Members, std::move(name));
     if (stored) {
-        const bool first = revision_.value() == 0;
         revision_ = stored.assume_value().revision;
-        const Result<MemberRecord> earlier = decodeMember(stored.assume_value().content);
-        if (first && earlier && earlier_) {
-            earlier_(earlier.assume_value());
-        }
     }
     co_return stored.has_value();
 }
--- a/src/duty/member_publisher.h
+++ b/src/duty/member_publisher.h
@@ -9,6 +9,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
+#include <set>
 
 namespace wisteriahoist {
 
@@ -26,17 +28,25 @@
 
     void start();
 
-    /** @param action Called with the record of an earlier incarnation of this node, if any. */
-    void onPreviousRecord(std::function<void(const MemberRecord &)> action)
+    /** @param action Called before the first write with the record of an earlier process of this
+     *         node, if there is one; nothing is written until it has ended. */
+    void onPreviousRecord(
+            std::function<boost::asio::awaitable<void>(std::optional<MemberRecord>)> action)
     {
         earlier_ = std::move(action);
     }
 
+    /** Waits until the store has a record for which @p isEnough returns true. @return Whether it
+     *  has, within @p longest. */
+    boost::asio::awaitable<bool> awaitStored(std::function<bool(const MemberRecord &)> isEnough,
+                                             milliseconds longest);
+
     /** Must be called when the record may have changed. */
     void wake() { timer_.cancel(); }
 
 private:
     boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> readPrevious();
     boost::asio::awaitable<void> waitFor(milliseconds longest);
     boost::asio::awaitable<bool> publish(const MemberRecord &member);
 
@@ -44,11 +54,12 @@
     RecordStore &store_;
     std::function<MemberRecord()> describe_;
     std::function<void(const MemberRecord &, StoreRevision)> written_;
-    std::function<void(const MemberRecord &)> earlier_;
+    std::function<boost::asio::awaitable<void>(std::optional<MemberRecord>)> earlier_;
     boost::asio::steady_timer timer_;
     MemberRecord stored_;
     StoreRevision revision_; ///< 0: not known.
     bool published_ = false;
+    std::set<boost::asio::steady_timer *> waiting_; ///< Of calls of awaitStored().
 };
 
 } // namespace wisteriahoist
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -34,6 +34,16 @@
  */
 constexpr milliseconds ShutdownMargin{300};
 constexpr milliseconds StopPollInterval{20};
+/** Times within the second in which a backend server waits for an acknowledgement: for the store,
+ *  before other nodes are asked to keep the record, and after they were. */
+constexpr milliseconds StoreWriteWait{250};
+constexpr milliseconds LateStoreWriteWait{150};
+constexpr milliseconds RetryAfterNotKept{1000};
+/** A process that starts waits so long to learn of other nodes, after the store has answered. */
+constexpr milliseconds MembersWait{1000};
+/** A heartbeat waits so long for what an earlier process has left. */
+constexpr milliseconds PredecessorWait{500};
+constexpr milliseconds StartPollInterval{10};
 /** Reading the small file is cheap, and settings that may change at run time are not urgent. */
 constexpr milliseconds SettingsPollInterval{5000};
 
@@ -119,6 +129,7 @@
       router_(context, clock_, ports.protocol, view_, loads_, gate_, peers_, crashes_,
               makeRouterSettings(settings, node_)),
       sync_(context, store_, clock_, view_, ports.configName, ports.decodeConfig),
+      keepers_(context, peers_, view_, node_),
       publisher_(
               context, store_, [this]() { return describe(); },
               [this](const MemberRecord &member, StoreRevision revision) {
@@ -151,17 +162,9 @@
     });
     gate_.onLimitChange([this]() { publisher_.wake(); });
     gate_.onCrashReport([this]() { publisher_.wake(); });
-    publisher_.onPreviousRecord([this](const MemberRecord &earlier) {
-        crashes_.onOwnReports(earlier.crashes, clock_.now());
-        if (earlier.requestLimit) {
-            gate_.adoptLimit(earlier.backend, *earlier.requestLimit);
-        }
-        // An acknowledged deregistration or drain from the previous run of this process is still
-        // binding.
-        if (earlier.state == BackendState::Draining && monitor_.onDeregister(earlier.backend)) {
-            onBackendChange();
-        }
-    });
+    monitor_.awaitPredecessor();
+    publisher_.onPreviousRecord(
+            [this](std::optional<MemberRecord> earlier) { return restore(std::move(earlier)); });
     gate_.onMonitorChange([this]() { onBackendChange(); });
     gate_.onConnectionFailure([this]() { healthChecker_.requestCheck(); });
     sync_.exchangeConfig(peers_);
@@ -280,15 +283,85 @@
                 {missing ? http::status::not_found : http::status::bad_request,
                  failureName(failure.code), failure.context, milliseconds(0)});
     }
+    const BackendReport &report = call.assume_value().report;
+    const bool leaves = call.assume_value().isDeregistration;
     std::optional<GrantReply> order;
-    if (!call.assume_value().isDeregistration) {
-        order = co_await answerHeartbeat(call.assume_value().report, receivedAt);
-    } else if (monitor_.onDeregister(call.assume_value().report.backend)) {
+    if (!leaves) {
+        order = co_await answerHeartbeat(report, receivedAt);
+    } else if (monitor_.onDeregister(report.backend)) {
         onBackendChange();
     }
+    if (leaves || report.state == BackendState::Draining) {
+        const bool kept = co_await keepLeaving(report.backend);
+        if (!kept) {
+            logEvent(LogEvent::LeavingNotAcknowledged, {{"backend", report.backend.text()}});
+            co_return makeProblemResponse({http::status::service_unavailable, "not-recorded",
+                                           "That the backend server leaves is not recorded: the "
+                                           "store and other nodes can't be reached.",
+                                           RetryAfterNotKept});
+        }
+    }
     co_return ports_.makeReportAck(order);
 }
 
+asio::awaitable<bool> SidecarProgram::keepLeaving(BackendIncarnation backend)
+{
+    const bool isCurrent
+            = backend.id == monitor_.backend().id && monitor_.state() == BackendState::Draining;
+    if (!isCurrent) {
+        co_return true; // It has ended: another one is current.
+    }
+    const auto isStored = [this](const MemberRecord &stored) {
+        return stored.backend == monitor_.backend() && stored.state == BackendState::Draining;
+    };
+    if (keptLeaving_ == monitor_.backend()
+        || co_await publisher_.awaitStored(isStored, StoreWriteWait)) {
+        co_return true;
+    }
+    MemberRecord record = describe();
+    const bool kept = co_await keepers_.deposit(record);
+    if (kept) {
+        keptLeaving_ = record.backend;
+        logEvent(LogEvent::LeavingKept, {{"backend", record.backend.text()}});
+        co_return true;
+    }
+    co_return co_await publisher_.awaitStored(isStored, LateStoreWriteWait);
+}
+
+/**
+ * An acknowledgement of an earlier process still binds. Its record may not have reached the store;
+ * other nodes have it then.
+ */
+asio::awaitable<void> SidecarProgram::restore(std::optional<MemberRecord> earlier)
+{
+    if (earlier) {
+        applyEarlier(*earlier, "store");
+        const TimePoint end = clock_.now() + MembersWait;
+        while (view_.members().empty() && clock_.now() < end) {
+            co_await sleepFor(StartPollInterval);
+        }
+        const std::vector<MemberRecord> kept = co_await keepers_.collect();
+        for (const MemberRecord &record : kept) {
+            applyEarlier(record, "node");
+        }
+    }
+    monitor_.onPredecessorKnown();
+    onBackendChange();
+}
+
+void SidecarProgram::applyEarlier(const MemberRecord &earlier, std::string_view source)
+{
+    crashes_.onOwnReports(earlier.crashes, clock_.now());
+    if (earlier.requestLimit) {
+        gate_.adoptLimit(earlier.backend, *earlier.requestLimit);
+    }
+    if (earlier.state == BackendState::Draining && monitor_.onDeregister(earlier.backend)) {
+        logEvent(LogEvent::LeavingRestored,
+                 {{"backend", earlier.backend.text()}, {"source", std::string(source)}});
+        onBackendChange();
+    }
+}
+
 Result<BackendCall> SidecarProgram::readReport(const HttpRequest &request)
 {
     Result<BackendCall> call = ports_.decodeReport(request);
@@ -310,7 +383,12 @@
     if (changed) {
         onBackendChange();
     }
-    if (!report.holding || !monitor_.isNewest(report) || !ranges_.grantsByHeartbeat()) {
+    const TimePoint end = receivedAt + PredecessorWait;
+    while (!monitor_.isPredecessorKnown() && clock_.now() < end) {
+        co_await sleepFor(StartPollInterval);
+    }
+    if (!report.holding || !monitor_.isNewest(report) || !ranges_.grantsByHeartbeat()
+        || !monitor_.isPredecessorKnown()) {
         co_return std::nullopt;
     }
     const bool atOnce = changed || monitor_.state() != BackendState::Ready;
@@ -366,6 +444,8 @@
     counter("wisteriahoist_cold_refused_total",
             "Requests rejected because the backend server has just started and takes no more.",
             [this]() { return gate_.coldRefused(); });
+    gauge("wisteriahoist_kept_records", "Member records that this node keeps for other nodes.",
+          [this]() { return keepers_.keptRecords(); });
     gauge("wisteriahoist_request_bytes", "Memory held for requests, in bytes.",
           [this]() { return requestMemory_->held(); });
     gauge("wisteriahoist_response_bytes", "Memory held for responses, in bytes.",
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -13,6 +13,7 @@
 #include "duty/member_publisher.h"
 #include "duty/peer_link.h"
 #include "duty/range_controller.h"
+#include "duty/record_keepers.h"
 #include "duty/request_router.h"
 #include "duty/shared_watch.h"
 #include "duty/stall_monitor.h"
@@ -89,6 +90,11 @@
     void updateColdLimits();
     void onEvacuations();
     asio::awaitable<HttpResponse> onReport(HttpRequest request);
+    /** Applies what an earlier process of this node has left. */
+    asio::awaitable<void> restore(std::optional<MemberRecord> earlier);
+    void applyEarlier(const MemberRecord &earlier, std::string_view source);
+    /** @return Whether it outlasts this process that @p backend leaves. */
+    asio::awaitable<bool> keepLeaving(BackendIncarnation backend);
     Result<BackendCall> readReport(const HttpRequest &request);
     asio::awaitable<std::optional<GrantReply>> answerHeartbeat(BackendReport report,
                                                                TimePoint receivedAt);
@@ -119,6 +125,7 @@
     BackendGate gate_;
     RequestRouter router_;
     StoreSync sync_;
+    RecordKeepers keepers_;
     MemberPublisher publisher_;
     BackendHealthChecker healthChecker_;
     MetricRegistry metrics_;
@@ -131,6 +138,7 @@
     RateLimitedEvent reportLog_{LogEvent::ReportRefused, 1, 10};
     uint64_t evacuationChanges_ = 0; ///< Of the table that onEvacuations() has seen.
     bool wasEvacuated_ = false;      ///< The failure domain of this node, when last looked at.
+    BackendIncarnation keptLeaving_; ///< Other nodes keep that it leaves.
     bool stopping_ = false;
     bool closing_ = false; ///< Last phase of the shutdown: other nodes send no more requests here.
     TimePoint stopStartedAt_ = NeverTime;
--- /dev/null
+++ b/test/unit/program/leaving_test.cpp
@@ -0,0 +1,249 @@
+/** @file leaving_test.cpp Backend servers that leave, and processes of nodes that end. */
+
+#include "adapter/codec/record_codec.h"
+#include "platform/backend_calls.h"
+#include "platform/request_headers.h"
+#include "program/sidecar_program.h"
+#include "support/raw_http_client.h"
+#include "support/scripted_store.h"
+#include "support/test_section.h"
+
+using namespace wisteriahoist;
+using namespace wisteriahoist::testing;
+
+namespace {
+
+constexpr milliseconds AckTime{1000};   ///< A backend server waits so long for an acknowledgement.
+constexpr milliseconds TestTime{10000}; ///< Far above what a step takes.
+constexpr std::string_view Acknowledged = "HTTP/1.1 200";
+constexpr std::string_view Refused = "HTTP/1.1 503";
+
+/** A backend server whose calls are not needed. */
+class NoBackend final : public BackendControl
+{
+public:
+    asio::awaitable<ControlReply> grant(GrantRequest, milliseconds) override
+    {
+        co_return ControlReply();
+    }
+    asio::awaitable<ControlReply> release(ReleaseRequest, milliseconds) override
+    {
+        co_return ControlReply();
+    }
+    asio::awaitable<BackendStatus> pollOnce(milliseconds) override { co_return BackendStatus(); }
+};
+
+uint16_t findFreePort()
+{
+    asio::io_context context;
+    const tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return acceptor.local_endpoint().port();
+}
+
+SidecarSettings makeSettings(const std::string &name)
+{
+    SidecarSettings settings;
+    settings.name = name;
+    settings.failureDomain = "domain";
+    settings.service = "one";
+    const Endpoint any{"127.0.0.1", 0};
+    settings.backend = {"127.0.0.1", 1};
+    settings.callers = any;
+    settings.peers = {"127.0.0.1", findFreePort()};
+    settings.readiness = any;
+    settings.reports = {"127.0.0.1", findFreePort()};
+    settings.metrics = any;
+    return settings;
+}
+
+Result<BackendCall> decodeCall(const HttpRequest &request)
+{
+    Result<platform::ReportCall> call = platform::decodeReport(request);
+    if (!call) {
+        return std::move(call).as_failure();
+    }
+    return BackendCall{call.assume_value().report,
+                       call.assume_value().kind == platform::ReportCall::Kind::Deregister};
+}
+
+/** One process of a node. */
+struct NodeProcess {
+    NodeProcess(ScriptedStore &store, const SidecarSettings &settings)
+        : ports{store,
+                backend,
+                protocol,
+                "main",
+                [](std::string_view) -> Result<RouteConfig> {
+                    return Failure{FailureCode::Malformed, "none here"};
+                },
+                decodeCall,
+                platform::makeReportAck,
+                calls},
+          program(context, settings, ports)
+    {
+        program.start();
+    }
+
+    asio::io_context context{1};
+    NoBackend backend;
+    platform::RequestHeaders protocol;
+    StoreCallCounts calls;
+    SidecarPorts ports;
+    SidecarProgram program;
+};
+
+/** Nodes with a backend server each, that share one store. */
+struct Fleet {
+    explicit Fleet(size_t nodes)
+    {
+        for (size_t index = 0; index < nodes; ++index) {
+            settings.push_back(makeSettings("n-" + std::to_string(index)));
+            processes.push_back(nullptr);
+            start(index);
+        }
+        for (size_t index = 0; index < nodes; ++index) {
+            (void)report(index, 1);
+        }
+        cr_assert(runUntil([&]() {
+            return std::count_if(settings.begin(), settings.end(),
+                                 [&](const SidecarSettings &node) {
+                                     return stateOf(node.name) == BackendState::Ready;
+                                 })
+                   == static_cast<ptrdiff_t>(nodes);
+        }));
+        (void)runFor(milliseconds(300)); // Until all nodes know all others.
+    }
+
+    void start(size_t index)
+    {
+        processes[index] = std::make_unique<NodeProcess>(store, settings[index]);
+    }
+
+    /** The process ends with all that it knows. */
+    void kill(size_t index) { processes[index] = nullptr; }
+
+    bool runUntil(const std::function<bool()> &holds, milliseconds longest = TestTime)
+    {
+        const auto end = std::chrono::steady_clock::now() + longest;
+        while (!holds() && std::chrono::steady_clock::now() < end) {
+            for (const auto &process : processes) {
+                if (process) {
+                    process->context.restart();
+                    process->context.run_for(milliseconds(1));
+                }
+            }
+        }
+        return holds();
+    }
+
+    bool runFor(milliseconds time)
+    {
+        return runUntil([]() { return false; }, time);
+    }
+
+    /** @return Whether the answer to the call begins with @p status, in time. */
+    bool call(size_t index, const std::string &action, const std::string &body,
+              std::string_view status)
+    {
+        RawHttpClient client(settings[index].reports.port);
+        client.send("POST /-/instances/i-" + std::to_string(index) + "/" + action
+                    + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size())
+                    + "\r\n\r\n" + body);
+        return runUntil(
+                [&]() {
+                    client.pollOnce();
+                    return client.count(status) == 1;
+                },
+                AckTime);
+    }
+
+    bool report(size_t index, uint64_t sequence, const std::string &state = "ready",
+                std::string_view status = Acknowledged)
+    {
+        return call(index, "heartbeat",
+                    R"({"service":"one","address":"127.0.0.1:1","zone":"domain","version":"v1",)"
+                    R"("slots":4,"state":")"
+                            + state + R"(","cold_remaining":"0ms","sequence":)"
+                            + std::to_string(sequence) + "}",
+                    status);
+    }
+
+    bool deregister(size_t index, std::string_view status)
+    {
+        return call(index, "deregister", "", status);
+    }
+
+    /** @return The state in the store of the backend server beside the node @p name. */
+    BackendState stateOf(const std::string &name) const
+    {
+        for (const StoredRecord &record : store.records(RecordKind::Members)) {
+            const Result<MemberRecord> member = decodeMember(record.content);
+            if (member && member.assume_value().name == name) {
+                return member.assume_value().state;
+            }
+        }
+        return BackendState::Absent;
+    }
+
+    asio::io_context unused;
+    ScriptedStore store{unused};
+    std::vector<SidecarSettings> settings;
+    std::vector<std::unique_ptr<NodeProcess>> processes;
+};
+
+} // namespace
+
+// Guards against a leaving that is acknowledged while the store is down and forgotten with the
+// process: after a late report, requests reached the backend server until it ended.
+Test(leaving, acknowledgement_outlasts_the_process_while_the_store_is_down)
+{
+    Fleet fleet(3);
+    fleet.store.setDown(true);
+    cr_assert(fleet.deregister(0, Acknowledged));
+    fleet.kill(0);
+    fleet.start(0);
+    cr_assert(fleet.report(0, 2), "a report that was sent before");
+    fleet.store.setDown(false);
+    cr_assert(fleet.runUntil([&]() { return fleet.stateOf("n-0") == BackendState::Draining; }));
+    (void)fleet.runFor(milliseconds(500));
+    cr_assert(fleet.stateOf("n-0") == BackendState::Draining);
+}
+
+// Guards against an acknowledgement that nothing but the process knows of.
+Test(leaving, is_not_acknowledged_if_nothing_records_it)
+{
+    Fleet fleet(1);
+    fleet.store.setDown(true);
+    cr_assert(fleet.deregister(0, Refused));
+    SECTION("nor a heartbeat that says so")
+    {
+        cr_assert(fleet.report(0, 2, "draining", Refused));
+    }
+    SECTION("until the store is back")
+    {
+        fleet.store.setDown(false);
+        cr_assert(fleet.deregister(0, Acknowledged));
+        cr_assert(fleet.stateOf("n-0") == BackendState::Draining);
+    }
+}
+
+// Guards against an acknowledgement that precedes the write.
+Test(leaving, acknowledgement_follows_the_write)
+{
+    Fleet fleet(2);
+    cr_assert(fleet.deregister(0, Acknowledged));
+    cr_assert(fleet.stateOf("n-0") == BackendState::Draining);
+    SECTION("so the next process knows it, whatever report arrives first")
+    {
+        fleet.kill(0);
+        fleet.start(0);
+        (void)fleet.report(0, 2);
+        (void)fleet.runFor(milliseconds(500));
+        cr_assert(fleet.stateOf("n-0") == BackendState::Draining);
+    }
+    SECTION("and a heartbeat is acknowledged in the same way")
+    {
+        cr_assert(fleet.report(1, 2, "draining"));
+        cr_assert(fleet.stateOf("n-1") == BackendState::Draining);
+    }
+}
