Fix: [Requests] Time in which a body arrives is not given to backend servers

A backend server was told that its caller waits 2,498 ms where 886 were left: the caller's time counted from the end of its body.

Change: the time that the caller names counts from its request's head; the route's timeout still from the whole request, so that slow senders are served. A request without any time left is rejected at once.

Test: request_router/time_in_which_a_body_arrives_is_not_left_to_the_backend_server.

--- a/src/adapter/http/http_connection.cpp
+++ b/src/adapter/http/http_connection.cpp
@@ -199,6 +199,7 @@
 /** Checks the header section of the current request. @return Whether reading it may continue. */
 bool HttpConnection::checkHead()
 {
+    headAt_ = std::chrono::steady_clock::now();
     parser_->eager(true);
     // With ambiguous framing the two ends of a connection may disagree on where a message ends. The
     // remaining bytes of one caller could then be parsed as another caller's request.
@@ -254,6 +255,8 @@
     exchange->runsExclusively = runsExclusively(request);
     reading_ = exchange->keepAlive; // Stop reading after the last request.
     countedAsOpen_ = false;         // The exchange counts as open from here on.
+    exchange->disconnect->setArrivalTime(
+            std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - headAt_));
     exchange->disconnect->holdMemory(std::move(bodyMemory_));
     bodyMemory_ = MemoryBudget::Reservation(server_->requestMemory);
     pending_.push_back(exchange);
--- a/src/adapter/http/http_connection.h
+++ b/src/adapter/http/http_connection.h
@@ -104,10 +104,11 @@
     std::array<char, 8192> chunk_; ///< Buffer of the current read.
     beast::flat_buffer buffer_;    ///< Received but not parsed.
     std::optional<Parser> parser_;
-    MemoryBudget::Reservation memory_;          ///< Of the connection itself.
-    MemoryBudget::Reservation bodyMemory_;      ///< Of the request being read or waiting.
-    std::optional<HttpRequest> waitingRequest_; ///< Complete; waits until it may run.
-    std::deque<ExchangePtr> pending_;           ///< In request order.
+    MemoryBudget::Reservation memory_;             ///< Of the connection itself.
+    MemoryBudget::Reservation bodyMemory_;         ///< Of the request being read or waiting.
+    std::optional<HttpRequest> waitingRequest_;    ///< Complete; waits until it may run.
+    std::deque<ExchangePtr> pending_;              ///< In request order.
+    std::chrono::steady_clock::time_point headAt_; ///< Of the request being read or waiting.
     std::chrono::steady_clock::time_point lastActivity_;
     std::chrono::steady_clock::time_point lingerEnd_; ///< Latest end of a connection that lingers.
     bool countedAsOpen_ = false;   ///< Whether the request being read is counted in openRequests.
--- a/src/adapter/http/http_type.h
+++ b/src/adapter/http/http_type.h
@@ -45,6 +45,10 @@
 class DisconnectSignal
 {
 public:
+    /** @return Time from the request's head to its dispatch: its caller waits since then. */
+    milliseconds arrivalTime() const { return arrivalTime_; }
+    void setArrivalTime(milliseconds time) { arrivalTime_ = time; }
+
     /** Keeps @p memory, reserved for the body, as long as this object exists. */
     void holdMemory(MemoryBudget::Reservation memory) { memory_ = std::move(memory); }
 
@@ -64,6 +68,7 @@
 private:
     std::function<void()> action_;
     MemoryBudget::Reservation memory_;
+    milliseconds arrivalTime_{0};
     bool disconnected_ = false;
 };
 
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -157,7 +157,12 @@
     state->route = &route;
     state->caller = std::move(caller);
     state->startedAt = now;
-    state->deadline = now + std::min(route.timeout, metadata.timeLeft.value_or(route.timeout));
+    // The caller waits since it sent the head; the route's timeout begins with the whole request.
+    state->deadline = now + route.timeout;
+    if (metadata.timeLeft) {
+        state->deadline = std::min(state->deadline,
+                                   now + *metadata.timeLeft - state->caller->arrivalTime());
+    }
     const bool hasObjective = route.latencyObjective.count() > 0;
     state->objective = hasObjective ? now + route.latencyObjective : state->deadline;
     v1::HopRequest &hop = state->hop;
@@ -399,6 +404,9 @@
     if (crashes_.isRefused(state->fingerprint, now)) {
         co_return refuseCrashing(*state, now);
     }
+    if (state->deadline <= now) {
+        co_return makeOutcomeReply(RequestStage::Received, RequestEnd::DeadlineOver);
+    }
     state->target = chooseTarget(*state);
     ++state->history.tried;
     const MemberRecord *member = view_.findMember(state->target);
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -594,3 +594,33 @@
     phase = EvacuationPhase::None;
     cr_assert_eq(fixture.ask().result_int(), 200U);
 }
+
+// Guards against time that is counted twice: a body takes long to arrive, and its caller waits
+// since it sent the head.
+Test(request_router, time_in_which_a_body_arrives_is_not_left_to_the_backend_server)
+{
+    const auto ask = [](Fixture &fixture, milliseconds arrival) {
+        HttpRequest request(http::verb::post, "/x", 11);
+        request.set(http::field::host, "a.example");
+        request.set("X-Wisteriahoist-Attempt-Id", "q");
+        request.set("X-Wisteriahoist-Deadline-Ms", "3000");
+        auto caller = std::make_shared<DisconnectSignal>();
+        caller->setArrivalTime(arrival);
+        return runUntil(fixture.context, fixture.router.onRequest(std::move(request), caller));
+    };
+    SECTION("what is left is passed on")
+    {
+        Fixture fixture({{answerWith("200 OK")}});
+        cr_assert_eq(ask(fixture, milliseconds(2000)).result_int(), 200U);
+        const std::string &head = fixture.backend->requests().front();
+        constexpr std::string_view Field = "X-Wisteriahoist-Deadline-Ms: ";
+        const int left = std::stoi(head.substr(head.find(Field) + Field.size()));
+        cr_assert(left > 0 && left <= 1000, "%d", left);
+    }
+    SECTION("a request without any is rejected at once")
+    {
+        Fixture fixture({{answerWith("200 OK")}});
+        cr_assert_eq(ask(fixture, milliseconds(3000)).result_int(), 503U);
+        cr_assert(fixture.backend->requests().empty());
+    }
+}
