--- a/test/unit/http/request_memory_test.cpp
+++ b/test/unit/http/request_memory_test.cpp
@@ -16,7 +16,6 @@
 constexpr size_t MiB = 1024 * 1024;
 constexpr size_t Memory = 8 * MiB; ///< For requests; an eighth of it is kept for small ones.
 constexpr size_t LargeBody = 5 * MiB;
-constexpr milliseconds Timeout{10000}; ///< Far above the duration of an exchange.
 
 const std::string Full = "HTTP/1.1 503";
 const std::string Served = "HTTP/1.1 200";
--- a/tool/soak/fault_driver.cpp
+++ b/tool/soak/fault_driver.cpp
@@ -41,6 +41,12 @@
     }
 }
 
+asio::awaitable<void> FaultDriver::carryOutAnother(Fault fault)
+{
+    ++open_;
+    return carryOut(fault);
+}
+
 asio::awaitable<void> FaultDriver::carryOut(Fault fault)
 {
     tellOf(fault, clock_.now());
--- a/tool/soak/fault_driver.h
+++ b/tool/soak/fault_driver.h
@@ -20,6 +20,9 @@
     /** @return Once the last fault, and each restart that followed from one, is over. */
     asio::awaitable<void> carryOutAll(const FaultPlan &plan);
 
+    /** Carries out one more fault. */
+    asio::awaitable<void> carryOutAnother(Fault fault);
+
 private:
     asio::awaitable<void> carryOut(Fault fault);
     void tellOf(const Fault &fault, TimePoint now);
--- a/tool/soak/soak_callers.cpp
+++ b/tool/soak/soak_callers.cpp
@@ -20,7 +20,10 @@
 constexpr milliseconds CrashPause{1000};    ///< Between two crashing requests of one caller.
 constexpr uint64_t CrashPauseSpread = 2000; ///< Milliseconds.
 constexpr ShardKey CrashingKey(4242);
-constexpr uint64_t ProbedKeys = 16; ///< Spread evenly, so that every holder is asked.
+constexpr uint64_t MegabytesPerBody = 48; ///< Of the largest body.
+constexpr size_t Megabyte = 1024 * 1024;
+constexpr milliseconds LargePause{1500}; ///< Between two large bodies of one caller.
+constexpr uint64_t ProbedKeys = 16;      ///< Spread evenly, so that every holder is asked.
 
 TimePoint presentTime()
 {
@@ -40,6 +43,11 @@
     }
 }
 
+void SoakCallers::addLargeCaller(size_t index, SoakNode &node)
+{
+    startTask(context_, largeLoop(index, node));
+}
+
 void SoakCallers::addCrashingCaller(size_t index, SoakNode &node)
 {
     startTask(context_, crashLoop(index, node));
@@ -60,7 +68,8 @@
 }
 
 asio::awaitable<platform::CallerAnswer> SoakCallers::send(HttpClient &client, SentRequest request,
-                                                          std::optional<ShardKey> key)
+                                                          std::optional<ShardKey> key,
+                                                          size_t bodyBytes)
 {
     request.at = presentTime();
     audit_.onSent(request);
@@ -71,6 +80,7 @@
     message.changesState = !request.mayRepeat;
     message.key = key;
     message.timeLimit = request.timeLimit;
+    message.bodyBytes = bodyBytes;
     ++waiting_;
     const std::string attempt = request.attempt;
     platform::CallerAnswer answer = co_await platform::sendAsCaller(client, std::move(message));
@@ -96,6 +106,23 @@
     }
 }
 
+asio::awaitable<void> SoakCallers::largeLoop(size_t index, SoakNode &node)
+{
+    HttpClient client(context_.get_executor(), node.callers().ip, node.callers().port);
+    const std::vector<RequestShape> shapes{{"/order/", false, true}, {"/book/", false, false}};
+    while (!stopping_) {
+        const RequestShape &shape = shapes[random_() % shapes.size()];
+        const size_t bytes = (1 + random_() % MegabytesPerBody) * Megabyte;
+        std::optional<ShardKey> key;
+        if (shape.keyed) {
+            key = ShardKey(static_cast<uint32_t>(random_() % KeyCount));
+        }
+        SentRequest request = makeRequest(index, node, shape);
+        (void)co_await send(client, std::move(request), key, bytes);
+        co_await sleepFor(LargePause);
+    }
+}
+
 asio::awaitable<void> SoakCallers::crashLoop(size_t index, SoakNode &node)
 {
     HttpClient client(context_.get_executor(), node.callers().ip, node.callers().port);
--- a/tool/soak/soak_callers.h
+++ b/tool/soak/soak_callers.h
@@ -29,6 +29,9 @@
     /** Adds a caller that repeats two requests under which backend servers crash. */
     void addCrashingCaller(size_t index, SoakNode &node);
 
+    /** Adds a caller that sends bodies of many megabytes. */
+    void addLargeCaller(size_t index, SoakNode &node);
+
     /** They leave early from now on, or no more. */
     void setImpatient(bool impatient) { impatient_ = impatient; }
     /** No request is sent any more. */
@@ -41,9 +44,10 @@
 private:
     asio::awaitable<void> callLoop(size_t index, SoakNode &node);
     asio::awaitable<void> crashLoop(size_t index, SoakNode &node);
+    asio::awaitable<void> largeLoop(size_t index, SoakNode &node);
     SentRequest makeRequest(size_t index, const SoakNode &node, const RequestShape &shape);
     asio::awaitable<platform::CallerAnswer> send(HttpClient &client, SentRequest request,
-                                                 std::optional<ShardKey> key);
+                                                 std::optional<ShardKey> key, size_t bodyBytes = 0);
 
     asio::io_context &context_;
     SoakAudit &audit_;
--- a/tool/soak/soak_main.cpp
+++ b/tool/soak/soak_main.cpp
@@ -34,6 +34,12 @@
 ABSL_FLAG(bool, frequent_changes, false, "the configuration changes every second or so");
 ABSL_FLAG(bool, endless_answers, false,
           "backend servers, one after the other, send bytes that end only with the connection");
+ABSL_FLAG(bool, second_answers, false,
+          "backend servers, one after the other, reject requests and send answers a second time");
+ABSL_FLAG(bool, large_bodies, false, "callers at two nodes send bodies of many megabytes");
+ABSL_FLAG(bool, late_reports, false,
+          "backend servers leave while the store is down, their nodes are killed right after it, "
+          "and a heartbeat of before arrives late");
 ABSL_FLAG(uint32_t, memory_mb, 0, "memory that a node may use; 0: not checked");
 ABSL_FLAG(bool, power_loss, false,
           "after the other faults all nodes and backend servers are lost at once, right after a "
@@ -101,6 +107,9 @@
             settings.crashingRequests = absl::GetFlag(FLAGS_crashing_requests);
             settings.frequentChanges = absl::GetFlag(FLAGS_frequent_changes);
             settings.endlessAnswers = absl::GetFlag(FLAGS_endless_answers);
+            settings.secondAnswers = absl::GetFlag(FLAGS_second_answers);
+            settings.largeBodies = absl::GetFlag(FLAGS_large_bodies);
+            settings.lateReports = absl::GetFlag(FLAGS_late_reports);
             settings.memoryBound = absl::GetFlag(FLAGS_memory_mb) * BytesPerMegabyte;
             settings.powerLoss = absl::GetFlag(FLAGS_power_loss);
             settings.callersPerNode = absl::GetFlag(FLAGS_callers);
--- a/tool/soak/soak_node.cpp
+++ b/tool/soak/soak_node.cpp
@@ -47,6 +47,9 @@
     settings.heartbeat = milliseconds(400);
     settings.maxHoldTime = milliseconds(10000);
     settings.shutdownTimeout = milliseconds(6000);
+    if (soak.memoryBound > 0) {
+        settings.memoryBytes = soak.memoryBound;
+    }
     settings.cpuShare = index < soak.strongNodes ? StrongCpuShare : CpuShare;
     return settings;
 }
--- a/tool/soak/soak_node.h
+++ b/tool/soak/soak_node.h
@@ -28,6 +28,9 @@
     bool announcedLeaving = false;  ///< Backend servers leave that say so first in their answers.
     bool frequentChanges = false;   ///< The configuration changes every second or so.
     bool endlessAnswers = false;    ///< Some backend servers send bytes until the caller closes.
+    bool secondAnswers = false;     ///< Some backend servers reject requests and answer twice.
+    bool largeBodies = false;       ///< Some callers send bodies of many megabytes.
+    bool lateReports = false;       ///< Backend servers leave while the store is down.
     uint64_t memoryBound = 0;       ///< Bytes that a node may use; 0: not checked.
     bool powerLoss = false;         ///< At the end all nodes and backend servers are lost at once.
     size_t callersPerNode = 3;
--- a/tool/soak/soak_run.cpp
+++ b/tool/soak/soak_run.cpp
@@ -31,6 +31,17 @@
 /** For which one backend server sends bytes without end, and in what share of its answers. */
 constexpr milliseconds EndlessTime{3000};
 constexpr double EndlessShare = 0.8;
+/** For which one backend server rejects requests and answers twice, and in what shares. */
+constexpr milliseconds SecondAnswerTime{3000};
+constexpr double RejectedShare = 0.3;
+constexpr double SecondAnswerShare = 0.1;
+constexpr size_t LargeCallers = 2; ///< More would keep the soak's own process busy.
+/** Of the store; from its start to the leaving, and from there to the end of the node. */
+constexpr milliseconds OutageTime{3500};
+constexpr milliseconds TimeToLeaving{400};
+constexpr milliseconds TimeToKill{900};
+constexpr milliseconds TimeToRestart{500};
+constexpr milliseconds LeavingTime{11000}; ///< Until the next backend server is started.
 constexpr milliseconds MemoryInterval{100};
 constexpr milliseconds DownTime{1200}; ///< For which all nodes are down after a loss of power.
 /** For which links are slow after that, and how slow. */
@@ -111,6 +122,15 @@
     if (settings_.endlessAnswers) {
         startTask(context_, sendEndless());
     }
+    if (settings_.secondAnswers) {
+        startTask(context_, answerTwice());
+    }
+    if (settings_.lateReports) {
+        startTask(context_, leaveDuringOutages());
+    }
+    for (size_t index = 0; settings_.largeBodies && index < LargeCallers; ++index) {
+        callers_.addLargeCaller(index, fleet_.node(index));
+    }
     if (settings_.memoryBound > 0) {
         startTask(context_, watchMemory());
     }
@@ -190,6 +210,38 @@
     }
 }
 
+asio::awaitable<void> SoakRun::answerTwice()
+{
+    while (!healed_) {
+        const size_t index = random_() % fleet_.size();
+        platform::BackendFaults &faults = fleet_.node(index).backend().faults();
+        audit_.onDisturbance(index, clock_.now(), clock_.now() + SecondAnswerTime);
+        note(fleet_.node(index).backend().id() + " rejects requests and sends answers twice");
+        faults.rejectedRequests = RejectedShare;
+        faults.secondAnswers = SecondAnswerShare;
+        co_await waitUnlessHealed(SecondAnswerTime);
+        faults.rejectedRequests = 0;
+        faults.secondAnswers = 0;
+    }
+}
+
+asio::awaitable<void> SoakRun::leaveDuringOutages()
+{
+    while (!healed_) {
+        const size_t index = random_() % fleet_.size();
+        startTask(context_,
+                  driver_.carryOutAnother({FaultKind::StoreDown, 0, milliseconds(0), OutageTime}));
+        co_await sleepFor(TimeToLeaving);
+        note(fleet_.node(index).backend().id() + " deregisters and goes on serving");
+        fleet_.node(index).backend().leaveAtOnce();
+        co_await sleepFor(TimeToKill);
+        startTask(context_, driver_.carryOutAnother(
+                                    {FaultKind::NodeKill, index, milliseconds(0), TimeToRestart}));
+        co_await waitUnlessHealed(LeavingTime);
+        fleet_.startBackend(index);
+    }
+}
+
 asio::awaitable<void> SoakRun::watchMemory()
 {
     while (!healed_) {
--- a/tool/soak/soak_run.h
+++ b/tool/soak/soak_run.h
@@ -38,6 +38,11 @@
     asio::awaitable<void> announceLeaving();
     /** One backend server after the other sends bytes without end, until the load ends. */
     asio::awaitable<void> sendEndless();
+    /** One backend server after the other rejects requests and sends answers twice. */
+    asio::awaitable<void> answerTwice();
+    /** One backend server after the other leaves while the store is down; its node is killed right
+     *  after the acknowledgement. */
+    asio::awaitable<void> leaveDuringOutages();
     asio::awaitable<void> watchMemory();
     /** Writes one configuration after the other, until the load ends. */
     asio::awaitable<void> changeOften();
