Fix: [HTTP] A response whose status is none is not passed on

Cause: the parser takes any three digits, and nothing after it asks whether they are a status. One client reads the responses of backend servers, health checks, grants, releases, both stores and the operators' commands.

Change: HttpClient rejects a response, final or interim, whose status is not from 100 to 599 (RFC 9110), at its head, as it does other responses that break the protocol: the caller gets a 502 that says that the request may have run, and the connection ends. No reader needs a check of its own.

--- a/src/adapter/http/http_client.cpp
+++ b/src/adapter/http/http_client.cpp
@@ -215,9 +215,19 @@
     co_return result;
 }
 
-bool HttpClient::isUnframed(const ResponseParser &parser) const
+std::string_view HttpClient::findHeadProblem(const ResponseParser &parser) const
 {
-    return parser.need_eof() && !parser.skip() && !limits_.allowUnframed;
+    if (!parser.is_header_done()) {
+        return {};
+    }
+    if (!isStatus(parser.get().result_int())) {
+        return "its status is not a status of HTTP";
+    }
+    // A response that is delimited by the end of the connection cannot be distinguished from a
+    // truncated one.
+    const bool isUnframed = parser.need_eof() && !parser.skip();
+    return isUnframed && !limits_.allowUnframed ? "it has neither Content-Length nor chunked coding"
+                                                : std::string_view();
 }
 
 asio::awaitable<beast::error_code> HttpClient::readOne(beast::tcp_stream &stream,
@@ -244,7 +254,7 @@
         if (!share.resize(std::min(body.capacity(), 2 * body.size()))) {
             error = http::error::body_limit;
         }
-        if (parser.is_header_done() && isUnframed(parser)) {
+        if (!findHeadProblem(parser).empty()) {
             break;
         }
     }
@@ -288,11 +298,9 @@
             co_return Failure{broken ? FailureCode::Malformed : FailureCode::Ambiguous,
                               "reading the response failed: " + error.message()};
         }
-        // A response that is delimited by the end of the connection cannot be distinguished from a
-        // truncated one.
-        if (isUnframed(parser)) {
-            co_return Failure{FailureCode::Malformed,
-                              "response has neither Content-Length nor chunked coding"};
+        const std::string_view problem = findHeadProblem(parser);
+        if (!problem.empty()) {
+            co_return Failure{FailureCode::Malformed, "response rejected: " + std::string(problem)};
         }
         response = parser.release();
         // A duplicate response to an earlier request may arrive before the expected one. The order
--- a/src/adapter/http/http_client.h
+++ b/src/adapter/http/http_client.h
@@ -136,8 +136,8 @@
 
     asio::awaitable<Result<HttpResponse>> read(beast::tcp_stream &stream, bool headOnly,
                                                SteadyTime deadline, ExchangeControl &control);
-    /** @return Whether the response ends only with the connection, and may not. */
-    bool isUnframed(const ResponseParser &parser) const;
+    /** @return Why the response can't be accepted, as far as its head tells; empty: it can. */
+    std::string_view findHeadProblem(const ResponseParser &parser) const;
     /** Reads one response, within the limits of its size and of the memory for all. */
     asio::awaitable<beast::error_code> readOne(beast::tcp_stream &stream,
                                                beast::flat_buffer &buffer, ResponseParser &parser,
--- a/src/adapter/http/http_type.h
+++ b/src/adapter/http/http_type.h
@@ -25,6 +25,22 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
+/** @return Whether @p number is a status of HTTP (RFC 9110), of an interim response or a final one.
+ */
+constexpr bool isStatus(unsigned number)
+{
+    constexpr unsigned Lowest = 100;
+    constexpr unsigned Highest = 599;
+    return number >= Lowest && number <= Highest;
+}
+
+/** @return Whether @p number is a status of a final response. */
+constexpr bool isFinalStatus(unsigned number)
+{
+    constexpr unsigned LowestFinal = 200;
+    return isStatus(number) && number >= LowestFinal;
+}
+
 /** Limits of an HTTP/1.1 server. */
 struct HttpLimits {
     uint32_t headerBytes = 16 * 1024; ///< Maximum size of the header section; larger: 431.
--- /dev/null
+++ b/test/unit/http/broken_response_test.cpp
@@ -0,0 +1,112 @@
+/** @file broken_response_test.cpp Servers that send bytes which are not a response. */
+
+#include "adapter/http/http_client.h"
+#include "support/scripted_backend.h"
+#include "support/test_section.h"
+
+#include <cctype>
+
+using namespace wisteriahoist;
+using namespace wisteriahoist::testing;
+
+namespace {
+
+constexpr milliseconds Timeout{2000};
+
+const std::string Fields = "Content-Length: 4\r\n\r\nbody";
+
+std::string answerWithStatus(const std::string &status)
+{
+    return "HTTP/1.1 " + status + "\r\n" + Fields;
+}
+
+std::string answerWithField(const std::string &field)
+{
+    return "HTTP/1.1 200 OK\r\n" + field + "\r\n" + Fields;
+}
+
+/** One server that sends one text, and a client of it. */
+struct Fixture {
+    explicit Fixture(const std::string &answer, bool allowUnframed = false)
+        : server(std::make_shared<ScriptedBackend>(context, std::vector<BackendScript>{{answer}})),
+          client(context.get_executor(), "127.0.0.1", server->port(), makeLimits(allowUnframed))
+    {
+        server->start();
+    }
+
+    static PoolLimits makeLimits(bool allowUnframed)
+    {
+        PoolLimits limits;
+        limits.allowUnframed = allowUnframed;
+        return limits;
+    }
+
+    Result<HttpResponse> get()
+    {
+        HttpRequest request(http::verb::get, "/", 11);
+        return runUntil(context, client.exchange(std::move(request), Timeout));
+    }
+
+    asio::io_context context;
+    std::shared_ptr<ScriptedBackend> server;
+    HttpClient client;
+};
+
+/** @return Whether @p answer is rejected and its connection closed, whatever ends a response. */
+bool isRejected(const std::string &answer)
+{
+    for (const bool allowUnframed : {false, true}) {
+        Fixture fixture(answer, allowUnframed);
+        const Result<HttpResponse> result = fixture.get();
+        const bool malformed = !result && result.assume_error().code == FailureCode::Malformed;
+        const bool closed = runUntilHolds(fixture.context,
+                                          [&]() { return fixture.server->lostConnections() == 1; });
+        if (!malformed || !closed || fixture.client.idleConnections() != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+// Guards against passing on a response whose status is none: HTTP has those from 100 to 599.
+Test(broken_response, numbers_that_are_no_status)
+{
+    SECTION("of three digits")
+    {
+        for (const std::string status : {"000", "001", "007", "050", "099", "600", "799", "999"}) {
+            cr_assert(isRejected(answerWithStatus(status + " OK")), "%s", status.c_str());
+        }
+    }
+    SECTION("of other forms")
+    {
+        for (const std::string status :
+             {"", "2", "20", "2000", "abc", "-20", "+20", "2 0", "0x1", "20\x01", " 200"}) {
+            cr_assert(isRejected(answerWithStatus(status + " OK")), "%s", status.c_str());
+        }
+    }
+    SECTION("before the response")
+    {
+        const std::string whole = answerWithStatus("200 OK");
+        cr_assert(isRejected("HTTP/1.1 099 Early\r\n\r\n" + whole));
+        cr_assert(isRejected("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n" + Fields));
+    }
+    SECTION("without waiting for the end of the body")
+    {
+        cr_assert(isRejected("HTTP/1.1 000 OK\r\nContent-Length: 100\r\n\r\nbegun"));
+        cr_assert(isRejected("HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        cr_assert(isRejected("HTTP/1.1 000 OK\r\n\r\nbegun"));
+    }
+}
+
+// Guards against rejecting responses with a status that no specification has.
+Test(broken_response, statuses_without_a_name_are_passed_on)
+{
+    for (const unsigned status : {299U, 418U, 499U, 520U, 599U}) {
+        Fixture fixture(answerWithStatus(std::to_string(status) + " Name"));
+        const Result<HttpResponse> result = fixture.get();
+        cr_assert(result && result.assume_value().result_int() == status, "%u", status);
+        cr_assert_eq(fixture.client.idleConnections(), 1U);
+    }
+}
--- a/test/unit/http/endless_response_test.cpp
+++ b/test/unit/http/endless_response_test.cpp
@@ -190,6 +190,12 @@
     {
         endsAtOnce("", "HTTP/1.1 103 Early Hints\r\n\r\n");
     }
+    SECTION("after a status that is none")
+    {
+        endsAtOnce("HTTP/1.1 000 OK\r\nContent-Length: 99999999999\r\n\r\n",
+                   std::string(64 * 1024, 'x'));
+        endsAtOnce("HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked\r\n\r\n", makeChunk(64 * 1024));
+    }
 }
 
 // Guards against whole responses that are rejected because others have no end.
--- a/test/unit/platform/backend_calls_test.cpp
+++ b/test/unit/platform/backend_calls_test.cpp
@@ -34,6 +34,13 @@
         return runUntil(context, calls.release({Keys, Epoch(1), 1}, Timeout));
     }
 
+    BackendStatus poll() { return runUntil(context, calls.pollOnce(Timeout)); }
+
+    bool connectionEnds()
+    {
+        return runUntilHolds(context, [&]() { return backend->lostConnections() == 1; });
+    }
+
     asio::io_context context;
     BootClockAdapter clock;
     std::shared_ptr<ScriptedBackend> backend;
@@ -75,3 +82,28 @@
         cr_assert(fixture.grant(fixture.clock.now() + Timeout).result == ControlResult::Accepted);
     }
 }
+
+// Guards against taking bytes that are no response for the answer to a grant, a release or a health
+// check.
+Test(backend_calls, bytes_that_are_no_response_are_not_taken_for_an_answer)
+{
+    const std::string rest = "X-Wisteriahoist-Handover: token\r\nX-Wisteriahoist-Instance-Id: i\r\n"
+                             "Content-Length: 0\r\n\r\n";
+    for (const std::string head :
+         {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 20 OK\r\n",
+          "HTTP/1.1 200 OK\r\nNa me: x\r\n", "HTTP/1.1 200 OK\r\nNa\x01me: x\r\n"}) {
+        const BackendScript script{head + rest};
+        Fixture granted({script});
+        const ControlReply grant = granted.grant(granted.clock.now() + Timeout);
+        cr_assert(grant.result == ControlResult::Unanswered && grant.handover.empty());
+        cr_assert(granted.connectionEnds(), "%s", head.c_str());
+        Fixture released({script});
+        const ControlReply release = released.release();
+        cr_assert(release.result == ControlResult::Unanswered && release.handover.empty());
+        cr_assert(released.connectionEnds(), "%s", head.c_str());
+        Fixture polled({script});
+        const BackendStatus status = polled.poll();
+        cr_assert(!status.answered && !status.healthy && status.backend.empty());
+        cr_assert(polled.connectionEnds(), "%s", head.c_str());
+    }
+}
--- a/test/unit/request/gate_fault_test.cpp
+++ b/test/unit/request/gate_fault_test.cpp
@@ -141,6 +141,17 @@
         const v1::HopReply reply = askOnce(script);
         cr_assert(reply.outcome() == v1::HOP_OUTCOME_UNKNOWN && reply.reason() == "bad-answer");
     }
+    SECTION("bytes that are no response")
+    {
+        for (const std::string status : {"000", "099", "600", "20", "abc"}) {
+            BackendScript script;
+            script.answer = "HTTP/1.1 " + status + " OK\r\nContent-Length: 4\r\n\r\nbody";
+            const v1::HopReply reply = askOnce(script);
+            cr_assert(reply.outcome() == v1::HOP_OUTCOME_UNKNOWN && reply.status() == 502, "%s",
+                      status.c_str());
+            cr_assert(reply.body().empty());
+        }
+    }
     SECTION("refused in a complete response: not run")
     {
         BackendScript script;
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -2,11 +2,11 @@
 
 #include "duty/request_router.h"
 
-#include "adapter/clock/boot_clock_adapter.h"
 #include "duty/ingress_message.h"
 #include "platform/request_headers.h"
 #include "support/no_ownership.h"
 #include "support/scripted_backend.h"
+#include "support/shifted_clock.h"
 #include "support/test_section.h"
 
 using namespace wisteriahoist;
@@ -57,6 +57,15 @@
         view.onRanges("one", std::move(record), StoreRevision(1));
     }
 
+    /** Requests of the route must not run twice. */
+    void forbidRepetition()
+    {
+        RouteConfig config = *view.routes().config();
+        ++config.version;
+        config.routes.front().kind = RequestKind::NonIdempotent;
+        (void)view.onConfig(std::move(config));
+    }
+
     /** The backend server has reported, and is cold for @p coldTime. */
     void report(const BackendIncarnation &incarnation, uint64_t sequence,
                 milliseconds coldTime = milliseconds(0))
@@ -90,6 +99,12 @@
 
     /** Runs a request of another node at the gate. */
     v1::HopReply askGate(BackendGate &asked)
+    {
+        const v1::HopRequest request = makeHop();
+        return runUntil(context, asked.run(request));
+    }
+
+    static v1::HopRequest makeHop()
     {
         v1::HopRequest request;
         request.set_service("one");
@@ -97,13 +112,13 @@
         request.set_target("/x");
         request.set_attempt_id("q");
         request.set_deadline_left_ms(LongTime.count());
-        return runUntil(context, asked.run(request));
+        return request;
     }
 
     int incarnations = 1;
     asio::io_context context;
     std::shared_ptr<ScriptedBackend> backend;
-    BootClockAdapter clock;
+    ShiftedClock clock;
     platform::RequestHeaders protocol;
     NoOwnership keys;
     BackendMonitor monitor{MonitorLimits{}};
@@ -147,6 +162,9 @@
         reply.set_outcome(v1::HOP_OUTCOME_DONE);
         reply.set_status(200);
         reply.set_reached_backend(true);
+        if (scripted) {
+            reply = *scripted;
+        }
         if (newOwner) {
             reply = makeOutcomeReply(RequestStage::Received, RequestEnd::NotOwner);
             reply.set_owner_node(newOwner->node.value());
@@ -157,9 +175,25 @@
 
     PeerLink peers;
     uint32_t hops = 0;
-    std::optional<KeyOwner> newOwner; ///< If set, the node that owns its keys now.
+    std::optional<KeyOwner> newOwner;     ///< If set, the node that owns its keys now.
+    std::optional<v1::HopReply> scripted; ///< If set, its reply.
 };
 
+/** @return A reply to a request that a backend server has answered. */
+v1::HopReply makeDoneReply(uint32_t status, const std::string &field = "Name",
+                           const std::string &value = "value")
+{
+    v1::HopReply reply;
+    reply.set_outcome(v1::HOP_OUTCOME_DONE);
+    reply.set_status(status);
+    v1::HeaderField *header = reply.add_headers();
+    header->set_name(field);
+    header->set_value(value);
+    reply.set_body("body");
+    reply.set_reached_backend(true);
+    return reply;
+}
+
 const BackendScript LostAnswer{"", milliseconds(0), true};
 
 /** Three incarnations of the only backend server have ended under the same request. */
@@ -196,6 +230,30 @@
     cr_assert(response.body() == "body");
 }
 
+// Guards against passing on bytes that are no response: the caller gets the same as if the backend
+// server had broken off, and none of them.
+Test(request_router, bytes_that_are_no_response_are_not_passed_on)
+{
+    const std::string whole = answerWith("200 OK");
+    for (const std::string &bytes : std::vector<std::string>{
+                 answerWith("000 OK"), answerWith("007 OK"), answerWith("099 OK"),
+                 answerWith("600 OK"), answerWith("999 OK"), answerWith("20 OK"),
+                 answerWith("abc OK"), answerWith("200 OK", "Na me: x\r\n"),
+                 answerWith("200 OK", "Na\x01me: x\r\n"), answerWith("200 OK", "Name : x\r\n"),
+                 answerWith("200 OK", "Content-Length : 2\r\n"),
+                 "HTTP/1.1 099 Early\r\n\r\n" + whole, "HTTP/1.1 000 OK\r\n\r\nbody"}) {
+        Fixture fixture({{bytes}, {whole}});
+        const HttpResponse response = fixture.ask("/x", milliseconds(2000));
+        cr_assert_eq(response.result_int(), 502U, "%s", bytes.c_str());
+        cr_assert(response.body().find("body") == std::string::npos);
+        cr_assert_eq(response.count("X-Wisteriahoist-Server-Seal"), 0U);
+        cr_assert(runUntilHolds(fixture.context,
+                                [&]() { return fixture.backend->lostConnections() == 1; }));
+        cr_assert_eq(fixture.ask().result_int(), 200U);
+        cr_assert_eq(fixture.backend->connections(), 2U);
+    }
+}
+
 // Guards against a false "not run": the backend server ran the request and answered 500, and the
 // second attempt was refused because there is no other instance. That refusal concerns only the
 // second attempt, so the caller must get the response of the first.
