Fix: [Requests] A reply of another node that holds no response is not passed on

Callers would see a status that is none, or a field with a line break in it, if the node beside the backend server is of an older build or in trouble. With a status above 999 or a field above 64 KiB they got no response at all: making it throws, which ends the coroutine of the request.

Cause: a message between nodes carries the number on, and the receiving node only asked whether it can be parsed.

Change: both routers take a reply without a final status, or with a field that no message can have, for none: 502.

Evidence: request_router/replies_of_nodes_that_hold_no_response_* fails before, with status 0.

--- a/src/adapter/http/header_rules.cpp
+++ b/src/adapter/http/header_rules.cpp
@@ -9,6 +9,23 @@
 namespace {
 
 constexpr std::string_view ReservedPrefix = "wisteriahoist-";
+/** Most bytes of a name or a value that http::fields holds. */
+constexpr size_t MaxFieldBytes = 65533;
+
+bool isTokenByte(char byte)
+{
+    constexpr std::string_view Symbols = "!#$%&'*+-.^_`|~";
+    return (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z')
+           || (byte >= 'A' && byte <= 'Z') || Symbols.find(byte) != std::string_view::npos;
+}
+
+bool isValueByte(char byte)
+{
+    constexpr unsigned char FirstVisible = 0x20;
+    constexpr unsigned char Delete = 0x7f;
+    const auto number = static_cast<unsigned char>(byte);
+    return byte == '\t' || (number >= FirstVisible && number != Delete);
+}
 
 bool isConnectionField(http::field field)
 {
@@ -28,6 +45,13 @@
 
 } // namespace
 
+bool isValidField(std::string_view name, std::string_view value)
+{
+    return !name.empty() && name.size() <= MaxFieldBytes && value.size() <= MaxFieldBytes
+           && std::all_of(name.begin(), name.end(), isTokenByte)
+           && std::all_of(value.begin(), value.end(), isValueByte);
+}
+
 std::vector<ForwardedField> forwardableFields(const http::fields &fields)
 {
     std::vector<std::string> listed;
--- a/src/adapter/http/header_rules.h
+++ b/src/adapter/http/header_rules.h
@@ -5,6 +5,7 @@
 #include "adapter/http/http_type.h"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace wisteriahoist {
@@ -15,6 +16,10 @@
     std::string value;
 };
 
+/** @return Whether a message can have the field: its name is a token (RFC 9110), its value holds no
+ *          control byte but tabs, and neither is longer than a message can hold. */
+bool isValidField(std::string_view name, std::string_view value);
+
 /**
  * @return The end-to-end fields of @p fields: without hop-by-hop fields, fields listed in
  *         Connection, Content-Length, Expect, and the fields that only this system sets (a caller
--- a/src/duty/ingress_duty.cpp
+++ b/src/duty/ingress_duty.cpp
@@ -306,9 +306,7 @@
         co_return makeLostReply(bytes.assume_error().code);
     }
     v1::HopReply reply;
-    const bool readable = reply.ParseFromString(bytes.assume_value())
-                          && reply.outcome() != v1::HOP_OUTCOME_UNSPECIFIED;
-    if (!readable) {
+    if (!reply.ParseFromString(bytes.assume_value()) || !isAnswer(reply)) {
         co_return makeLostReply(FailureCode::Malformed);
     }
     co_return reply;
--- a/src/duty/ingress_message.cpp
+++ b/src/duty/ingress_message.cpp
@@ -4,6 +4,7 @@
 
 #include "adapter/http/header_rules.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace wisteriahoist {
@@ -123,6 +124,15 @@
     }
 }
 
+bool isAnswer(const v1::HopReply &reply)
+{
+    return reply.outcome() != v1::HOP_OUTCOME_UNSPECIFIED && isFinalStatus(reply.status())
+           && std::all_of(reply.headers().begin(), reply.headers().end(),
+                          [](const v1::HeaderField &field) {
+                              return isValidField(field.name(), field.value());
+                          });
+}
+
 HttpResponse makeCallerResponse(v1::HopReply reply, const RoutingSnapshot &routing)
 {
     if (reply.outcome() == v1::HOP_OUTCOME_DONE) {
--- a/src/duty/ingress_message.h
+++ b/src/duty/ingress_message.h
@@ -38,4 +38,7 @@
 
 Outcome outcomeOf(const v1::HopReply &reply);
 
+/** @return Whether a caller can be answered with what another node has replied. */
+bool isAnswer(const v1::HopReply &reply);
+
 } // namespace wisteriahoist
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -463,8 +463,7 @@
                                                      : RequestEnd::Unreachable)
                           : makeOutcomeReply(RequestStage::Sent, requestEndOfExchange(code, false));
         reply.set_reached_backend(!neverSent);
-    } else if (!decodeMessage(std::move(bytes.assume_value()), reply)
-               || reply.outcome() == v1::HOP_OUTCOME_UNSPECIFIED) {
+    } else if (!decodeMessage(std::move(bytes.assume_value()), reply) || !isAnswer(reply)) {
         reply = makeOutcomeReply(RequestStage::Sent, RequestEnd::InvalidResponse);
         reply.set_reached_backend(true);
     }
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -254,6 +254,35 @@
     }
 }
 
+// Guards against passing on what another node has taken for a response, and against a request that
+// is never answered, since such a response can't be made.
+Test(request_router, replies_of_nodes_that_hold_no_response_are_not_passed_on)
+{
+    const std::string tooLong(70000, 'x');
+    for (const v1::HopReply &reply :
+         {makeDoneReply(0), makeDoneReply(99), makeDoneReply(100), makeDoneReply(199),
+          makeDoneReply(600), makeDoneReply(1000), makeDoneReply(UINT32_MAX),
+          makeDoneReply(200, "Na me"), makeDoneReply(200, ""), makeDoneReply(200, "Na\x01me"),
+          makeDoneReply(200, "Name", "a\r\nb: c"), makeDoneReply(200, "Name", tooLong),
+          makeDoneReply(200, tooLong)}) {
+        Fixture fixture({{answerWith("200 OK")}});
+        PeerNode peer(fixture);
+        peer.scripted = reply;
+        const HttpResponse response = fixture.ask("/x", milliseconds(2000));
+        cr_assert_eq(response.result_int(), 502U, "%u %s", reply.status(),
+                     reply.headers(0).name().c_str());
+        cr_assert(response.body().find("value") == std::string::npos);
+    }
+    SECTION("but those that do are")
+    {
+        Fixture fixture({{answerWith("200 OK")}});
+        PeerNode peer(fixture);
+        peer.scripted = makeDoneReply(599, "X-Name!", "a\tb");
+        const HttpResponse response = fixture.ask();
+        cr_assert(response.result_int() == 599U && response["X-Name!"] == "a\tb");
+    }
+}
+
 // Guards against a false "not run": the backend server ran the request and answered 500, and the
 // second attempt was refused because there is no other instance. That refusal concerns only the
 // second attempt, so the caller must get the response of the first.
