Fix: [Peers] Only replies with status 200 are taken for those of nodes

Cause: a client of HTTP/2 between nodes ignored the status of the reply, so the bytes of any other server at a node's address were parsed as a message, also with a status of 000.

Change: any status but 200, which all nodes send, ends the connection; its calls end as after a connection that broke.

--- a/src/adapter/http2/http2_session.cpp
+++ b/src/adapter/http2/http2_session.cpp
@@ -34,6 +34,8 @@
 /** What has been serialized is sent in this order, also if its call is cancelled; the rest of a
  *  large message shares the connection with others. */
 constexpr size_t MaxSerializedBytes = 64 * 1024;
+/** Of all replies; failures are part of the body. */
+constexpr std::string_view ReplyStatus = "200";
 
 nghttp2_nv makeHeader(std::string_view name, std::string_view value)
 {
@@ -57,6 +59,8 @@
         const std::string_view text(reinterpret_cast<const char *>(value), valueLength);
         if (headerName == ":path") {
             self(userData).openStream(frame->hd.stream_id).path = text;
+        } else if (headerName == ":status" && text != ReplyStatus) {
+            return NGHTTP2_ERR_CALLBACK_FAILURE; // No node of ours: ends the connection.
         } else if (headerName == "content-length" && self(userData).role_ == Role::Server) {
             size_t bytes = 0;
             (void)std::from_chars(text.data(), text.data() + text.size(), bytes);
@@ -244,7 +248,7 @@
     found->second.delivery
             = std::make_unique<ResponseBudget::Delivery>(memory_.replies, body.size());
     found->second.toSend = std::move(body);
-    const std::array<nghttp2_nv, 1> headers{makeHeader(":status", "200")};
+    const std::array<nghttp2_nv, 1> headers{makeHeader(":status", ReplyStatus)};
     nghttp2_data_provider provider{};
     provider.read_callback = Callbacks::readBody;
     nghttp2_submit_response(session_, streamId, headers.data(), headers.size(), &provider);
