Fix: [Stop] Late in a stop a request must end before the process

Cause: the gate, and the router for requests that other nodes serve, refused what may outlast the process only if it could do so within 1.5 s. A request that arrives later in the stop and runs as long as its route allows was sent.

Change: in the second half of a stop a request is only sent if its deadline lies before the end of the process. By then other nodes hold the keys, and the platform sends no callers here. In the first half nothing changes: other nodes have not taken over yet, and a refusal of all long routes would cost more than it saves.

Evidence: request_router/late_in_a_stop_a_request_must_end_before_the_process fails before, also for a route whose requests must not run twice: sent with a deadline 1.6 s after the end of the process.

--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -21,6 +21,9 @@
  * are therefore refused as not run.
  */
 constexpr milliseconds LongRequestTime{1500};
+/** Share of a shutdown after which other nodes serve what this one refuses: from then on a request
+ *  is also refused if its deadline alone lets it run beyond the end. */
+constexpr double LateShutdownShare = 0.5;
 /** A request with less time than this left is refused: its response would arrive too late. */
 constexpr milliseconds MinTimeLeft{10};
 
@@ -113,9 +116,19 @@
                                           {"sent", sentToIncarnation_}});
 }
 
+void BackendGate::setShutdownDeadline(TimePoint end)
+{
+    const TimePoint now = clock_.now();
+    shutdown_ = {now + std::chrono::duration_cast<Duration>((end - now) * LateShutdownShare), end};
+}
+
 bool BackendGate::mayOutlive(TimePoint deadline, TimePoint now) const
 {
-    return shutdownDeadline_ && std::min(deadline, now + LongRequestTime) > *shutdownDeadline_;
+    if (!shutdown_) {
+        return false;
+    }
+    const bool isLate = now >= shutdown_->late;
+    return (isLate ? deadline : std::min(deadline, now + LongRequestTime)) > shutdown_->end;
 }
 
 bool BackendGate::isClosedByEvacuation(bool keyed, TimePoint now) const
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -114,8 +114,9 @@
      */
     void rejectKeyless() { rejectsKeyless_ = true; }
 
-    /** The process ends at @p end at the latest: refuses requests that may run beyond it. */
-    void setShutdownDeadline(TimePoint end) { shutdownDeadline_ = end; }
+    /** The process stops, and ends at @p end at the latest: refuses requests that may run beyond
+     *  it. */
+    void setShutdownDeadline(TimePoint end);
 
     /** @return Whether a request with @p deadline may still be running when the process ends. */
     bool mayOutlive(TimePoint deadline, TimePoint now) const;
@@ -155,6 +156,11 @@
         BackendIncarnation backend;
         TimePoint suspectUntil; ///< It is a suspect if the incarnation ends until then.
     };
+    /** The stop of this process. */
+    struct Shutdown {
+        TimePoint late; ///< From here on only requests that must end before it are sent.
+        TimePoint end;  ///< Latest end of the process.
+    };
     using CallId = std::pair<uint64_t, uint64_t>; ///< Originating node and its request id.
 
     RequestEnd check(const v1::HopRequest &request, const Call &call, TimePoint now) const;
@@ -205,7 +211,7 @@
     std::map<uint64_t, std::shared_ptr<Call>> waiting_; ///< By admission id.
     uint64_t lastId_ = 0;
     bool rejectsKeyless_ = false;
-    std::optional<TimePoint> shutdownDeadline_; ///< Latest end of the process, if it is stopping.
+    std::optional<Shutdown> shutdown_; ///< Empty: the process is not stopping.
     std::function<void()> monitorChanged_;
     std::function<void()> connectionFailed_;
     std::function<void()> crashReported_;
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -323,6 +323,46 @@
     cr_assert_eq(peer.hops, 1U);
 }
 
+// Guards against cutting off a request that arrives late in a stop and runs for as long as its
+// route allows: its connection would close without an answer, also if it must not run twice.
+Test(request_router, late_in_a_stop_a_request_must_end_before_the_process)
+{
+    constexpr milliseconds Stop{6000};
+    constexpr milliseconds Late{3600};
+    constexpr milliseconds TooLong{4000};
+    constexpr milliseconds Short{1000};
+    for (const bool mayRepeat : {true, false}) {
+        Fixture fixture({{answerWith("200 OK")}});
+        if (!mayRepeat) {
+            fixture.forbidRepetition();
+        }
+        fixture.gate.setShutdownDeadline(fixture.clock.now() + Stop);
+        SECTION("early in the stop others still rely on this node")
+        {
+            cr_assert_eq(fixture.ask("/x", LongTime).result_int(), 200U);
+        }
+        fixture.clock.advance(Late);
+        SECTION("late, what may last longer is rejected before it is sent")
+        {
+            cr_assert_eq(fixture.ask("/x", TooLong).result_int(), 503U);
+            cr_assert(fixture.askGate(fixture.gate).outcome() == v1::HOP_OUTCOME_NOT_RUN);
+            cr_assert_eq(fixture.backend->requests().size(), 1U);
+        }
+        SECTION("and what ends before is served")
+        {
+            cr_assert_eq(fixture.ask("/x", Short).result_int(), 200U);
+        }
+        SECTION("the same if another node serves it")
+        {
+            PeerNode peer(fixture);
+            cr_assert_eq(fixture.ask("/x", TooLong).result_int(), 503U);
+            cr_assert_eq(peer.hops, 0U);
+            cr_assert_eq(fixture.ask("/x", Short).result_int(), 200U);
+            cr_assert_eq(peer.hops, 1U);
+        }
+    }
+}
+
 // Guards against waiting for a table update that the previous owner of the key can provide.
 Test(request_router, a_request_follows_a_key_to_the_owner_that_is_named)
 {
