Fix: [Stop] Late in a stop waiting requests are rejected at once

Cause: a request that waits for a slot and may outlast the process is refused when a slot is free; until then its caller waits, possibly until the process ends and its connection with it.

Change: while the process stops, the requests that wait and will not be sent are told at once that they have not run.

Evidence: request_router/late_in_a_stop_waiting_requests_are_rejected_at_once fails in a trial without the rejection: no answer within 10 s.

--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -137,15 +137,25 @@
     return phase == EvacuationPhase::Closed || (phase == EvacuationPhase::Leaving && !keyed);
 }
 
-void BackendGate::onEvacuated()
+void BackendGate::rejectWaiting(const std::function<bool(const Call &)> &isRejected)
 {
     for (const auto &[id, call] : waiting_) {
-        if (!call->keyed) {
+        if (isRejected(*call)) {
             call->timer.cancel();
         }
     }
 }
 
+void BackendGate::rejectOutlasting(TimePoint now)
+{
+    rejectWaiting([this, now](const Call &call) { return mayOutlive(call.deadline, now); });
+}
+
+void BackendGate::onEvacuated()
+{
+    rejectWaiting([](const Call &call) { return !call.keyed; });
+}
+
 RequestEnd BackendGate::check(const v1::HopRequest &request, const Call &call, TimePoint now) const
 {
     if (call.cancelled) {
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -118,6 +118,9 @@
      *  it. */
     void setShutdownDeadline(TimePoint end);
 
+    /** Rejects the requests that wait and may outlast the process: they will not be sent. */
+    void rejectOutlasting(TimePoint now);
+
     /** @return Whether a request with @p deadline may still be running when the process ends. */
     bool mayOutlive(TimePoint deadline, TimePoint now) const;
 
@@ -193,6 +196,8 @@
     void reportCrashes(TimePoint now);
     void recordAnswer(const Call &call, TimePoint now);
     void wakeNext();
+    /** Ends the wait of those requests for which @p isRejected returns true. */
+    void rejectWaiting(const std::function<bool(const Call &)> &isRejected);
     void notifyMonitorChange(bool changed);
 
     asio::io_context &context_;
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -604,6 +604,7 @@
     if (since >= CallerRemovalDelay) {
         callerServer_->closeIdle();
     }
+    gate_.rejectOutlasting(now);
 }
 
 bool SidecarProgram::hasStopped(TimePoint now) const
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -363,6 +363,47 @@
     }
 }
 
+// Guards against waiting for a slot until the process ends: the connection would close without an
+// answer.
+Test(request_router, late_in_a_stop_waiting_requests_are_rejected_at_once)
+{
+    constexpr milliseconds Stop{6000};
+    constexpr milliseconds Late{3600};
+    Fixture fixture({{"", milliseconds(0), false, true}});
+    size_t notRun = 0;
+    size_t ended = 0;
+    const auto count = [&notRun, &ended](std::exception_ptr, const v1::HopReply &reply) {
+        ++ended;
+        notRun += reply.outcome() == v1::HOP_OUTCOME_NOT_RUN ? 1 : 0;
+    };
+    constexpr uint64_t Slots = 4;
+    v1::HopRequest request = Fixture::makeHop();
+    request.set_objective_left_ms(LongTime.count());
+    for (uint64_t id = 1; id <= Slots + 1; ++id) {
+        request.set_request_id(id);
+        asio::co_spawn(
+                fixture.context, [&fixture, request]() { return fixture.gate.run(request); },
+                count);
+    }
+    cr_assert(runUntilHolds(fixture.context, [&]() {
+        return fixture.backend->requests().size() == Slots
+               && fixture.gate.admission().waiting() == 1;
+    }));
+    fixture.gate.setShutdownDeadline(fixture.clock.now() + Stop);
+    fixture.gate.rejectOutlasting(fixture.clock.now());
+    fixture.context.restart();
+    fixture.context.poll();
+    cr_assert_eq(notRun, 0U);
+    fixture.clock.advance(Late);
+    fixture.gate.rejectOutlasting(fixture.clock.now());
+    cr_assert(runUntilHolds(fixture.context, [&]() { return notRun == 1; }));
+    cr_assert_eq(fixture.backend->requests().size(), Slots);
+    for (uint64_t id = 1; id <= Slots + 1; ++id) {
+        fixture.gate.cancel(0, id);
+    }
+    cr_assert(runUntilHolds(fixture.context, [&]() { return ended == Slots + 1; }));
+}
+
 // Guards against waiting for a table update that the previous owner of the key can provide.
 Test(request_router, a_request_follows_a_key_to_the_owner_that_is_named)
 {
