--- a/test/unit/platform/odd_entries_test.cpp
+++ b/test/unit/platform/odd_entries_test.cpp
@@ -265,6 +265,19 @@
     }
 }
 
+// Guards against a list that can't be continued after the name that another writer has chosen.
+Test(odd_entries, list_is_continued_after_any_name)
+{
+    RawStore store({makePage(makeItem(R"(a b&c=%\r\nd/\u00e9-.~_Z9)", 5), true),
+                    makePage(makeItem("z", 7))});
+    const auto listed = store.list();
+    cr_assert(listed && listed.assume_value().records.size() == 2);
+    const std::string &request = store.server->requests()[1];
+    cr_assert(request.find("?after=a%20b%26c%3D%25%0D%0Ad%2F%C3%A9-.~_Z9 HTTP/1.1\r\n")
+                      != std::string::npos,
+              "%s", request.c_str());
+}
+
 // Guards against taking bytes that are no answer of the store for a state of its records.
 Test(odd_entries, answers_that_are_no_json_are_rejected)
 {
