Fix: [Members] A record without a valid address is rejected

Requests were never answered if the node chosen for them had a member record whose address is none.

Cause: making the address throws, which ends the coroutine of the request; the port was checked, the address was not.

Change: such a member record is rejected like one with a port out of range, and a call to an invalid address fails as unreachable.

Evidence: odd_entries/members_without_an_address_are_rejected fails before, with an empty address; request_router/a_node_without_an_address_is_unreachable gets no answer before.

--- a/src/adapter/codec/record_codec.cpp
+++ b/src/adapter/codec/record_codec.cpp
@@ -4,6 +4,7 @@
 
 #include "wisteriahoist/v1/objects.pb.h"
 
+#include <boost/asio/ip/address.hpp>
 #include <google/protobuf/util/json_util.h>
 
 namespace wisteriahoist {
@@ -96,8 +97,12 @@
     if (!parsed) {
         return std::move(parsed).as_failure();
     }
-    if (message.node_id() == 0 || message.peer_port() == 0 || message.peer_port() > UINT16_MAX) {
-        return Failure{FailureCode::Malformed, "member record: invalid node id or peer port"};
+    boost::system::error_code badAddress;
+    boost::asio::ip::make_address(message.ip(), badAddress);
+    if (message.node_id() == 0 || message.peer_port() == 0 || message.peer_port() > UINT16_MAX
+        || badAddress) {
+        return Failure{FailureCode::Malformed,
+                       "member record: invalid node id, address or peer port"};
     }
     MemberRecord member;
     member.node = NodeId(message.node_id());
--- a/src/adapter/http2/peer_transport.cpp
+++ b/src/adapter/http2/peer_transport.cpp
@@ -116,10 +116,13 @@
         std::erase_if(sessions_, [](const auto &entry) { return !entry.second->isOpen(); });
         pruneAt_ = std::max(MinPruneCount, 2 * sessions_.size());
     }
+    beast::error_code error;
+    const tcp::endpoint endpoint(asio::ip::make_address(peer.ip, error), peer.port);
+    if (error) {
+        co_return Failure{FailureCode::Unavailable, "the peer's address is invalid: " + peer.ip};
+    }
     beast::tcp_stream stream(context_);
     stream.expires_after(timeout);
-    beast::error_code error;
-    const tcp::endpoint endpoint(asio::ip::make_address(peer.ip), peer.port);
     co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         co_return Failure{FailureCode::Unavailable,
--- a/test/unit/platform/odd_entries_test.cpp
+++ b/test/unit/platform/odd_entries_test.cpp
@@ -336,3 +336,20 @@
         }
     }
 }
+
+// Guards against requests that are never answered, since the node that they are sent to has no
+// address.
+Test(odd_entries, members_without_an_address_are_rejected)
+{
+    const auto read = [](const std::string &ip, const std::string &port) {
+        return decodeMember(R"({"nodeId":"5","ip":)" + ip + R"(,"peerPort":)" + port + "}");
+    };
+    for (const std::string ip : {R"("")", R"("x")", R"("127.0.0")", R"("999.0.0.1")", "null", "7",
+                                 R"("127.0.0.1:80")", R"("::g")"}) {
+        cr_assert(!read(ip, "8624"), "%s", ip.c_str());
+    }
+    for (const std::string port : {"0", "-1", "65536", "70000", "1e30", "0.5", "null", R"("x")"}) {
+        cr_assert(!read(R"("127.0.0.1")", port), "%s", port.c_str());
+    }
+    cr_assert(read(R"("127.0.0.1")", "8624") && read(R"("::1")", "65535"));
+}
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -404,6 +404,18 @@
     cr_assert(runUntilHolds(fixture.context, [&]() { return ended == Slots + 1; }));
 }
 
+// Guards against a request that is never answered, since a member's record names no address.
+Test(request_router, a_node_without_an_address_is_unreachable)
+{
+    Fixture fixture({{answerWith("200 OK")}});
+    PeerNode peer(fixture);
+    MemberRecord member = *fixture.view.findMember(NodeId(2));
+    member.ip = "nowhere";
+    fixture.view.onMember(member, StoreRevision(4));
+    cr_assert_eq(fixture.ask().result_int(), 503U);
+    cr_assert_eq(peer.hops, 0U);
+}
+
 // Guards against waiting for a table update that the previous owner of the key can provide.
 Test(request_router, a_request_follows_a_key_to_the_owner_that_is_named)
 {
