Fix: [Members] A record with a share or limit that is no number is rejected

Cause: the JSON of protobuf knows NaN. Nodes are ranked by the share of a core and by what a limit leaves of their slots; with NaN the comparisons give no order, which the library's sort requires.

Change: a member record whose share or limit is negative or not finite is rejected, like one with a port out of range.

Evidence: odd_entries/members_with_numbers_that_are_none_are_rejected fails in a trial without the check, with NaN.

--- a/src/adapter/codec/record_codec.cpp
+++ b/src/adapter/codec/record_codec.cpp
@@ -5,6 +5,7 @@
 #include "wisteriahoist/v1/objects.pb.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <cmath>
 #include <google/protobuf/util/json_util.h>
 
 namespace wisteriahoist {
@@ -60,6 +61,12 @@
     }
 }
 
+/** Others break comparisons, by which nodes are ranked. */
+bool isAmount(double number)
+{
+    return std::isfinite(number) && number >= 0;
+}
+
 } // namespace
 
 std::string encodeMember(const MemberRecord &member)
@@ -104,6 +111,10 @@
         return Failure{FailureCode::Malformed,
                        "member record: invalid node id, address or peer port"};
     }
+    if (!isAmount(message.cpu_share()) || !isAmount(message.request_limit())) {
+        return Failure{FailureCode::Malformed,
+                       "member record: a share or limit that is negative or not finite"};
+    }
     MemberRecord member;
     member.node = NodeId(message.node_id());
     member.name = message.name();
--- a/test/unit/platform/odd_entries_test.cpp
+++ b/test/unit/platform/odd_entries_test.cpp
@@ -353,3 +353,24 @@
     }
     cr_assert(read(R"("127.0.0.1")", "8624") && read(R"("::1")", "65535"));
 }
+
+// Guards against nodes that can't be put in order, since a member's record holds no number.
+Test(odd_entries, members_with_numbers_that_are_none_are_rejected)
+{
+    for (const std::string field : {"cpuShare", "requestLimit"}) {
+        const auto read = [&field](const std::string &number) {
+            return decodeMember(R"({"nodeId":"5","ip":"127.0.0.1","peerPort":8624,")" + field
+                                + "\":" + number + "}");
+        };
+        for (const std::string number :
+             {R"("NaN")", R"("Infinity")", R"("-Infinity")", "-0.5", "1e400", "1e99999999999"}) {
+            cr_assert(!read(number), "%s: %s", field.c_str(), number.c_str());
+        }
+        cr_assert(read("0") && read("0.25") && read("1e300"));
+    }
+    for (const std::string slots : {"-1", "4294967296", "1e30", "0.5"}) {
+        cr_assert(!decodeMember(R"({"nodeId":"5","ip":"127.0.0.1","peerPort":8624,"slots":)" + slots
+                                + "}"),
+                  "%s", slots.c_str());
+    }
+}
