Test: [HTTP] Field names, lengths and bytes without end in further places

Added: each byte that no name has, blanks beside names, lines without a colon, control bytes in values, lengths that are none or contradict each other, in the head, in interim responses and after the last chunk; without end: empty lines, blanks, status lines, reasons, fields of interim responses, trailers.

--- a/test/unit/http/broken_response_test.cpp
+++ b/test/unit/http/broken_response_test.cpp
@@ -110,3 +110,68 @@
         cr_assert_eq(fixture.client.idleConnections(), 1U);
     }
 }
+
+// Guards against passing on a response whose header section is none, or taking its body's length
+// from such a section.
+Test(broken_response, fields_that_are_none)
+{
+    const auto rejectsField = [](const std::string &field) {
+        cr_assert(isRejected(answerWithField(field)), "in the head: %s", field.c_str());
+        const std::string whole = answerWithStatus("200 OK");
+        cr_assert(isRejected("HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + whole),
+                  "in an interim response: %s", field.c_str());
+        cr_assert(isRejected("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "4\r\nbody\r\n0\r\n"
+                             + field + "\r\n\r\n"),
+                  "after the last chunk: %s", field.c_str());
+    };
+    SECTION("a blank in the name")
+    {
+        for (const std::string field : {"Na me: x", "Name : x", " Name: x", "Name\t: x",
+                                        "\tName: x", "Content-Length : 2", "Content Length: 2"}) {
+            rejectsField(field);
+        }
+    }
+    SECTION("another byte that no name has")
+    {
+        constexpr int Bytes = 256;
+        constexpr std::string_view Symbols = "!#$%&'*+-.^_`|~"; // RFC 9110, "token".
+        for (int byte = 0; byte < Bytes; ++byte) {
+            const bool isAlphanumeric = byte < 128 && std::isalnum(byte) != 0;
+            const auto letter = static_cast<char>(byte);
+            if (!isAlphanumeric && letter != ':' && Symbols.find(letter) == Symbols.npos) {
+                rejectsField(std::string("Na") + letter + "me: x");
+            }
+        }
+    }
+    SECTION("no name, or no colon")
+    {
+        for (const std::string field : {": x", "Name", "Name x", ":"}) {
+            rejectsField(field);
+        }
+    }
+    SECTION("a control byte in the value")
+    {
+        for (const char byte : {'\0', '\x01', '\b', '\x1f', '\x7f', '\r'}) {
+            rejectsField(std::string("Name: x") + byte + "y");
+        }
+    }
+}
+
+// Guards against delivering a body that ends elsewhere than the server's: two lengths, or none that
+// is a number.
+Test(broken_response, lengths_that_contradict_each_other)
+{
+    for (const std::string length :
+         {"Content-Length: +4", "Content-Length: -4", "Content-Length: 4x", "Content-Length: 0x4",
+          "Content-Length: 4 4", "Content-Length: 5", "Content-Length: 99999999999999999999",
+          "Transfer-Encoding: chunked"}) {
+        cr_assert(isRejected(answerWithField(length)), "%s", length.c_str());
+    }
+    cr_assert(isRejected("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + Fields));
+    for (const std::string chunk : {"+4", "-4", "0x4", "x", "FFFFFFFFFFFFFFFFF"}) {
+        cr_assert(isRejected("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk
+                             + "\r\nbody\r\n0\r\n\r\n"),
+                  "chunk of %s", chunk.c_str());
+    }
+}
--- a/test/unit/http/endless_response_test.cpp
+++ b/test/unit/http/endless_response_test.cpp
@@ -185,10 +185,20 @@
     SECTION("in the fields after the last chunk")
     {
         endsAtOnce(Chunked + "0\r\n", "Field: " + std::string(1000, 'x') + "\r\n");
+        endsAtOnce(Chunked + "0\r\nField: ", std::string(1000, 'x'));
     }
     SECTION("as responses that are not final")
     {
         endsAtOnce("", "HTTP/1.1 103 Early Hints\r\n\r\n");
+        endsAtOnce("", "HTTP/1.1 100 Continue\r\nField: " + std::string(1000, 'x') + "\r\n\r\n");
+        endsAtOnce("HTTP/1.1 103 Early Hints\r\n", "Field: " + std::string(1000, 'x') + "\r\n");
+    }
+    SECTION("before a response")
+    {
+        endsAtOnce("", "\r\n");
+        endsAtOnce("", std::string(1000, ' '));
+        endsAtOnce("HTTP/1.1 ", std::string(1000, '0'));
+        endsAtOnce("HTTP/1.1 200 ", std::string(1000, 'x'));
     }
     SECTION("after a status that is none")
     {
