Test: [Store] Mutated answers, and records without content

Guards against splitting an answer of the store outside of its text, and against a record without readable content that is taken for an empty table, which would say that nobody holds a key.

--- a/test/unit/platform/foreign_bytes_test.cpp
+++ b/test/unit/platform/foreign_bytes_test.cpp
@@ -3,6 +3,7 @@
 #include "adapter/codec/record_codec.h"
 #include "platform/backend_calls.h"
 #include "platform/json_fields.h"
+#include "platform/json_splitter.h"
 #include "platform/route_config_decoder.h"
 #include "platform/settings_reader.h"
 #include "support/test_section.h"
@@ -165,6 +166,28 @@
                           [](const std::string &text) { return decodeLease(text).has_value(); });
 }
 
+Test(foreign_bytes, answers_of_the_store)
+{
+    const std::string page
+            = R"({"items":[{"metadata":{"name":"a","revision":5},"spec":{"x":["]}\"",)"
+              R"({}]}},{"metadata":{"name":"b","revision":6},"spec":null}],)"
+              R"("has_more":false,"store_revision":9})";
+    const int read = decodeMutations(page, [](const std::string &text) {
+        const auto members = splitObject(text);
+        const auto items = members ? splitArray(textOfMember(*members, "items")) : std::nullopt;
+        if (!items) {
+            return false;
+        }
+        cr_assert_eq(readScalars(*members).size(), members->size());
+        for (const std::string_view item : *items) {
+            const auto object = splitObject(item);
+            cr_assert(!object || readScalars(*object).size() == object->size());
+        }
+        return true;
+    });
+    cr_assert(read > 0 && read < MutationsPerInput);
+}
+
 Test(foreign_bytes, configurations_and_settings)
 {
     const std::string config
--- a/test/unit/platform/odd_entries_test.cpp
+++ b/test/unit/platform/odd_entries_test.cpp
@@ -337,6 +337,13 @@
     }
 }
 
+// Guards against taking a record without content for one that says that nobody holds anything.
+Test(odd_entries, no_record_is_made_of_nothing)
+{
+    cr_assert(!decodeMember("") && !decodeRangeRecord("") && !decodeLease(""));
+    cr_assert(!decodeRouteConfig(""));
+}
+
 // Guards against requests that are never answered, since the node that they are sent to has no
 // address.
 Test(odd_entries, members_without_an_address_are_rejected)
