Fix: [HTTP] An exchange keeps the budget of its bytes

Cause: an exchange that is open when its client is destroyed, as at the end of a process with a watch of the store open, is destroyed later, with the event loop; it then gave its bytes back to the client's budget, which was freed.

Change: the exchange shares the budget.

Evidence: found by the sanitizers in odd_entries/the_fleet_is_followed_beside_them; http_client/client_may_end_before_its_exchanges fails before (heap-use-after-free in ~Share) and passes with it.

--- a/src/adapter/http/http_client.cpp
+++ b/src/adapter/http/http_client.cpp
@@ -234,7 +234,9 @@
                                                        beast::flat_buffer &buffer,
                                                        ResponseParser &parser, SteadyTime deadline)
 {
-    ResponseBudget::Share share(*budget_, [&stream, &parser]() {
+    // An exchange that has not ended when the client does is destroyed with the event loop.
+    const std::shared_ptr<ResponseBudget> budget = budget_;
+    ResponseBudget::Share share(*budget, [&stream, &parser]() {
         stream.close();
         std::string().swap(parser.get().body());
     });
--- a/test/unit/http/http_client_test.cpp
+++ b/test/unit/http/http_client_test.cpp
@@ -35,6 +35,11 @@
     co_return true;
 }
 
+asio::awaitable<void> getFrom(HttpClient &client)
+{
+    (void)co_await client.exchange(HttpRequest(http::verb::get, "/", 11), milliseconds(2000));
+}
+
 std::string makeMarkedResponse(const std::string &mark)
 {
     return "HTTP/1.1 200 OK\r\nMark: " + mark + "\r\nContent-Length: 2\r\n\r\n" + mark;
@@ -137,3 +142,17 @@
         cr_assert_eq(idleAfterTimeout(false), 1U);
     }
 }
+
+// Guards against use of freed memory when a process ends: its event loop, and with it what has not
+// been answered, is destroyed after the client.
+Test(http_client, client_may_end_before_its_exchanges)
+{
+    asio::io_context context;
+    const auto server = std::make_shared<ScriptedBackend>(
+            context, std::vector<BackendScript>{{"", {}, false, true}});
+    server->start();
+    auto client = std::make_unique<HttpClient>(context.get_executor(), "127.0.0.1", server->port());
+    asio::co_spawn(context, getFrom(*client), asio::detached);
+    cr_assert(runUntilHolds(context, [&]() { return server->requests().size() == 1; }));
+    client.reset();
+}
