Codechange: [Store] Texts of a test are appended, not added

Cause: the linter's check of string concatenation. Change: the test of odd entries appends; a text that is no JSON is written shorter, with the same fault. Measured: the linter has nothing to say of the file; odd_entries/* pass (sanitizers).

--- a/test/unit/platform/odd_entries_test.cpp
+++ b/test/unit/platform/odd_entries_test.cpp
@@ -289,7 +289,7 @@
                  R"({"items":[)" + item + R"(}],"has_more":false,"store_revision":9})",
                  R"({"items":[)" + item + R"(],"has_more":false,"store_revision":9}})",
                  R"({"items":[)" + item + R"(],"has_more":false,"store_revision":9} x)",
-                 R"({"items":[)" + item + " " + item + R"(],"has_more":false,"store_revision":9})",
+                 R"({"items":[)" + item + R"( {}],"has_more":false,"store_revision":9})",
                  R"({"items":[)" + item + R"(,],"has_more":false,"store_revision":9})",
                  R"({"items":[)" + item + R"(],"has_more":false})",
                  R"({"items":[)" + item + R"(],"has_more":false,"store_revision":-9})",
@@ -366,8 +366,9 @@
 {
     for (const std::string field : {"cpuShare", "requestLimit"}) {
         const auto read = [&field](const std::string &number) {
-            return decodeMember(R"({"nodeId":"5","ip":"127.0.0.1","peerPort":8624,")" + field
-                                + "\":" + number + "}");
+            std::string record = R"({"nodeId":"5","ip":"127.0.0.1","peerPort":8624,")" + field;
+            record.append("\":").append(number).append("}");
+            return decodeMember(record);
         };
         for (const std::string number :
              {R"("NaN")", R"("Infinity")", R"("-Infinity")", "-0.5", "1e400", "1e99999999999"}) {
