Test: [Store] Bytes that are no response of the platform's store

Added: list, read, create, replace and watch with numbers that are no status and a field name with a blank: each fails, and its connection ends.

--- a/test/unit/platform/object_store_test.cpp
+++ b/test/unit/platform/object_store_test.cpp
@@ -157,3 +157,29 @@
         cr_assert(!listed && listed.assume_error().code == FailureCode::DeadlineExceeded);
     }
 }
+
+// Guards against taking bytes that are no response for an answer of the store.
+Test(object_store, bytes_that_are_no_response_are_rejected)
+{
+    const std::string body = R"({"items":[],"events":[],"has_more":false,"store_revision":9,)"
+                             R"("metadata":{"name":"a","revision":9},"spec":{}})";
+    const std::string rest = "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    for (const std::string head :
+         {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 20 OK\r\n",
+          "HTTP/1.1 200 OK\r\nNa me: x\r\n"}) {
+        asio::io_context context;
+        const auto server = std::make_shared<ScriptedBackend>(
+                context, std::vector<BackendScript>{{head + rest}});
+        server->start();
+        ObjectStore client(context.get_executor(), {"127.0.0.1", server->port()});
+        constexpr RecordKind Kind = RecordKind::Ranges;
+        const StoreRevision known(1);
+        cr_assert(!runUntil(context, client.list(Kind)), "%s", head.c_str());
+        cr_assert(!runUntil(context, client.read(Kind, "a")));
+        cr_assert(!runUntil(context, client.create(Kind, "a", "{}")));
+        cr_assert(!runUntil(context, client.replace(Kind, "a", known, "{}")));
+        cr_assert(!runUntil(context, client.watch(Kind, known, Wait)));
+        cr_assert(runUntilHolds(context, [&]() { return server->lostConnections() == 5; }), "%s",
+                  head.c_str());
+    }
+}
