Test: [Members] Nodes that start again beside entries without an address

What callers saw, by the users' report: an entry of another writer stood in the list of members, under a name of its own and with an address that is none. After a restart of all processes almost no request was served while it stood.

Real nodes, restarted with their backend servers beside such entries, which are written anew afterwards: with a text that is no address, as nodes of their own and under the ids of nodes, first and last in the list; and a single entry whose address is nested too deep for the JSON parser.

--- /dev/null
+++ b/test/process/odd_entry_test.cpp
@@ -0,0 +1,180 @@
+/** @file odd_entry_test.cpp Real nodes that start again while entries of another writer stand among
+ * their records in the store. */
+
+#include "adapter/clock/boot_clock_adapter.h"
+#include "adapter/clock/sleep_func.h"
+#include "platform/object_store.h"
+#include "platform/route_config_decoder.h"
+#include "platform/standin/settings_writer.h"
+#include "soak/soak_configuration.h"
+#include "soak/soak_fleet.h"
+#include "standin/task_func.h"
+#include "support/test_section.h"
+
+#include <cstdlib>
+#include <filesystem>
+
+using namespace wisteriahoist;
+using namespace wisteriahoist::platform;
+using namespace wisteriahoist::soak;
+
+namespace {
+
+constexpr size_t Nodes = 6;
+constexpr size_t DeepLevels = 100;
+constexpr milliseconds StartBound{20000};
+constexpr milliseconds RecoveryBound{15000};
+constexpr milliseconds ProbePause{250};
+constexpr milliseconds WatchTime{3000}; ///< In which every node has seen a change of the store.
+/** The first and the last name in the list of members: those of nodes are between them. */
+const std::string FirstName = "a-writer-";
+const std::string LastName = "z-writer-";
+const std::string MemberKind = "wisteriahoist-members";
+
+SoakSettings makeSettings(const std::string &name, uint8_t slot)
+{
+    const char *binary = std::getenv("WISTERIAHOIST_BIN");
+    SoakSettings settings;
+    settings.nodeBinary = binary == nullptr ? "" : binary;
+    settings.directory = "build/test/process-" + name;
+    settings.nodes = Nodes;
+    settings.slot = slot;
+    std::filesystem::remove_all(settings.directory);
+    std::filesystem::create_directories(settings.directory);
+    return settings;
+}
+
+/** A fleet, the store that it shares with another writer, and a story on one thread. */
+class OddEntryStory
+{
+public:
+    /** @param slot Second number of its loopback addresses; each test has its own. */
+    OddEntryStory(const std::string &name, uint8_t slot)
+        : settings_(makeSettings(name, slot)), log_(settings_.directory, clock_.now()),
+          reader_(context_.get_executor(), {"127.0.0.1", store_.addEndpoint("127.0.0.1")}),
+          fleet_(context_, settings_, store_, audit_, clock_, log_)
+    { }
+
+    /** Writes an entry for each node's record, made of a copy of it. */
+    using Change = std::function<void(boost::json::object &copy, size_t number)>;
+
+    /** Runs the fleet, leaves the entries, starts all nodes again, writes the entries anew.
+     *  @return What is not served beside the entries; empty: all is. */
+    std::string tell(const Change &change)
+    {
+        std::string missing = "the story did not end";
+        startTask(context_, play(change, missing));
+        context_.run();
+        return missing;
+    }
+
+private:
+    asio::awaitable<void> play(Change change, std::string &missing)
+    {
+        store_.put(std::string(ConfigurationKind), std::string(ConfigurationRecord),
+                   encodeRouteConfig(configuration_.next()));
+        callers_.setShapes(configuration_.shapes(1));
+        startAll();
+        co_await awaitServed(StartBound, missing);
+        cr_assert(missing.empty(), "before there is any entry: %s", missing.c_str());
+        const Result<RecordListing> members = co_await reader_.list(RecordKind::Members);
+        cr_assert(members && members.assume_value().records.size() == Nodes);
+        const std::vector<StoredRecord> records = members.assume_value().records;
+
+        leaveEntries(records, change, 1);
+        fleet_.killAll();
+        startAll();
+        co_await awaitServed(RecoveryBound, missing);
+        if (missing.empty()) {
+            leaveEntries(records, change, 2);
+            co_await sleepFor(WatchTime);
+            co_await awaitServed(RecoveryBound, missing);
+        }
+        fleet_.killAll();
+        context_.stop();
+    }
+
+    void startAll()
+    {
+        for (size_t index = 0; index < fleet_.size(); ++index) {
+            fleet_.startNode(index);
+            fleet_.startBackend(index);
+        }
+    }
+
+    /** @param version Makes entries that were left before differ. */
+    void leaveEntries(const std::vector<StoredRecord> &records, const Change &change, int version)
+    {
+        size_t number = 0;
+        for (const StoredRecord &record : records) {
+            for (const std::string &name : {FirstName, LastName}) {
+                boost::json::object copy = boost::json::parse(record.content).as_object();
+                copy["name"] = name + std::to_string(version);
+                change(copy, ++number);
+                store_.put(MemberKind, name + std::to_string(number), copy);
+            }
+        }
+    }
+
+    asio::awaitable<void> awaitServed(milliseconds bound, std::string &missing)
+    {
+        const TimePoint end = clock_.now() + bound;
+        do {
+            co_await sleepFor(ProbePause);
+            missing.clear();
+            for (size_t index = 0; index < fleet_.size() && missing.empty(); ++index) {
+                missing = co_await callers_.probe(index, fleet_.node(index));
+            }
+        } while (!missing.empty() && clock_.now() < end);
+    }
+
+    SoakSettings settings_;
+    asio::io_context context_{1};
+    BootClockAdapter clock_;
+    SoakLog log_;
+    SoakAudit audit_{servicesOf(Nodes)};
+    ObjectStoreStandin store_{context_, 1};
+    ObjectStore reader_;
+    SoakFleet fleet_;
+    SoakCallers callers_{context_, audit_, 1};
+    SoakConfiguration configuration_{false};
+};
+
+} // namespace
+
+// Guards against a service that stops once its nodes start beside a member record whose address is
+// none.
+Test(odd_entry, members_whose_address_is_none)
+{
+    SECTION("as nodes of their own, one of which comes before all others")
+    {
+        OddEntryStory story("odd-entry-own", 61);
+        const std::string missing = story.tell([](boost::json::object &copy, size_t number) {
+            copy["ip"] = "no-address";
+            copy["nodeId"] = std::to_string(number);
+        });
+        cr_assert(missing.empty(), "%s", missing.c_str());
+    }
+    SECTION("under the ids of nodes")
+    {
+        OddEntryStory story("odd-entry-copied", 62);
+        const std::string missing
+                = story.tell([](boost::json::object &copy, size_t) { copy["ip"] = "no-address"; });
+        cr_assert(missing.empty(), "%s", missing.c_str());
+    }
+}
+
+// Guards against a service that stops once its nodes start beside one member record that the JSON
+// parser rejects: no node then knew any other.
+Test(odd_entry, member_whose_address_is_nested_too_deep)
+{
+    OddEntryStory story("odd-entry-nested", 64);
+    const std::string missing = story.tell([](boost::json::object &copy, size_t number) {
+        boost::json::value address = nullptr;
+        for (size_t level = 0; number == 1 && level < DeepLevels; ++level) {
+            address = boost::json::array{address};
+        }
+        copy["ip"] = address;
+    });
+    cr_assert(missing.empty(), "%s", missing.c_str());
+}
