Fix: [Members] A member's record counts under its own name only

What callers saw: requests for the keys of a node were refused or not answered for as long as an entry of another writer stood that bears the node's id and a valid address at which it does not listen.

Cause: an entry counted for the node id in its content, whatever its name. The newest one won, so the node's own record counted no more until the node wrote it again, which it does only when something changes.

Change: an entry that does not have the name of its node's record is malformed. Only the node writes under that name, and the name is what the platform keeps unique, so no other entry can take its place. The check stands where records are decoded, so it holds for lists, watches, records of other nodes and responses to writes; a node's record of before its start is checked in the same way.

--- a/src/duty/fleet_view.cpp
+++ b/src/duty/fleet_view.cpp
@@ -18,6 +18,17 @@
     return "node-" + std::to_string(node.value());
 }
 
+Result<MemberRecord> decodeMemberRecord(const StoredRecord &record)
+{
+    Result<MemberRecord> member = decodeMember(record.content);
+    if (member && record.name != memberRecordName(member.assume_value().node)) {
+        return Failure{FailureCode::Malformed,
+                       "member record: its name is not that of the record of node "
+                               + std::to_string(member.assume_value().node.value())};
+    }
+    return member;
+}
+
 std::string blockRecordName(const std::string &service, uint32_t block)
 {
     return service + ".block-" + std::to_string(block);
--- a/src/duty/fleet_view.h
+++ b/src/duty/fleet_view.h
@@ -104,6 +104,10 @@
 /** @return The name of a member's record in the store. */
 std::string memberRecordName(NodeId node);
 
+/** @return The member that @p record describes; Malformed also if its name is not the one of that
+ *          member's record: only the node itself writes under that name. */
+Result<MemberRecord> decodeMemberRecord(const StoredRecord &record);
+
 /** @return The name of the record that contains one block of a service's ranges. */
 std::string blockRecordName(const std::string &service, uint32_t block);
 
--- a/src/duty/member_publisher.cpp
+++ b/src/duty/member_publisher.cpp
@@ -65,7 +65,7 @@
                 = co_await store_.read(RecordKind::Members, memberRecordName(describe_().node));
         if (stored) {
             revision_ = stored.assume_value().revision;
-            Result<MemberRecord> record = decodeMember(stored.assume_value().content);
+            Result<MemberRecord> record = decodeMemberRecord(stored.assume_value());
             if (record) {
                 previous = std::move(record.assume_value());
             }
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -3,7 +3,6 @@
 #include "duty/store_sync.h"
 
 #include "adapter/clock/sleep_func.h"
-#include "adapter/codec/record_codec.h"
 #include "adapter/log/event_log.h"
 #include "wisteriahoist/v1/control.pb.h"
 
@@ -272,7 +271,7 @@
     }
     newest_[kind] = std::max(newest_[kind], record.revision);
     if (kind == RecordKind::Members) {
-        Result<MemberRecord> member = decodeMember(record.content);
+        Result<MemberRecord> member = decodeMemberRecord(record);
         if (!member) {
             logMalformedRecord(kind, record.name, member.assume_error());
             return;
--- a/test/process/odd_entry_test.cpp
+++ b/test/process/odd_entry_test.cpp
@@ -178,3 +178,12 @@
     });
     cr_assert(missing.empty(), "%s", missing.c_str());
 }
+
+// Guards against nodes that can't be reached since another entry bears their id.
+Test(odd_entry, members_with_the_ids_of_nodes)
+{
+    OddEntryStory story("odd-entry-elsewhere", 63);
+    const std::string missing
+            = story.tell([](boost::json::object &copy, size_t) { copy["ip"] = "127.63.9.9"; });
+    cr_assert(missing.empty(), "%s", missing.c_str());
+}
--- a/test/unit/member/member_publisher_test.cpp
+++ b/test/unit/member/member_publisher_test.cpp
@@ -24,9 +24,18 @@
         publisher.start();
     }
 
+    asio::awaitable<void> remember(std::optional<MemberRecord> record)
+    {
+        isRead = true;
+        previous = std::move(record);
+        co_return;
+    }
+
     asio::io_context context;
     ScriptedStore store{context};
     MemberRecord self;
+    bool isRead = false;
+    std::optional<MemberRecord> previous; ///< That an earlier process has left.
     size_t writes = 0;
     MemberPublisher publisher{context, store, [this]() { return self; },
                               [](const MemberRecord &, StoreRevision) {}};
@@ -50,6 +59,29 @@
     cr_assert(decodeMember(stored->content).assume_value().state == BackendState::Ready);
 }
 
+// Guards against a node that takes the state of another one for its own of before.
+Test(member_publisher, earlier_record_is_the_one_of_this_node)
+{
+    for (const uint64_t id : {7U, 8U}) {
+        Fixture fixture;
+        MemberRecord earlier = fixture.self;
+        earlier.node = NodeId(id);
+        fixture.store.put(RecordKind::Members, memberRecordName(NodeId(7)), encodeMember(earlier));
+        fixture.publisher.onPreviousRecord([&fixture](std::optional<MemberRecord> record) {
+            return fixture.remember(std::move(record));
+        });
+        cr_assert(runUntilHolds(fixture.context, [&]() { return fixture.isRead; }));
+        cr_assert_eq(fixture.previous.has_value(), id == 7);
+        SECTION("and is replaced")
+        {
+            cr_assert(runUntilHolds(fixture.context, [&]() { return fixture.writes == 1; }));
+            const StoredRecord *stored
+                    = fixture.store.find(RecordKind::Members, memberRecordName(NodeId(7)));
+            cr_assert(decodeMemberRecord(*stored).has_value());
+        }
+    }
+}
+
 // Guards against a node that is never published because its backend server does not start.
 Test(member_publisher, node_without_a_backend_server_is_published)
 {
--- a/test/unit/platform/odd_entries_test.cpp
+++ b/test/unit/platform/odd_entries_test.cpp
@@ -18,6 +18,7 @@
 
 constexpr size_t DeepLevels = 5000;
 constexpr size_t ManyDigits = 5000;
+constexpr uint16_t MemberPort = 8624;
 
 std::string repeat(const std::string &text, size_t times)
 {
@@ -141,13 +142,18 @@
                 .as_object();
     }
 
-    void putMember(uint64_t node)
+    void putMember(uint64_t node, uint16_t port = MemberPort)
+    {
+        putMember(memberRecordName(NodeId(node)), node, port);
+    }
+
+    void putMember(const std::string &name, uint64_t node, uint16_t port)
     {
         MemberRecord member;
         member.node = NodeId(node);
         member.ip = "127.0.0.1";
-        member.peerPort = 8624;
-        store.put("wisteriahoist-members", memberRecordName(member.node),
+        member.peerPort = port;
+        store.put("wisteriahoist-members", name,
                   boost::json::parse(encodeMember(member)).as_object());
     }
 
@@ -344,6 +350,49 @@
     cr_assert(!decodeRouteConfig(""));
 }
 
+// Guards against a node that can't be reached, since an entry that bears its id is newer than its
+// own record.
+Test(odd_entries, members_count_under_their_own_name)
+{
+    constexpr uint16_t OtherPort = 9;
+    const std::vector<std::string> names{"a-writer", "node-", "node-01", "node-2", "node-3", "z"};
+    const auto putCopies = [&names](FollowingNode &node, uint16_t port) {
+        for (const std::string &name : names) {
+            node.putMember(name, 1, port);
+        }
+    };
+    FollowingNode node;
+    const auto portOf = [&node](uint64_t id) { return node.view.findMember(NodeId(id))->peerPort; };
+    node.store.put("config", "main", FollowingNode::makeConfig(1));
+    putCopies(node, OtherPort);
+    node.putMember(2);
+    node.sync.start();
+    SECTION("in a list")
+    {
+        cr_assert(node.reaches(1, 2));
+        cr_assert_eq(portOf(1), MemberPort);
+    }
+    SECTION("in a watch")
+    {
+        putCopies(node, OtherPort + 1);
+        node.putMember(4);
+        cr_assert(node.reaches(1, 3));
+        cr_assert_eq(portOf(1), MemberPort);
+    }
+    SECTION("in the response to a write that it prevents")
+    {
+        node.sync.onRecord(RecordKind::Members,
+                           {"a-writer", StoreRevision(1000),
+                            R"({"nodeId":"1","ip":"127.0.0.1","peerPort":9})"});
+        cr_assert_eq(portOf(1), MemberPort);
+    }
+    SECTION("while what the node writes itself is followed")
+    {
+        node.putMember(1, MemberPort + 1);
+        cr_assert(runUntilHolds(node.context, [&]() { return portOf(1) == MemberPort + 1; }));
+    }
+}
+
 // Guards against requests that are never answered, since the node that they are sent to has no
 // address.
 Test(odd_entries, members_without_an_address_are_rejected)
