Fix: [Ranges] A block of keys counts under its own name only

What callers would see: keys of a block could not be given to another backend server, and requests for it were sent to the holder that the other entry names.

A block was filed under the service and number in its content, whatever the name of its entry, so a newer copy under another name replaced it. Its revision is not the one that a write to the block replaces: each write conflicted, and the record in the response was older than what was known.

Change: an entry that describes a block and does not have the block's name is malformed. A whole table is filed under its entry's name already.

--- a/src/duty/fleet_view.cpp
+++ b/src/duty/fleet_view.cpp
@@ -116,12 +116,19 @@
 
 void FleetView::onRangeRecord(const StoredRecord &record)
 {
-    Result<RangeRecord> ranges = decodeRangeRecord(record.content);
-    if (ranges) {
-        onRanges(record.name, std::move(ranges.assume_value()), record.revision);
-    } else {
-        logMalformedRecord(RecordKind::Ranges, record.name, ranges.assume_error());
+    Result<RangeRecord> decoded = decodeRangeRecord(record.content);
+    if (!decoded) {
+        logMalformedRecord(RecordKind::Ranges, record.name, decoded.assume_error());
+        return;
+    }
+    RangeRecord &ranges = decoded.assume_value();
+    if (ranges.isBlock() && record.name != blockRecordName(ranges.service, ranges.block)) {
+        logMalformedRecord(RecordKind::Ranges, record.name,
+                           {FailureCode::Malformed,
+                            "range record: its name is not that of the block which it describes"});
+        return;
     }
+    onRanges(record.name, std::move(ranges), record.revision);
 }
 
 void FleetView::onRanges(const std::string &name, RangeRecord record, StoreRevision revision)
--- a/test/unit/range/range_block_test.cpp
+++ b/test/unit/range/range_block_test.cpp
@@ -96,6 +96,32 @@
     }
 }
 
+// Guards against a block whose changes all fail, since the entry of another writer that describes
+// it as well is newer: the revision of that entry is not the one that a write replaces.
+Test(range_block, block_counts_under_its_own_name)
+{
+    const RangeRecord base = makeBase(41);
+    const auto describe = [&base](uint64_t holder) {
+        const RangeTable table
+                = assignRange(base.table, base.layout.spanOf(1), holderOf(holder), {});
+        return encodeRangeRecord(makeBlock(table, base.layout, 1));
+    };
+    FleetView view;
+    view.onRanges("s", base, StoreRevision(5));
+    view.onRangeRecord({"s.block-1", StoreRevision(9), describe(7)});
+    for (const std::string name : {"a-writer", "s", "s.block-2", "s.block-01", "t.block-1", "z"}) {
+        view.onRangeRecord({name, StoreRevision(50), describe(8)});
+        const StoredTable *stored = view.findTable("s");
+        cr_assert(stored->table.find(ShardKey(300))->holder == holderOf(7), "%s", name.c_str());
+        cr_assert(stored->revisionOf(1) == StoreRevision(9), "%s", name.c_str());
+    }
+    SECTION("and is changed there")
+    {
+        view.onRangeRecord({"s.block-1", StoreRevision(51), describe(3)});
+        cr_assert(view.findTable("s")->table.find(ShardKey(300))->holder == holderOf(3));
+    }
+}
+
 Test(range_block, block_record_round_trip)
 {
     const RangeRecord base = makeBase(41);
