Fix: [Store] An exception at one record no longer ends its list or watch

What callers would see: a node that follows no change any more, without a line in its log.

Cause: the class behind the users' report. Whatever a record causes while it is applied runs in the coroutine that lists and watches its kind. An exception left out all records after it and ended the coroutine for good, since detached drops exceptions.

Change: an exception is taken at the record that causes it, which is logged as malformed; the others are applied, wherever it stands.

Evidence: the unit test fails without the change (file replaced): the records after the first that throws are missing.

--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -262,6 +262,17 @@
 
 /** @param source By which call it came: "list", "watch", "feeder", "conflict" or "peer". */
 void StoreSync::applyRecord(RecordKind kind, const StoredRecord &record, std::string_view source)
+{
+    try {
+        applyOrThrow(kind, record, source);
+    } catch (const std::exception &error) {
+        // Only this record is left out: the others of its list or watch are applied.
+        logMalformedRecord(kind, record.name,
+                           {FailureCode::Malformed, std::string("exception: ") + error.what()});
+    }
+}
+
+void StoreSync::applyOrThrow(RecordKind kind, const StoredRecord &record, std::string_view source)
 {
     if (kind == RecordKind::Configuration) {
         if (record.name == configName_) {
--- a/src/duty/store_sync.h
+++ b/src/duty/store_sync.h
@@ -103,6 +103,7 @@
     void applyListing(RecordKind kind, const RecordListing &listing);
     void applyChanges(RecordKind kind, const RecordChanges &changes);
     void applyRecord(RecordKind kind, const StoredRecord &record, std::string_view source);
+    void applyOrThrow(RecordKind kind, const StoredRecord &record, std::string_view source);
     void applyConfig(const StoredRecord &record, std::string_view source);
     void applyRemoval(RecordKind kind, const std::string &name);
     /** @param failure Of the last call for @p kind; nullptr: it succeeded. */
--- a/test/unit/store/store_sync_test.cpp
+++ b/test/unit/store/store_sync_test.cpp
@@ -294,6 +294,48 @@
 
 // Guards against requests to an evacuated failure domain after an interrupted watch, whatever
 // became of the evacuation meanwhile.
+// Guards against records that are no longer followed, since an exception at one of them has ended
+// their list or watch: the others hold, whatever their place.
+Test(store_sync, record_that_causes_an_exception_is_left_out)
+{
+    Fixture fixture;
+    std::set<uint64_t> applied;
+    fixture.view.onMemberRecord([&applied](const MemberRecord &member) {
+        if (member.node.value() % 3 == 1) {
+            throw std::runtime_error("asked for by the test");
+        }
+        applied.insert(member.node.value());
+    });
+    const auto put = [&fixture](uint64_t node) {
+        MemberRecord member;
+        member.node = NodeId(node);
+        member.ip = "127.0.0.1";
+        member.peerPort = 1;
+        fixture.store.put(RecordKind::Members, memberRecordName(member.node), encodeMember(member));
+    };
+    const auto reaches = [&](const std::set<uint64_t> &expected) {
+        return runUntilHolds(fixture.context, [&]() { return applied == expected; });
+    };
+    for (const uint64_t node : {1U, 2U, 4U, 5U}) {
+        put(node);
+    }
+    fixture.sync.start();
+    SECTION("of a list")
+    {
+        cr_assert(reaches({2, 5}));
+    }
+    SECTION("of a watch")
+    {
+        put(7);
+        put(8);
+        cr_assert(reaches({2, 5, 8}));
+    }
+    SECTION("without listing again")
+    {
+        cr_assert_eq(fixture.store.lists(RecordKind::Members), 1);
+    }
+}
+
 Test(store_sync, evacuations_are_followed)
 {
     Fixture fixture;
