Fix: [Duties] An exception no longer ends a duty of a node for good

What callers would see: keys that no node serves, or a node that others do not know, for as long as its process runs, without a line in its log.

Loops and calls that nobody waits for were started with detached, which drops exceptions: a loop ended for good, and a call left the state behind that says it is under way, so that it was not made again (renewals of leases, writes of the range table, grants, releases, checks of holders, catching up).

Change: an exception is logged as task-failed with its cause.

Evidence: the unit tests fail without the change (one file replaced at a time): keys are not served after four writes that throw, a member record is never written after one.

--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -70,6 +70,7 @@
         {LogEvent::ConfigSyncFailed, "config-sync-failed", LogSeverity::Warning},
         {LogEvent::RouteUnknown, "route-unknown", LogSeverity::Info},
         {LogEvent::RequestRefused, "request-refused", LogSeverity::Info},
+        {LogEvent::TaskFailed, "task-failed", LogSeverity::Error},
         {LogEvent::LoopStalled, "loop-stalled", LogSeverity::Warning},
         {LogEvent::EvacuationsChanged, "evacuations-changed", LogSeverity::Info},
         {LogEvent::BackendLimitChanged, "backend-limit-changed", LogSeverity::Info},
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -80,6 +80,7 @@
     ConfigSyncFailed,    ///< A watch or a list of the configuration failed; with how long it took.
     RouteUnknown,        ///< A request was refused because the configuration has no route for it.
     RequestRefused,      ///< A request was refused before a route was chosen for it.
+    TaskFailed,          ///< An exception has ended a coroutine that nobody waits for.
     LoopStalled,         ///< The event loop made no turn for a while; with how long.
     EvacuationsChanged,  ///< Failure domains to which nothing is sent, as operators request.
     BackendLimitChanged, ///< The backend server names a limit of requests per second, or none any
--- a/src/duty/backend_health_checker.cpp
+++ b/src/duty/backend_health_checker.cpp
@@ -3,8 +3,8 @@
 
 #include "duty/backend_health_checker.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "adapter/task/background_task.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -22,7 +22,7 @@
 void BackendHealthChecker::start()
 {
     const auto loop = [this]() { return run(); };
-    asio::co_spawn(context_, loop, asio::detached);
+    startLoop(context_.get_executor(), "health checks", loop);
 }
 
 void BackendHealthChecker::requestCheck()
--- a/src/duty/member_publisher.cpp
+++ b/src/duty/member_publisher.cpp
@@ -5,10 +5,9 @@
 #include "adapter/clock/sleep_func.h"
 #include "adapter/codec/record_codec.h"
 #include "adapter/log/event_log.h"
+#include "adapter/task/background_task.h"
 #include "duty/fleet_view.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -37,14 +36,17 @@
 void MemberPublisher::start()
 {
     const auto loop = [this]() { return run(); };
-    asio::co_spawn(context_, loop, asio::detached);
+    startLoop(context_.get_executor(), "member record", loop);
 }
 
 asio::awaitable<void> MemberPublisher::run()
 {
-    co_await readPrevious();
-    if (describe_().state == BackendState::Absent) {
-        co_await waitFor(BackendStartTimeout);
+    if (!previousRead_) {
+        co_await readPrevious();
+        previousRead_ = true;
+        if (describe_().state == BackendState::Absent) {
+            co_await waitFor(BackendStartTimeout);
+        }
     }
     while (true) {
         const MemberRecord member = describe_();
--- a/src/duty/range_controller.cpp
+++ b/src/duty/range_controller.cpp
@@ -4,10 +4,10 @@
 #include "duty/range_controller.h"
 
 #include "adapter/log/event_log.h"
+#include "adapter/task/background_task.h"
 #include "decision/request/request_rate_limiter.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace wisteriahoist {
 
@@ -68,7 +68,7 @@
 {
     startedAt_ = clock_.now();
     const auto loop = [this]() { return tickLoop(); };
-    asio::co_spawn(context_, loop, asio::detached);
+    startLoop(context_.get_executor(), "key ranges", loop);
 }
 
 void RangeController::wake()
@@ -229,8 +229,8 @@
 
 void RangeController::sendRequests(TimePoint now)
 {
-    const auto spawn = [this](asio::awaitable<void> work) {
-        asio::co_spawn(context_, std::move(work), asio::detached);
+    const auto spawn = [this](std::string_view task, asio::awaitable<void> work, auto cleanUp) {
+        asio::co_spawn(context_, std::move(work), logFailureOf(task, std::move(cleanUp)));
     };
     // A backend server that has crashed for good and holds no keys needs no lease.
     const bool inUse
@@ -241,7 +241,10 @@
     }
     if (!renewing_ && inUse && authority_.lease().beginRenewal(now)) {
         renewing_ = true;
-        spawn(renewLease());
+        spawn("lease renewal", renewLease(), [this]() {
+            renewing_ = false;
+            authority_.lease().onFailed();
+        });
     }
     if (inUse) {
         const Incarnation life = session_;
@@ -251,7 +254,7 @@
     }
     if (!writing_) {
         writing_ = true;
-        spawn(planOnce());
+        spawn("range table", planOnce(), [this]() { writing_ = false; });
     }
     if (checking_ == 0 && now - probedAt_ >= HolderCheckInterval) {
         probedAt_ = now;
@@ -266,16 +269,19 @@
     }
     std::vector<HeldKeys> granted;
     milliseconds hold{0};
-    for (GrantRequest &request : grantManager_.takeDueGrants(authority_.validUntil(), now)) {
+    for (const GrantRequest &request : grantManager_.takeDueGrants(authority_.validUntil(), now)) {
         if (!request.renews) {
             granted.push_back({request.span, request.fence});
             hold = request.hold;
         }
-        spawn(sendGrant(std::move(request)));
+        spawn("grant", sendGrant(request),
+              [this, request]() { grantManager_.onGrantEnd(request, ControlResult::Unanswered); });
     }
     logGranted(granted, hold, {}, now);
     for (const ReleaseRequest &request : grantManager_.takeDueReleases(now)) {
-        spawn(sendRelease(request));
+        spawn("release", sendRelease(request), [this, request]() {
+            grantManager_.onReleaseEnd(request, ControlResult::Unanswered, {}, clock_.now());
+        });
     }
 }
 
--- a/src/duty/range_controller_plan.cpp
+++ b/src/duty/range_controller_plan.cpp
@@ -2,12 +2,12 @@
  */
 
 #include "adapter/log/event_log.h"
+#include "adapter/task/background_task.h"
 #include "duty/range_controller.h"
 #include "wisteriahoist/v1/control.pb.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace wisteriahoist {
 
@@ -388,7 +388,7 @@
                            body = update.SerializeAsString()]() -> asio::awaitable<void> {
             (void)co_await peers_.call(copy, RangeUpdatePath, body, NotifyTimeout);
         };
-        asio::co_spawn(context_, tell, asio::detached);
+        asio::co_spawn(context_, tell, logFailureOf("range notification"));
     }
 }
 
--- a/src/duty/range_controller_takeover.cpp
+++ b/src/duty/range_controller_takeover.cpp
@@ -4,9 +4,9 @@
 #include "duty/range_controller.h"
 
 #include "adapter/log/event_log.h"
+#include "adapter/task/background_task.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace wisteriahoist {
 
@@ -45,7 +45,7 @@
             co_await checkHolder(node);
             --checking_;
         };
-        asio::co_spawn(context_, check, asio::detached);
+        asio::co_spawn(context_, check, logFailureOf("holder check", [this]() { --checking_; }));
     }
 }
 
@@ -62,7 +62,7 @@
     for (const MemberRecord &member : quiet) {
         const auto ask
                 = [this, member]() -> asio::awaitable<void> { (void)co_await probe_(member); };
-        asio::co_spawn(context_, ask, asio::detached);
+        asio::co_spawn(context_, ask, logFailureOf("probe"));
     }
 }
 
--- a/src/duty/record_keepers.cpp
+++ b/src/duty/record_keepers.cpp
@@ -3,11 +3,11 @@
 #include "duty/record_keepers.h"
 
 #include "adapter/codec/record_codec.h"
+#include "adapter/task/background_task.h"
 #include "core/hash_func.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -110,7 +110,7 @@
                 [this, replies, member, path = std::string(path), body]() {
                     return callOne(replies, member, path, body);
                 },
-                asio::detached);
+                logFailureOf("record of a leaving"));
     }
     if (replies->outstanding > 0 && replies->received.size() < enough) {
         boost::system::error_code ignored;
--- a/src/duty/request_router.cpp
+++ b/src/duty/request_router.cpp
@@ -4,13 +4,13 @@
 
 #include "adapter/http/header_rules.h"
 #include "adapter/log/event_log.h"
+#include "adapter/task/background_task.h"
 #include "duty/gate_message.h"
 #include "duty/hop_codec.h"
 #include "duty/ingress_message.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 
 namespace wisteriahoist {
@@ -210,7 +210,7 @@
         const auto cancel = [this, target = state->target, id = state->hop.request_id()]() {
             return sendCancel(target, id);
         };
-        asio::co_spawn(context_, cancel, asio::detached);
+        asio::co_spawn(context_, cancel, logFailureOf("cancellation"));
     });
     while (true) {
         v1::HopReply reply = co_await attempt(state);
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -4,10 +4,10 @@
 
 #include "adapter/clock/sleep_func.h"
 #include "adapter/log/event_log.h"
+#include "adapter/task/background_task.h"
 #include "wisteriahoist/v1/control.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace wisteriahoist {
 
@@ -40,7 +40,7 @@
         const auto loop = [this, kind]() { return run(kind); };
         lags_.try_emplace(kind,
                           kind == RecordKind::Configuration ? times_.maxConfigLag : times_.maxLag);
-        asio::co_spawn(context_, loop, asio::detached);
+        startLoop(context_.get_executor(), "store watch", loop);
     }
 }
 
@@ -69,7 +69,8 @@
             logEvent(LogEvent::WatchSilent, {{"kind", std::string(recordKindName(kind))},
                                              {"missed", newest.value()},
                                              {"node", peer.value()}});
-            asio::co_spawn(context_, catchUp(kind, peer), asio::detached);
+            asio::co_spawn(context_, catchUp(kind, peer),
+                           logFailureOf("catch-up", [this, kind]() { catchingUp_.erase(kind); }));
         }
     }
 }
--- a/src/duty/witness_contact.cpp
+++ b/src/duty/witness_contact.cpp
@@ -3,10 +3,10 @@
 #include "duty/witness_contact.h"
 
 #include "adapter/log/event_log.h"
+#include "adapter/task/background_task.h"
 #include "core/hash_func.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace wisteriahoist {
 
@@ -109,7 +109,7 @@
     for (const NodeId node : witnesses_) {
         if (const MemberRecord *member = view_.findMember(node)) {
             asio::co_spawn(context_, sendHeartbeat(*member, incarnation, isCurrent, fenced),
-                           asio::detached);
+                           logFailureOf("heartbeat to a witness"));
         }
     }
 }
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -4,11 +4,11 @@
 
 #include "adapter/clock/sleep_func.h"
 #include "adapter/log/event_log.h"
+#include "adapter/task/background_task.h"
 #include "core/hash_func.h"
 #include "decision/member/report_check.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -210,9 +210,9 @@
     ranges_.start();
     healthChecker_.start();
     const auto turns = [this]() { return watchForStalls(); };
-    asio::co_spawn(context_, turns, asio::detached);
+    startLoop(context_.get_executor(), "stall monitor", turns);
     const auto ask = [this]() { return askBackendAtStart(); };
-    asio::co_spawn(context_, ask, asio::detached);
+    startLoop(context_.get_executor(), "first health check", ask);
 }
 
 MemberRecord SidecarProgram::describe() const
@@ -668,10 +668,10 @@
     program.start();
     const auto stop = [&]() { return stopOnSignal(context, program); };
     const auto hup = [&]() { return reloadOnSignal(context, program, reload); };
-    asio::co_spawn(context, stop, asio::detached);
+    asio::co_spawn(context, stop, logFailureOf("stop"));
     const auto poll = [&]() { return reloadPeriodically(program, reload); };
-    asio::co_spawn(context, hup, asio::detached);
-    asio::co_spawn(context, poll, asio::detached);
+    startLoop(context.get_executor(), "reload by signal", hup);
+    startLoop(context.get_executor(), "reload by time", poll);
     try {
         context.run();
     } catch (const std::exception &error) {
--- a/test/support/ownership_fleet.h
+++ b/test/support/ownership_fleet.h
@@ -27,6 +27,7 @@
 
     asio::awaitable<ControlReply> grant(GrantRequest request, milliseconds) override
     {
+        throwIfAsked();
         ControlReply answer;
         if (!alive_ || open_ >= connections_) {
             co_await sleepFor(RefusalTime);
@@ -50,6 +51,7 @@
 
     asio::awaitable<ControlReply> release(ReleaseRequest request, milliseconds) override
     {
+        throwIfAsked();
         ControlReply answer;
         answer.result = alive_ ? ControlResult::Accepted : ControlResult::NotSent;
         answer.handover = "token";
@@ -74,6 +76,9 @@
     }
     void revive() { alive_ = true; }
 
+    /** The next @p count grants and releases end with an exception. */
+    void throwOnCalls(int count) { throwing_ = count; }
+
     /**
      * From now on it accepts at most @p connections at once, and each grant occupies one for @p
      * time.
@@ -91,6 +96,14 @@
     uint64_t grants() const { return grants_; }
 
 private:
+    void throwIfAsked()
+    {
+        if (throwing_ > 0) {
+            --throwing_;
+            throw std::runtime_error("asked for by the test");
+        }
+    }
+
     void setHeld(const KeySpan &span, TimePoint until)
     {
         std::fill_n(heldUntil_.begin() + span.first.value(), span.size(), until);
@@ -100,6 +113,7 @@
 
     const Clock &clock_;
     bool alive_ = true;
+    int throwing_ = 0;
     Epoch highestFence_;
     uint64_t grants_ = 0;
     size_t open_ = 0;
--- a/test/support/scripted_store.h
+++ b/test/support/scripted_store.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <stdexcept>
 #include <vector>
 
 namespace wisteriahoist::testing {
@@ -58,6 +59,9 @@
     /** The next @p count writes take effect, but their responses are lost. */
     void loseResponses(int count) { lostAnswers_ = count; }
 
+    /** The next @p count writes end with an exception. */
+    void throwOnWrites(int count) { throwing_ = count; }
+
     /** @return Number of writes rejected because the record had changed. */
     int conflicts() const { return conflicts_; }
 
@@ -133,6 +137,7 @@
 
     Pending<StoreRevision> create(RecordKind kind, std::string name, std::string content) override
     {
+        throwIfAsked();
         if (down_) {
             co_return unavailable();
         }
@@ -146,6 +151,7 @@
     Pending<StoreRevision> replace(RecordKind kind, std::string name, StoreRevision expected,
                                    std::string content) override
     {
+        throwIfAsked();
         if (down_) {
             co_return unavailable();
         }
@@ -186,6 +192,14 @@
     }
 
 private:
+    void throwIfAsked()
+    {
+        if (throwing_ > 0) {
+            --throwing_;
+            throw std::runtime_error("asked for by the test");
+        }
+    }
+
     static Failure unavailable() { return {FailureCode::Unavailable, "store down"}; }
 
     Result<StoreRevision> answer(StoreRevision revision)
@@ -205,6 +219,7 @@
     uint64_t revision_ = 0;
     uint64_t cuts_ = 0;
     int lostAnswers_ = 0;
+    int throwing_ = 0;
     int conflicts_ = 0;
     std::function<void()> written_;
     std::map<RecordKind, int> reads_;
--- a/test/unit/member/member_publisher_test.cpp
+++ b/test/unit/member/member_publisher_test.cpp
@@ -82,6 +82,19 @@
     }
 }
 
+// Guards against a node whose record is never written, since an exception has ended the writing.
+Test(member_publisher, node_is_published_after_an_exception)
+{
+    Fixture fixture;
+    fixture.store.throwOnWrites(2);
+    fixture.self.state = BackendState::Ready;
+    cr_assert(runUntilHolds(fixture.context, [&]() { return fixture.writes == 1; }));
+    SECTION("and reads only once what an earlier process has left")
+    {
+        cr_assert_eq(fixture.store.reads(RecordKind::Members), 1);
+    }
+}
+
 // Guards against a node that is never published because its backend server does not start.
 Test(member_publisher, node_without_a_backend_server_is_published)
 {
--- a/test/unit/range/range_controller_test.cpp
+++ b/test/unit/range/range_controller_test.cpp
@@ -70,6 +70,30 @@
     cr_assert(fleet.admitting(Low) != fleet.admitting(High));
 }
 
+// Guards against keys that no node serves again, since an exception has ended the renewal of a
+// lease, a write of the table or a call to the backend server for good.
+Test(range_duty, keys_are_served_after_exceptions)
+{
+    const auto servesAll = [](const OwnershipFleet &fleet) {
+        return isServedByOne(fleet, Low) && isServedByOne(fleet, High);
+    };
+    SECTION("in writes to the store, from the start")
+    {
+        OwnershipFleet fleet;
+        fleet.store().throwOnWrites(4);
+        fleet.add(1, "b-1");
+        fleet.add(2, "b-2");
+        cr_assert(fleet.reaches([&]() { return servesAll(fleet); }, Patience));
+    }
+    SECTION("in calls to the backend servers")
+    {
+        OwnershipFleet fleet;
+        fleet.add(1, "b-1").backend.throwOnCalls(2);
+        fleet.add(2, "b-2").backend.throwOnCalls(2);
+        cr_assert(fleet.reaches([&]() { return servesAll(fleet); }, Patience));
+    }
+}
+
 // Guards against requests for half of the keys being refused. The backend server of a running node
 // has crashed. The node cannot distinguish that from a backend server with too many connections, so
 // the others get the keys when the grants have expired.
