Fix: [HTTP, Peers] A request whose handler throws is answered at once

What callers would see: no answer until their deadline.

Cause: an exception in the handler of a request or of a call between nodes ended its coroutine, and detached dropped it. Nothing was sent, and on a connection with several requests the later ones waited as well.

Change: the request is answered 500, since it is unknown what the handler has done; the call's stream is reset, so that the caller knows at once that it may have run. Connections whose reading or writing throws are closed, and accepting goes on. Each is logged as task-failed.

Evidence: the unit tests fail without the change (one file replaced at a time): no answer within 5 s, and within the 60 s of the call.

--- a/src/adapter/http/http_connection.cpp
+++ b/src/adapter/http/http_connection.cpp
@@ -3,10 +3,10 @@
 #include "adapter/http/http_connection.h"
 
 #include "adapter/http/header_rules.h"
+#include "adapter/task/background_task.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -87,7 +87,7 @@
     startIdleTimer(server_->limits.idle);
     asio::co_spawn(
             socket_.get_executor(), [self = shared_from_this()]() { return self->readLoop(); },
-            asio::detached);
+            logFailureOf("connection", [self = shared_from_this()]() { self->close(); }));
 }
 
 asio::awaitable<void> HttpConnection::readLoop()
@@ -265,7 +265,7 @@
             [self = shared_from_this(), exchange, request = std::move(request)]() mutable {
                 return self->runHandler(exchange, std::move(request));
             },
-            asio::detached);
+            logFailureOf("response", [self = shared_from_this()]() { self->close(); }));
 }
 
 void HttpConnection::dispatchWaiting()
@@ -297,7 +297,13 @@
 
 asio::awaitable<void> HttpConnection::runHandler(ExchangePtr exchange, HttpRequest request)
 {
-    HttpResponse response = co_await server_->handler(std::move(request), exchange->disconnect);
+    // What a handler that fails has done is unknown, so the caller isn't told that nothing ran.
+    HttpResponse response(http::status::internal_server_error, 11);
+    try {
+        response = co_await server_->handler(std::move(request), exchange->disconnect);
+    } catch (...) {
+        logTaskFailure("request", std::current_exception());
+    }
     exchange->delivery.emplace(server_->responseMemory, response.body().size());
     exchange->response = std::move(response);
     co_await writeResponses();
@@ -308,7 +314,8 @@
     if (!writing_ && pending_.front() == exchange) {
         asio::co_spawn(
                 socket_.get_executor(),
-                [self = shared_from_this()]() { return self->writeResponses(); }, asio::detached);
+                [self = shared_from_this()]() { return self->writeResponses(); },
+                logFailureOf("response", [self = shared_from_this()]() { self->close(); }));
     }
 }
 
--- a/src/adapter/http/http_server.cpp
+++ b/src/adapter/http/http_server.cpp
@@ -2,8 +2,8 @@
 
 #include "adapter/http/http_server.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "adapter/task/background_task.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -30,9 +30,8 @@
 
 void HttpServer::start()
 {
-    asio::co_spawn(
-            acceptor_.get_executor(), [self = shared_from_this()]() { return self->acceptLoop(); },
-            asio::detached);
+    startLoop(acceptor_.get_executor(), "accepting connections",
+              [self = shared_from_this()]() { return self->acceptLoop(); });
 }
 
 void HttpServer::limitMemory(std::shared_ptr<MemoryBudget> requests,
--- a/src/adapter/http2/http2_session.cpp
+++ b/src/adapter/http2/http2_session.cpp
@@ -4,11 +4,11 @@
 
 #include "adapter/http2/keepalive_monitor.h"
 #include "adapter/http2/transport_bytes.h"
+#include "adapter/task/background_task.h"
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -162,7 +162,7 @@
     socket_.non_blocking(true, ignored);
     asio::co_spawn(
             socket_.get_executor(), [self = shared_from_this()]() { return self->readLoop(); },
-            asio::detached);
+            logFailureOf("connection of nodes", [self = shared_from_this()]() { self->close(); }));
     flush();
 }
 
@@ -255,6 +255,17 @@
     flush();
 }
 
+void Http2Session::fail(int32_t streamId)
+{
+    const auto found = streams_.find(streamId);
+    if (found == streams_.end() || !open_) {
+        return;
+    }
+    found->second.isReset = true;
+    nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, streamId, NGHTTP2_INTERNAL_ERROR);
+    flush();
+}
+
 Http2Session::Stream &Http2Session::openStream(int32_t streamId)
 {
     const auto [stream, isNew] = streams_.try_emplace(streamId);
@@ -296,7 +307,7 @@
         asio::co_spawn(
                 socket_.get_executor(),
                 [self = shared_from_this(), streamId]() { return self->resetIfStalled(streamId); },
-                asio::detached);
+                logFailureOf("call of a node"));
     }
     return true;
 }
@@ -357,7 +368,8 @@
                 std::string replyBody = co_await self->handler_(std::move(path), std::move(body));
                 self->reply(streamId, std::move(replyBody));
             },
-            asio::detached);
+            logFailureOf("call of a node",
+                         [self = shared_from_this(), streamId]() { self->fail(streamId); }));
 }
 
 void Http2Session::onStreamClose(int32_t streamId, uint32_t errorCode)
@@ -393,7 +405,9 @@
             writing_ = true;
             asio::co_spawn(
                     socket_.get_executor(),
-                    [self = shared_from_this()]() { return self->writeLoop(); }, asio::detached);
+                    [self = shared_from_this()]() { return self->writeLoop(); },
+                    logFailureOf("connection of nodes",
+                                 [self = shared_from_this()]() { self->close(); }));
         } else {
             serialize();
         }
--- a/src/adapter/http2/http2_session.h
+++ b/src/adapter/http2/http2_session.h
@@ -127,6 +127,8 @@
     void onStreamEnd(int32_t streamId);
     void onStreamClose(int32_t streamId, uint32_t errorCode);
     void reply(int32_t streamId, std::string body);
+    /** Resets a stream whose call can't be answered. */
+    void fail(int32_t streamId);
 
     tcp::socket socket_;
     Role role_;
--- a/src/adapter/http2/peer_transport.cpp
+++ b/src/adapter/http2/peer_transport.cpp
@@ -2,8 +2,8 @@
 
 #include "adapter/http2/peer_transport.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "adapter/task/background_task.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -28,9 +28,8 @@
 
 void PeerListener::start()
 {
-    asio::co_spawn(
-            acceptor_.get_executor(), [self = shared_from_this()]() { return self->acceptLoop(); },
-            asio::detached);
+    startLoop(acceptor_.get_executor(), "accepting nodes",
+              [self = shared_from_this()]() { return self->acceptLoop(); });
 }
 
 void PeerListener::stop()
--- a/test/unit/http/http_server_test.cpp
+++ b/test/unit/http/http_server_test.cpp
@@ -77,6 +77,32 @@
 
 } // namespace
 
+// Guards against a request that is never answered, since its handler has ended with an exception.
+Test(request_http, handler_that_throws_is_answered)
+{
+    asio::io_context context;
+    const auto server = std::make_shared<HttpServer>(
+            context, "127.0.0.1", 0, HttpLimits{},
+            HttpHandler([](HttpRequest request) -> asio::awaitable<HttpResponse> {
+                if (request.target() == "/throws") {
+                    throw std::runtime_error("asked for by the test");
+                }
+                return echo(std::move(request));
+            }));
+    server->start();
+    HttpClient client(context.get_executor(), "127.0.0.1", server->port());
+    const auto ask = [&](const std::string &target) {
+        HttpRequest request(http::verb::get, target, 11);
+        return runUntil(context, client.exchange(std::move(request), milliseconds(5000)));
+    };
+    for (const unsigned status : {200U, 500U, 200U}) {
+        const Result<HttpResponse> response = ask(status == 500 ? "/throws" : "/x");
+        cr_assert(response && response.assume_value().result_int() == status);
+    }
+    cr_assert_eq(client.connectionsOpened(), 1U);
+    cr_assert_eq(server->openRequests(), 0U);
+}
+
 Test(request_http, malformed_corpus)
 {
     // Guards against request smuggling: if two nodes, or a node and a backend server, disagree on
--- a/test/unit/member/peer_link_test.cpp
+++ b/test/unit/member/peer_link_test.cpp
@@ -49,3 +49,24 @@
         cr_assert(!answer && answer.assume_error().code == FailureCode::Unavailable);
     }
 }
+
+// Guards against a call that is answered by its timeout alone, since an exception has ended it at
+// the called node.
+Test(peer_link, call_that_throws_fails_at_once)
+{
+    asio::io_context context;
+    PeerLink called(context, "127.0.0.1", 0);
+    called.serve("/throws", [](std::string) -> asio::awaitable<std::string> {
+        throw std::runtime_error("asked for by the test");
+    });
+    called.serve("/hello", answerHello);
+    called.start();
+    PeerLink caller(context, "127.0.0.1", 0);
+    const auto ask = [&](std::string_view path) {
+        return runUntil(context,
+                        caller.call(memberAt(2, called.port()), path, {}, milliseconds(60000)));
+    };
+    const Result<std::string> answer = ask("/throws");
+    cr_assert(!answer && answer.assume_error().code == FailureCode::Ambiguous);
+    cr_assert(ask("/hello").assume_value() == "hello");
+}
