Test: [HTTP] Heads that end in their middle

Another operator reports a 200 with an empty or short body, framed as whole, from an instance that stopped in the middle of the head and closed. It does not happen here: a head counts only with the blank line at its end.

Seven heads, cut after each byte, also after an interim response, ended by a close and by a reset, with responses up to the end of the connection allowed and not: none becomes a response, and no connection is kept. At the router the caller gets 502.

--- a/test/support/scripted_backend.h
+++ b/test/support/scripted_backend.h
@@ -27,6 +27,7 @@
     bool closeUnread = false; ///< Closes at once, without reading.
     /** Second response to an earlier request: written first, unless the connection is new. */
     std::string stray{};
+    bool reset = false; ///< Closing resets the connection.
 };
 
 inline std::string makeAnswer(const std::string &body)
@@ -100,6 +101,9 @@
                 co_await asio::async_write(socket, asio::buffer(script.answer),
                                            asio::redirect_error(asio::use_awaitable, error));
             }
+            if (script.reset) {
+                socket.set_option(asio::socket_base::linger(true, 0), error);
+            }
             if (script.close) {
                 co_return;
             }
--- a/test/unit/http/broken_response_test.cpp
+++ b/test/unit/http/broken_response_test.cpp
@@ -27,8 +27,8 @@
 
 /** One server that sends one text, and a client of it. */
 struct Fixture {
-    explicit Fixture(const std::string &answer, bool allowUnframed = false)
-        : server(std::make_shared<ScriptedBackend>(context, std::vector<BackendScript>{{answer}})),
+    explicit Fixture(const BackendScript &script, bool allowUnframed = false)
+        : server(std::make_shared<ScriptedBackend>(context, std::vector<BackendScript>{script})),
           client(context.get_executor(), "127.0.0.1", server->port(), makeLimits(allowUnframed))
     {
         server->start();
@@ -56,7 +56,7 @@
 bool isRejected(const std::string &answer)
 {
     for (const bool allowUnframed : {false, true}) {
-        Fixture fixture(answer, allowUnframed);
+        Fixture fixture({answer}, allowUnframed);
         const Result<HttpResponse> result = fixture.get();
         const bool malformed = !result && result.assume_error().code == FailureCode::Malformed;
         const bool closed = runUntilHolds(fixture.context,
@@ -104,7 +104,7 @@
 Test(broken_response, statuses_without_a_name_are_passed_on)
 {
     for (const unsigned status : {299U, 418U, 499U, 520U, 599U}) {
-        Fixture fixture(answerWithStatus(std::to_string(status) + " Name"));
+        Fixture fixture({answerWithStatus(std::to_string(status) + " Name")});
         const Result<HttpResponse> result = fixture.get();
         cr_assert(result && result.assume_value().result_int() == status, "%u", status);
         cr_assert_eq(fixture.client.idleConnections(), 1U);
@@ -175,3 +175,32 @@
                   "chunk of %s", chunk.c_str());
     }
 }
+
+// Guards against a response with an empty or short body in place of one whose server has stopped in
+// the middle of the head and closed.
+Test(broken_response, heads_that_end_in_their_middle)
+{
+    const std::string early = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    for (const std::string &head :
+         {status + "Content-Length: 4\r\nName: x\r\n\r\n",
+          status + "Name: x\r\nContent-Length: 4\r\n\r\n", status + "Name: x\r\n\r\n",
+          status + "Connection: close\r\nContent-Length: 0\r\n\r\n",
+          status + "Transfer-Encoding: chunked\r\n\r\n",
+          early + status + "Content-Length: 4\r\n\r\n", early + status + "\r\n"}) {
+        for (size_t length = 0; length < head.size(); ++length) {
+            for (const bool allowUnframed : {false, true}) {
+                for (const bool reset : {false, true}) {
+                    BackendScript script{head.substr(0, length)};
+                    script.close = true;
+                    script.reset = reset;
+                    Fixture fixture(script, allowUnframed);
+                    const Result<HttpResponse> result = fixture.get();
+                    cr_assert(!result && result.assume_error().code == FailureCode::Ambiguous, "%s",
+                              script.answer.c_str());
+                    cr_assert_eq(fixture.client.idleConnections(), 0U);
+                }
+            }
+        }
+    }
+}
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -254,6 +254,23 @@
     }
 }
 
+// Guards against a caller that gets an empty or short response as a whole one, since the backend
+// server has stopped in the middle of the head and closed.
+Test(request_router, heads_that_end_in_their_middle_are_not_passed_on)
+{
+    const std::string whole = answerWith("200 OK");
+    const size_t headSize = whole.size() - std::string_view("body").size();
+    for (size_t length = 0; length < headSize; ++length) {
+        BackendScript cut{whole.substr(0, length)};
+        cut.close = true;
+        Fixture fixture({cut, {whole}});
+        const HttpResponse response = fixture.ask("/x", milliseconds(2000));
+        cr_assert_eq(response.result_int(), 502U, "after %zu bytes", length);
+        cr_assert_eq(response.count("X-Wisteriahoist-Server-Seal"), 0U);
+        cr_assert_eq(fixture.ask().result_int(), 200U);
+    }
+}
+
 // Guards against passing on what another node has taken for a response, and against a request that
 // is never answered, since such a response can't be made.
 Test(request_router, replies_of_nodes_that_hold_no_response_are_not_passed_on)
