--- a/src/adapter/task/background_task.cpp
+++ b/src/adapter/task/background_task.cpp
@@ -46,11 +46,10 @@
     logEvent(LogEvent::TaskFailed, {{"task", task}, {"cause", cause}});
 }
 
-void startLoop(boost::asio::any_io_executor executor, std::string_view task,
+void startLoop(const boost::asio::any_io_executor &executor, std::string_view task,
                std::function<boost::asio::awaitable<void>()> loop)
 {
-    boost::asio::co_spawn(std::move(executor), repeat(std::string(task), std::move(loop)),
-                          logFailureOf(task));
+    boost::asio::co_spawn(executor, repeat(std::string(task), std::move(loop)), logFailureOf(task));
 }
 
 } // namespace wisteriahoist
--- a/src/adapter/task/background_task.h
+++ b/src/adapter/task/background_task.h
@@ -36,7 +36,7 @@
 }
 
 /** Starts @p loop, and starts it again after an exception, until it ends by itself. */
-void startLoop(boost::asio::any_io_executor executor, std::string_view task,
+void startLoop(const boost::asio::any_io_executor &executor, std::string_view task,
                std::function<boost::asio::awaitable<void>()> loop);
 
 } // namespace wisteriahoist
--- a/src/duty/store_sync.cpp
+++ b/src/duty/store_sync.cpp
@@ -69,8 +69,9 @@
             logEvent(LogEvent::WatchSilent, {{"kind", std::string(recordKindName(kind))},
                                              {"missed", newest.value()},
                                              {"node", peer.value()}});
-            asio::co_spawn(context_, catchUp(kind, peer),
-                           logFailureOf("catch-up", [this, kind]() { catchingUp_.erase(kind); }));
+            asio::co_spawn(
+                    context_, catchUp(kind, peer),
+                    logFailureOf("catch-up", [this, kind = kind]() { catchingUp_.erase(kind); }));
         }
     }
 }
