--- a/test/process/odd_entry_test.cpp
+++ b/test/restart/odd_entry_test.cpp
@@ -36,7 +36,7 @@
     const char *binary = std::getenv("WISTERIAHOIST_BIN");
     SoakSettings settings;
     settings.nodeBinary = binary == nullptr ? "" : binary;
-    settings.directory = "build/test/process-" + name;
+    settings.directory = "build/test/restart-" + name;
     settings.nodes = Nodes;
     settings.slot = slot;
     std::filesystem::remove_all(settings.directory);
