Change: [Sidecar, Log] A start that fails is logged

Cause: a node that could not start said so on standard error only, and not as a line of its log: of a process that is started again the end of the one before can't be told. Standard error and the exit codes are as before.

--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -70,7 +70,7 @@
     LeavingKept,     ///< Other nodes keep that the backend server leaves; the store doesn't answer.
     LeavingRestored, ///< An earlier process of this node acknowledged that it leaves.
     LeavingNotAcknowledged, ///< Neither the store nor other nodes have recorded that it leaves.
-    NodeFailed,             ///< Unhandled error; the process terminates.
+    NodeFailed,     ///< Unhandled error, or a start that is not possible; the process terminates.
     NodeFenced,    ///< At another node's request, this node as witness no longer answers the fenced
                    ///< node.
     WatchSilent,   ///< Other nodes know of changes that this node's watch has not delivered.
