Fix: [Sidecar] A signal during the start no longer ends the node

What callers saw: a process that has just been started is gone; with all processes starting at once, whatever these nodes serve is not served. Cause: the handlers of SIGTERM, SIGINT and SIGHUP were set by coroutines that run only once the whole program has been set up. Until then a signal has its default action. SIGHUP tells that the settings have changed, and it ended the node. Change: ProcessSignals has the handlers from its construction on, before the settings are read, and keeps a signal that arrives before it is awaited. A node that is told to end while it starts ends in order. Why it works: nothing of the program runs before the handlers are set. What remains is the time in which the system loads the program and its libraries; there is no code of ours then.

--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -9,9 +9,6 @@
 #include "decision/member/report_check.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace wisteriahoist {
 
@@ -622,10 +619,10 @@
 
 namespace {
 
-asio::awaitable<void> stopOnSignal(asio::io_context &context, SidecarProgram &program)
+asio::awaitable<void> stopOnSignal(asio::io_context &context, SidecarProgram &program,
+                                   ProcessSignals &signals)
 {
-    asio::signal_set set(context, SIGTERM, SIGINT);
-    co_await set.async_wait(asio::use_awaitable);
+    co_await signals.awaitStop();
     program.beginStop();
     while (!program.hasStopped(program.clock().now())) {
         program.continueStop(program.clock().now());
@@ -634,13 +631,11 @@
     context.stop();
 }
 
-asio::awaitable<void> reloadOnSignal(asio::io_context &context, SidecarProgram &program,
+asio::awaitable<void> reloadOnSignal(SidecarProgram &program, ProcessSignals &signals,
                                      std::function<std::optional<SidecarSettings>()> reload)
 {
-    asio::signal_set set(context, SIGHUP);
     while (true) {
-        boost::system::error_code ignored;
-        co_await set.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await signals.awaitReload();
         if (const std::optional<SidecarSettings> settings = reload()) {
             program.onSettings(*settings);
         }
@@ -662,12 +657,12 @@
 
 } // namespace
 
-int runSidecar(asio::io_context &context, SidecarProgram &program,
+int runSidecar(asio::io_context &context, SidecarProgram &program, ProcessSignals &signals,
                std::function<std::optional<SidecarSettings>()> reload)
 {
     program.start();
-    const auto stop = [&]() { return stopOnSignal(context, program); };
-    const auto hup = [&]() { return reloadOnSignal(context, program, reload); };
+    const auto stop = [&]() { return stopOnSignal(context, program, signals); };
+    const auto hup = [&]() { return reloadOnSignal(program, signals, reload); };
     asio::co_spawn(context, stop, logFailureOf("stop"));
     const auto poll = [&]() { return reloadPeriodically(program, reload); };
     startLoop(context.get_executor(), "reload by signal", hup);
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -8,6 +8,7 @@
 #include "adapter/log/rate_limited_event.h"
 #include "adapter/metrics/metric_registry.h"
 #include "adapter/random/mt_random_source.h"
+#include "adapter/signal/process_signals.h"
 #include "duty/backend_gate.h"
 #include "duty/backend_health_checker.h"
 #include "duty/member_publisher.h"
@@ -151,7 +152,7 @@
  * @param reload Reads the settings again; nothing if they are invalid.
  * @return The exit code: 0 success, 1 failed.
  */
-int runSidecar(asio::io_context &context, SidecarProgram &program,
+int runSidecar(asio::io_context &context, SidecarProgram &program, ProcessSignals &signals,
                std::function<std::optional<SidecarSettings>()> reload);
 
 } // namespace wisteriahoist
