Fix: [Sidecar] A node no longer ends with the reader of its output

What callers saw: nodes end by themselves, all at once, without a line. Cause: the log is written to standard output. Once nobody reads it any more, the next line raises SIGPIPE, whose default action ends the process; a limit of the file's size does the same with SIGXFSZ. Sockets were safe, as Asio asks for no signal there. Change: both are ignored; a write that fails has an error code, and the log lines are lost. Evidence: sidecar_start/output_that_nobody_reads closes the reader and lets the node log.

--- a/src/adapter/signal/process_signals.cpp
+++ b/src/adapter/signal/process_signals.cpp
@@ -12,7 +12,11 @@
 
 ProcessSignals::ProcessSignals(asio::io_context &context)
     : stop_(context, SIGTERM, SIGINT), reload_(context, SIGHUP)
-{ }
+{
+    // A write that fails has an error code: log lines are lost, the process goes on.
+    (void)std::signal(SIGPIPE, SIG_IGN);
+    (void)std::signal(SIGXFSZ, SIG_IGN);
+}
 
 asio::awaitable<void> ProcessSignals::awaitStop()
 {
--- a/src/standin/child_process.cpp
+++ b/src/standin/child_process.cpp
@@ -54,7 +54,15 @@
         signal(SIGKILL);
         wait();
     }
-    close(output_);
+    closeOutput();
+}
+
+void ChildProcess::closeOutput()
+{
+    if (output_ >= 0) {
+        close(output_);
+        output_ = -1;
+    }
 }
 
 std::string ChildProcess::readLine()
--- a/src/standin/child_process.h
+++ b/src/standin/child_process.h
@@ -29,6 +29,9 @@
     /** @return The next line of its standard output; empty at its end. Blocks. */
     std::string readLine();
 
+    /** Nobody reads its standard output from now on. */
+    void closeOutput();
+
     /** Sends @p signal; nothing if it has ended. */
     void signal(int signal);
 
--- a/test/process/sidecar_start_test.cpp
+++ b/test/process/sidecar_start_test.cpp
@@ -26,6 +26,7 @@
 
 constexpr milliseconds Patience{20000}; ///< For what is expected to happen.
 constexpr milliseconds Poll{20};
+constexpr milliseconds WriteTime{1000}; ///< In which a node has written its log lines.
 
 /** Waits until @p holds returns true. @return Whether it did. */
 bool awaitThat(const std::function<bool()> &holds, milliseconds longest = Patience)
@@ -175,3 +176,17 @@
         cr_assert(node.isLogged("node-stopped"));
     }
 }
+
+// Guards against a node that ends with the reader of its output, such as a log collector.
+Test(sidecar_start, output_that_nobody_reads)
+{
+    StartingNode node;
+    node.start();
+    cr_assert(node.listens());
+    node.process->closeOutput();
+    node.settings.shutdownTimeout -= milliseconds(1);
+    node.writeSettings();
+    node.process->signal(SIGHUP); // The changed settings are logged.
+    cr_assert(!awaitThat([&]() { return node.process->hasEnded(); }, WriteTime));
+    cr_assert(node.listens());
+}
