Fix: [Sidecar] A node waits for an address that is still in use

What callers saw: a process that is started again ends at once with exit code 1, "Address already in use". Cause: an address that couldn't be bound ended the start, though a process that has been killed or told to end may hold it a moment longer than until its successor runs. The message named no address. Change: the node waits until its addresses are free, as long as a process may take to end, and logs `address-awaited` with the address. After that it ends as before, and names the address. Evidence: sidecar_start/address_that_is_still_in_use. Before, the node ended at once; now it listens once the address is free, or ends with exit code 1 and the address in its log and on standard error.

--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -62,6 +62,7 @@
         {LogEvent::LeavingRestored, "leaving-restored", LogSeverity::Info},
         {LogEvent::LeavingNotAcknowledged, "leaving-not-acknowledged", LogSeverity::Warning},
         {LogEvent::NodeFailed, "node-failed", LogSeverity::Error},
+        {LogEvent::AddressAwaited, "address-awaited", LogSeverity::Warning},
         {LogEvent::NodeFenced, "node-fenced", LogSeverity::Warning},
         {LogEvent::WatchSilent, "watch-silent", LogSeverity::Warning},
         {LogEvent::FeederLost, "feeder-lost", LogSeverity::Warning},
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -71,6 +71,7 @@
     LeavingRestored, ///< An earlier process of this node acknowledged that it leaves.
     LeavingNotAcknowledged, ///< Neither the store nor other nodes have recorded that it leaves.
     NodeFailed,     ///< Unhandled error, or a start that is not possible; the process terminates.
+    AddressAwaited, ///< An address to listen on is in use; the node waits for it.
     NodeFenced,    ///< At another node's request, this node as witness no longer answers the fenced
                    ///< node.
     WatchSilent,   ///< Other nodes know of changes that this node's watch has not delivered.
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -4,11 +4,13 @@
 
 #include "adapter/clock/sleep_func.h"
 #include "adapter/log/event_log.h"
+#include "adapter/socket/address_func.h"
 #include "adapter/task/background_task.h"
 #include "core/hash_func.h"
 #include "decision/member/report_check.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <thread>
 
 namespace wisteriahoist {
 
@@ -47,6 +49,7 @@
 constexpr milliseconds StartHealthInterval{500};
 /** Reading the small file is cheap, and settings that may change at run time are not urgent. */
 constexpr milliseconds SettingsPollInterval{5000};
+constexpr milliseconds AddressPollInterval{50};
 
 /** Share of the process's memory for the requests that it holds; the rest is for responses, what
  *  the process itself needs, and one copy of a response. */
@@ -655,8 +658,37 @@
     }
 }
 
+/** @return The first address that another socket has, as text; nullopt if there is none. */
+std::optional<std::string> findAddressInUse(const SidecarSettings &settings)
+{
+    for (const Endpoint &address : {settings.callers, settings.peers, settings.readiness,
+                                    settings.reports, settings.metrics}) {
+        if (isAddressInUse(address.ip, address.port)) {
+            return address.ip + ":" + std::to_string(address.port);
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
+Result<void> awaitAddresses(const SidecarSettings &settings, const Clock &clock)
+{
+    const TimePoint end = clock.now() + settings.shutdownTimeout;
+    std::optional<std::string> inUse = findAddressInUse(settings);
+    if (inUse) {
+        logEvent(LogEvent::AddressAwaited, {{"address", *inUse}});
+    }
+    while (inUse && clock.now() < end) {
+        std::this_thread::sleep_for(AddressPollInterval);
+        inUse = findAddressInUse(settings);
+    }
+    if (inUse) {
+        return Failure{FailureCode::Unavailable, *inUse + " is in use"};
+    }
+    return boost::outcome_v2::success();
+}
+
 int runSidecar(asio::io_context &context, SidecarProgram &program, ProcessSignals &signals,
                std::function<std::optional<SidecarSettings>()> reload)
 {
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -147,6 +147,13 @@
     TimePoint stopStartedAt_ = NeverTime;
 };
 
+/**
+ * Waits until the addresses that the node listens on are free: a process before this one, which
+ * may take as long as a shutdown to end, still has them.
+ * @return A failure that names an address if it is still in use at the end.
+ */
+Result<void> awaitAddresses(const SidecarSettings &settings, const Clock &clock);
+
 /**
  * Runs a node until SIGTERM or SIGINT.
  * @param reload Reads the settings again; nothing if they are invalid.
--- a/test/process/sidecar_start_test.cpp
+++ b/test/process/sidecar_start_test.cpp
@@ -145,6 +145,19 @@
     std::filesystem::path directory_;
 };
 
+/** Another process that listens at an address. */
+class PortHolder
+{
+public:
+    explicit PortHolder(const Endpoint &address)
+        : acceptor_(context_, {boost::asio::ip::make_address(address.ip), address.port})
+    { }
+
+private:
+    boost::asio::io_context context_;
+    tcp::acceptor acceptor_;
+};
+
 /** Writes @p text to the pipe and closes it. */
 void finish(int pipe, const std::string &text)
 {
@@ -190,3 +203,27 @@
     cr_assert(!awaitThat([&]() { return node.process->hasEnded(); }, WriteTime));
     cr_assert(node.listens());
 }
+
+// Guards against a node that doesn't start, since the process before it still ends.
+Test(sidecar_start, address_that_is_still_in_use)
+{
+    SECTION("for a while: the node waits for it")
+    {
+        StartingNode node;
+        std::optional<PortHolder> holder(std::in_place, node.settings.peers);
+        node.start(node.path("log"));
+        cr_assert(awaitThat([&]() { return node.isLogged("address-awaited"); }));
+        holder.reset();
+        cr_assert(node.listens());
+    }
+    SECTION("for longer than a process may take to end: the node names it")
+    {
+        StartingNode node(milliseconds(300));
+        const PortHolder holder(node.settings.readiness);
+        node.start(node.path("log"));
+        cr_assert_eq(node.awaitEnd(), 1);
+        const std::string address = node.settings.readiness.ip + ":8625";
+        cr_assert(node.isLogged("node-failed") && node.isLogged(address));
+        cr_assert(node.contentOf("errors").find(address) != std::string::npos);
+    }
+}
