--- a/test/process/sidecar_start_test.cpp
+++ b/test/process/sidecar_start_test.cpp
@@ -227,3 +227,25 @@
         cr_assert(node.contentOf("errors").find(address) != std::string::npos);
     }
 }
+
+// Guards against a node that doesn't start, since its settings file is just being written.
+Test(sidecar_start, settings_that_are_being_written)
+{
+    SECTION("they are read again")
+    {
+        StartingNode node;
+        const std::string whole = platform::encodeSettings(node.settings);
+        finish(node.startReadingPipe(), whole.substr(0, whole.size() / 2));
+        cr_assert(node.listens());
+    }
+    SECTION("settings that stay invalid are findings")
+    {
+        StartingNode node;
+        node.settings.name.clear();
+        node.writeSettings();
+        node.start(node.path("log"));
+        cr_assert_eq(node.awaitEnd(), 2);
+        cr_assert(node.contentOf("errors").find("node_name") != std::string::npos);
+        cr_assert(node.isLogged("settings-refused"));
+    }
+}
