--- a/test/unit/platform/odd_entries_test.cpp
+++ b/test/unit/platform/odd_entries_test.cpp
@@ -66,6 +66,21 @@
             R"({"other":)" + value + R"(,"metadata":{)" + name + R"(},"spec":{"x":1}})"};
 }
 
+/** @return Objects whose name or revision can't be read. */
+std::vector<std::string> makeNamelessObjects()
+{
+    return {"1",
+            "null",
+            "[[]]",
+            "{}",
+            R"({"metadata":[]})",
+            R"({"metadata":{"name":"x"}})",
+            R"({"metadata":{"name":7,"revision":6}})",
+            R"({"metadata":{"name":"x","revision":-1}})",
+            R"({"metadata":{"name":"\ud800","revision":6}})",
+            R"({"metadata":{"name":"x","revision":1e99999999999}})"};
+}
+
 /** @return A response with @p body, whatever it holds. */
 std::string makeResponse(const std::string &body)
 {
@@ -239,18 +254,7 @@
 // read.
 Test(odd_entries, entries_without_a_name_are_left_out)
 {
-    const std::vector<std::string> nameless{
-            "1",
-            "null",
-            "[[]]",
-            "{}",
-            R"({"metadata":[]})",
-            R"({"metadata":{"name":"x"}})",
-            R"({"metadata":{"name":7,"revision":6}})",
-            R"({"metadata":{"name":"x","revision":-1}})",
-            R"({"metadata":{"name":"\ud800","revision":6}})",
-            R"({"metadata":{"name":"x","revision":1e99999999999}})"};
-    for (const std::string &odd : nameless) {
+    for (const std::string &odd : makeNamelessObjects()) {
         SECTION("of the list")
         {
             RawStore store({makePage(makeItem("a", 5) + "," + odd, true),
@@ -271,6 +275,26 @@
     }
 }
 
+// Guards against a watch that ends with each change of an entry whose name can't be read.
+Test(odd_entries, changes_of_entries_without_a_name_are_left_out)
+{
+    std::vector<std::string> events{"1", "null", "[]", "{}", R"({"object":[],"deleted":true})"};
+    for (const std::string &odd : makeNamelessObjects()) {
+        events.push_back(makeEvent(odd));
+    }
+    for (const std::string &event : events) {
+        RawStore store(
+                {makeResponse(R"({"events":[)" + makeEvent(makeItem("a", 5)) + "," + event + ","
+                              + makeEvent(makeItem("z", 7)) + R"(],"store_revision":9})")});
+        const auto seen = store.watch();
+        cr_assert(seen.has_value(), "%s", event.c_str());
+        const auto &changes = seen.assume_value().changes;
+        cr_assert_eq(changes.size(), 2U);
+        cr_assert(isPlain(changes[0].record, "a", 5) && isPlain(changes[1].record, "z", 7));
+        cr_assert(seen.assume_value().at == StoreRevision(9));
+    }
+}
+
 // Guards against a list that can't be continued after the name that another writer has chosen.
 Test(odd_entries, list_is_continued_after_any_name)
 {
