Fix: [Node] Signals during the start, and an output that nobody reads

Cause: as in the sidecar: the handlers of SIGTERM and SIGINT were set after the node had been set up, and a write to an output without a reader raised SIGPIPE. Change: the node command sets its handlers before anything else and ignores the signals of failed writes. Evidence: none of its own; the same code of ProcessSignals is tested with the sidecar (sidecar_start/*).

--- a/src/adapter/signal/process_signals.cpp
+++ b/src/adapter/signal/process_signals.cpp
@@ -10,14 +10,19 @@
 
 namespace asio = boost::asio;
 
-ProcessSignals::ProcessSignals(asio::io_context &context)
-    : stop_(context, SIGTERM, SIGINT), reload_(context, SIGHUP)
+void ignoreOutputSignals()
 {
     // A write that fails has an error code: log lines are lost, the process goes on.
     (void)std::signal(SIGPIPE, SIG_IGN);
     (void)std::signal(SIGXFSZ, SIG_IGN);
 }
 
+ProcessSignals::ProcessSignals(asio::io_context &context)
+    : stop_(context, SIGTERM, SIGINT), reload_(context, SIGHUP)
+{
+    ignoreOutputSignals();
+}
+
 asio::awaitable<void> ProcessSignals::awaitStop()
 {
     co_await stop_.async_wait(asio::use_awaitable);
--- a/src/adapter/signal/process_signals.h
+++ b/src/adapter/signal/process_signals.h
@@ -8,6 +8,9 @@
 
 namespace wisteriahoist {
 
+/** From now on a write to an output that can't take it fails, instead of ending the process. */
+void ignoreOutputSignals();
+
 /**
  * While it exists, no signal of the platform ends the process by its default action: one that
  * arrives before it is awaited is kept. A program creates it before anything else.
--- a/src/program/node_program.cpp
+++ b/src/program/node_program.cpp
@@ -3,6 +3,7 @@
 #include "program/node_program.h"
 
 #include "adapter/log/event_log.h"
+#include "adapter/signal/process_signals.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -215,6 +216,10 @@
 
 int runNode(const std::string &settingsFile)
 {
+    ignoreOutputSignals();
+    // Before anything else: a signal that arrives while the node is set up is kept.
+    asio::io_context signals;
+    asio::signal_set set(signals, SIGTERM, SIGINT);
     std::vector<Finding> findings;
     const NodeSettings settings = loadNodeSettings(settingsFile, findings);
     if (!findings.empty()) {
@@ -226,8 +231,6 @@
     const LogOutput log(std::cerr, settings.signals.severity);
     try {
         NodeProgram node(settings);
-        asio::io_context signals;
-        asio::signal_set set(signals, SIGTERM, SIGINT);
         node.start();
         std::cout << "node " << settings.id.value() << " caller_port=" << node.address().callerPort
                   << " peer_port=" << node.address().peerPort
