Fix: [HTTP, Peers] A node without free descriptors no longer uses up its core

What callers saw: nothing that is known; with as many connections as a process may have descriptors, the node does nothing else. Cause: an accept that failed was repeated at once. For lack of descriptors it fails again at once, as long as the connection waits in the listen queue.

--- a/src/adapter/http/http_server.cpp
+++ b/src/adapter/http/http_server.cpp
@@ -2,6 +2,8 @@
 
 #include "adapter/http/http_server.h"
 
+#include "adapter/clock/sleep_func.h"
+#include "adapter/socket/socket_type.h"
 #include "adapter/task/background_task.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -96,6 +98,7 @@
             if (state_->stopping) {
                 co_return;
             }
+            co_await sleepFor(AcceptRetryPause);
             continue;
         }
         serve(std::move(socket));
--- a/src/adapter/http2/peer_transport.cpp
+++ b/src/adapter/http2/peer_transport.cpp
@@ -2,6 +2,8 @@
 
 #include "adapter/http2/peer_transport.h"
 
+#include "adapter/clock/sleep_func.h"
+#include "adapter/socket/socket_type.h"
 #include "adapter/task/background_task.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -51,6 +53,7 @@
         tcp::socket socket
                 = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error) {
+            co_await sleepFor(AcceptRetryPause);
             continue;
         }
         PeerHandler handler = guard_ ? guard_->guard(handler_) : handler_;
