--- a/review/world-2/fleet.h
+++ b/review/world-2/fleet.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "proxy.h"
 #include "store.h"
 
 #include <fstream>
@@ -229,8 +230,21 @@
         return found;
     }
 
+    Address storeAddress() const { return {prefix_ + (storeProxy ? "251" : "250"), StorePort}; }
+
+    /** Puts a proxy between the nodes and the store. @pre No node was added yet. */
+    void putProxyBeforeStore()
+    {
+        storeProxy = std::make_unique<Proxy>(Address{prefix_ + "251", StorePort},
+                                             Address{prefix_ + "250", StorePort});
+        if (!storeProxy->start()) {
+            fail("the proxy cannot listen");
+        }
+    }
+
     int64_t heartbeat = 1500;
     std::unique_ptr<Store> store;
+    std::unique_ptr<Proxy> storeProxy; ///< nullptr: none.
     std::vector<std::unique_ptr<Node>> nodes;
 
 private:
@@ -259,7 +273,7 @@
              << "\n[limits]\ncpu_share = 0.2\ncores = 1\nmemory_mb = 260\nmax_fds = 4100\n"
                 "link_mbps = 1000.0\ndisk_mb = 0\n[fault_tolerance]\nmachines = 1\nzones = 0\n"
                 "regions = 0\n[platform]\naddress = \""
-             << prefix_ << "250:" << StorePort
+             << storeAddress().text()
              << "\"\nform = \"objects\"\nwrites_per_s = 400\nreads_per_s = 2000\n"
                 "history = \"20s\"\nvalue_bytes = 1048576\nttl_min = \"1000ms\"\n";
         return text.str();
