--- a/review/world-2/instance.cpp
+++ b/review/world-2/instance.cpp
@@ -27,6 +27,7 @@
     int64_t firstBeat = 300; ///< Time from the start to the first liveness report.
     int64_t work = 200;
     bool sharded = false;
+    bool saysBorn = false; ///< Its reports tell when it was started.
     /** Bytes sent after a complete response, late: when the next request has come on the
      *  connection. Empty: none. */
     std::string extra;
@@ -70,6 +71,9 @@
                           {"zone", options_.zone}, {"version", "v1"}, {"slots", options_.slots},
                           {"state", "ready"}, {"cold_remaining", "0ms"},
                           {"sequence", ++sequence_}};
+        if (options_.saysBorn) {
+            body["born"] = born_;
+        }
         (void)call(options_.control,
                    makeRequest("POST", "/-/instances/" + options_.id + "/heartbeat", "control",
                                "Content-Type: application/json\r\n", json::serialize(body)),
@@ -247,6 +251,7 @@
     int running_ = 0;
     std::atomic<int> arrived_{0};
     int64_t sequence_ = 0;
+    const int64_t born_ = int64_t(time(nullptr)) * 1000;
 };
 
 } // namespace
@@ -280,6 +285,8 @@
             options.work = atoll(value.c_str());
         } else if (name == "--sharded") {
             options.sharded = value == "1";
+        } else if (name == "--born") {
+            options.saysBorn = value == "1";
         } else if (name == "--extra") {
             options.extra = value;
         } else if (name == "--extra-every") {
