Review case 9: a leaving that the node acknowledges is ignored after an odd liveness report

One liveness report without an address, which names no instance to use, raises the sequence that the node has seen of its instance.

--- a/review/world-2/fleet.h
+++ b/review/world-2/fleet.h
@@ -46,6 +46,8 @@
         pid_t node = -1;
         pid_t instance = -1;
         int starts = 0; ///< Of the instance.
+        std::string instanceId;
+        int64_t born = 0; ///< Unix millisecond of the instance's start.
         Address callers() const { return {ip, CallerPort}; }
     };
 
@@ -108,12 +110,15 @@
     void startInstance(Node &node, const std::vector<std::string> &more = {})
     {
         const std::string id = "i-" + node.name.substr(8) + "-" + std::to_string(++node.starts);
+        node.instanceId = id;
+        node.born = int64_t(time(nullptr)) * 1000;
         std::vector<std::string> words{
                 root_ + "/review/world-2/bin/instance", "--address",
                 node.ip + ":" + std::to_string(InstancePort), "--control",
                 node.ip + ":" + std::to_string(ControlPort), "--id", id, "--service", node.service,
                 "--zone", node.zone, "--record", folder_ + "/record.txt", "--heartbeat",
-                std::to_string(heartbeat), "--sharded", node.sharded ? "1" : "0"};
+                std::to_string(heartbeat), "--sharded", node.sharded ? "1" : "0", "--born",
+                saysBorn ? std::to_string(node.born) : "0"};
         words.insert(words.end(), more.begin(), more.end());
         node.instance = spawn(words, {}, work_ + "/" + id + ".log", root_);
     }
@@ -243,6 +248,7 @@
     }
 
     int64_t heartbeat = 1500;
+    bool saysBorn = false; ///< Instances tell in their reports when they were started.
     std::unique_ptr<Store> store;
     std::unique_ptr<Proxy> storeProxy; ///< nullptr: none.
     std::vector<std::unique_ptr<Node>> nodes;
--- a/review/world-2/instance.cpp
+++ b/review/world-2/instance.cpp
@@ -15,6 +15,9 @@
 
 constexpr int Keys = 65536;
 
+/** Set by SIGUSR1: the instance is to leave as planned. */
+std::atomic<bool> leaves{false};
+
 struct Options {
     Address address;
     Address control;
@@ -27,7 +30,10 @@
     int64_t firstBeat = 300; ///< Time from the start to the first liveness report.
     int64_t work = 200;
     bool sharded = false;
-    bool saysBorn = false; ///< Its reports tell when it was started.
+    int64_t drain = 2000;
+    int64_t serveLonger = 4000;
+    bool saysBorn = false; ///< Its reports tell when it was started:
+    int64_t born = 0;      ///< the Unix millisecond.
     /** Bytes sent after a complete response, late: when the next request has come on the
      *  connection. Empty: none. */
     std::string extra;
@@ -57,27 +63,50 @@
         serve(listener, [this](int fd) { handle(fd); });
         sleepMs(options_.firstBeat);
         while (true) {
-            beat();
-            sleepMs(options_.heartbeat);
+            const int64_t sentAt = nowMs();
+            const bool acked = beat();
+            if (leaving_ && acked && ackedAt_ == 0) {
+                ackedAt_ = nowMs();
+                log("leaving-acked");
+            }
+            // It serves for `drain` after the ack and some seconds longer, and exits.
+            if (ackedAt_ != 0 && nowMs() >= ackedAt_ + options_.drain + options_.serveLonger) {
+                (void)call(options_.control,
+                           makeRequest("POST", "/-/instances/" + options_.id + "/deregister",
+                                       "control", "", ""),
+                           1000);
+                log("exits");
+                return 0;
+            }
+            while (nowMs() < sentAt + options_.heartbeat && (leaving_ || !leaves)) {
+                sleepMs(20);
+            }
+            if (leaves && !leaving_) {
+                leaving_ = true;
+                log("begins to leave");
+            }
         }
     }
 
 private:
     void log(const std::string &text) { record_.line("instance " + options_.id + " " + text); }
 
-    void beat()
+    /** @return Whether the report has its ack. */
+    bool beat()
     {
         json::object body{{"service", options_.service}, {"address", options_.address.text()},
                           {"zone", options_.zone}, {"version", "v1"}, {"slots", options_.slots},
-                          {"state", "ready"}, {"cold_remaining", "0ms"},
+                          {"state", leaving_ ? "draining" : "ready"}, {"cold_remaining", "0ms"},
                           {"sequence", ++sequence_}};
         if (options_.saysBorn) {
-            body["born"] = born_;
+            body["born"] = options_.born;
         }
-        (void)call(options_.control,
-                   makeRequest("POST", "/-/instances/" + options_.id + "/heartbeat", "control",
-                               "Content-Type: application/json\r\n", json::serialize(body)),
-                   1000);
+        const auto reply = call(options_.control,
+                                makeRequest("POST", "/-/instances/" + options_.id + "/heartbeat",
+                                            "control", "Content-Type: application/json\r\n",
+                                            json::serialize(body)),
+                                1000);
+        return reply && reply->whole && reply->status() / 100 == 2;
     }
 
     std::string answer(const Message &request, int status, const std::string &fields,
@@ -102,7 +131,7 @@
             if (target == "/-/grant" || target == "/-/release") {
                 reply = target == "/-/grant" ? grant(*request) : release(*request);
             } else if (target == "/health") {
-                reply = answer(*request, 200,
+                reply = answer(*request, leaving_ ? 503 : 200,
                                "X-Wisteriahoist-Instance-Id: " + options_.id + "\r\n");
             } else {
                 if (spoiled) {
@@ -251,7 +280,8 @@
     int running_ = 0;
     std::atomic<int> arrived_{0};
     int64_t sequence_ = 0;
-    const int64_t born_ = int64_t(time(nullptr)) * 1000;
+    std::atomic<bool> leaving_{false};
+    int64_t ackedAt_ = 0; ///< When its leaving was acknowledged; 0: not yet.
 };
 
 } // namespace
@@ -259,6 +289,7 @@
 int main(int argc, char **argv)
 {
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGUSR1, [](int) { leaves = true; });
     Options options;
     for (int index = 1; index + 1 < argc; index += 2) {
         const std::string name = argv[index];
@@ -286,7 +317,8 @@
         } else if (name == "--sharded") {
             options.sharded = value == "1";
         } else if (name == "--born") {
-            options.saysBorn = value == "1";
+            options.saysBorn = value != "0";
+            options.born = atoll(value.c_str());
         } else if (name == "--extra") {
             options.extra = value;
         } else if (name == "--extra-every") {
