Add: [Member, Log] A line for heartbeats without effect, with both incarnations

BackendMonitor tells apart before a heartbeat takes effect what it is to it (standingOf); what it does is unchanged.

--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -47,6 +47,7 @@
         {LogEvent::RequestEnded, "request-ended", LogSeverity::Info},
         {LogEvent::BackendChanged, "backend-changed", LogSeverity::Info},
         {LogEvent::ReportRefused, "report-refused", LogSeverity::Warning},
+        {LogEvent::ReportIgnored, "report-ignored", LogSeverity::Warning},
         {LogEvent::GrantRefused, "grant-refused", LogSeverity::Warning},
         {LogEvent::LeaseRevoked, "lease-revoked", LogSeverity::Warning},
         {LogEvent::RangeLeaving, "range-leaving", LogSeverity::Info},
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -54,6 +54,7 @@
     RequestEnded,      ///< A response was sent to the caller; one line per request.
     BackendChanged,    ///< The local backend server's state or incarnation has changed.
     ReportRefused,     ///< A heartbeat is malformed or does not identify a usable instance.
+    ReportIgnored,     ///< A heartbeat is acknowledged without effect; names both incarnations.
     GrantRefused,      ///< The backend server has seen a higher fencing token.
     LeaseRevoked,      ///< This node has revoked the lease of another node.
     RangeLeaving,      ///< A range is being released to another holder.
--- a/src/decision/member/backend_monitor.cpp
+++ b/src/decision/member/backend_monitor.cpp
@@ -29,6 +29,21 @@
     return "unknown";
 }
 
+std::string_view reportStandingName(ReportStanding standing)
+{
+    switch (standing) {
+    case ReportStanding::Newest:
+        return "newest";
+    case ReportStanding::Outdated:
+        return "outdated";
+    case ReportStanding::OtherIncarnation:
+        return "other-life";
+    case ReportStanding::Ended:
+        return "ended";
+    }
+    return "unknown";
+}
+
 void BackendMonitor::beginIncarnation(const BackendIncarnation &backend)
 {
     endIncarnation();
@@ -74,21 +89,32 @@
            || std::find(ended_.begin(), ended_.end(), backend) != ended_.end();
 }
 
-bool BackendMonitor::onReport(const BackendReport &report, TimePoint now)
+ReportStanding BackendMonitor::standingOf(const BackendReport &report) const
 {
     if (hasEnded(report.backend)) {
+        return ReportStanding::Ended;
+    }
+    // Of an incarnation that has not reported only the id may be known, from a health check.
+    const bool named = !hasReported() && report.backend.id == backend_.id;
+    if (report.backend != backend_ && !named && !backend_.empty()) {
+        return ReportStanding::OtherIncarnation;
+    }
+    return report.backend == backend_ && report.sequence <= sequence_ ? ReportStanding::Outdated
+                                                                      : ReportStanding::Newest;
+}
+
+bool BackendMonitor::onReport(const BackendReport &report, TimePoint now)
+{
+    const ReportStanding standing = standingOf(report);
+    if (standing == ReportStanding::Ended || standing == ReportStanding::Outdated) {
         return false;
     }
     const bool newIncarnation = report.backend != backend_;
-    const bool named = !hasReported() && report.backend.id == backend_.id;
-    if (newIncarnation && named) {
-        // Only the id was known, from a health check; the report contains the rest.
+    if (newIncarnation && report.backend.id == backend_.id && !hasReported()) {
         backend_ = report.backend;
         leaving_ |= isDeregistered(backend_);
     } else if (newIncarnation) {
         beginIncarnation(report.backend);
-    } else if (report.sequence <= sequence_) {
-        return false;
     }
     if (!hasReported()) {
         reportedBefore_ = report.sequence > 1;
--- a/src/decision/member/backend_monitor.h
+++ b/src/decision/member/backend_monitor.h
@@ -26,6 +26,16 @@
 
 std::string_view backendEvidenceName(BackendEvidence evidence);
 
+/** What a heartbeat is to the monitor before it takes effect. */
+enum class ReportStanding {
+    Newest,           ///< Of the current incarnation, or of the first one.
+    Outdated,         ///< The current incarnation has sent newer ones.
+    OtherIncarnation, ///< Of an incarnation that is not known.
+    Ended,            ///< Of an incarnation that has ended.
+};
+
+std::string_view reportStandingName(ReportStanding standing);
+
 /** Limits of the monitor. */
 struct MonitorLimits {
     /** Consecutive refused connections after which it is considered down; a single one may be due
@@ -54,6 +64,8 @@
      */
     bool onReport(const BackendReport &report, TimePoint now);
 
+    ReportStanding standingOf(const BackendReport &report) const;
+
     /**
      * The backend server has announced its shutdown. If none is known yet (because this node has
      * just started), it is the current one from now on. Another incarnation that is not known is
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -234,10 +234,12 @@
 void SidecarProgram::onBackendChange()
 {
     logEvent(LogEvent::BackendChanged, {{"backend", monitor_.backend().text()},
+                                        {"previous", loggedBackend_.text()},
                                         {"state", static_cast<int64_t>(monitor_.state())},
                                         {"refusing", monitor_.refusesConnections()},
                                         {"evidence", backendEvidenceName(monitor_.evidence())},
                                         {"slots", monitor_.slots()}});
+    loggedBackend_ = monitor_.backend();
     updateColdLimits();
     gate_.onBackendChange();
     publisher_.wake();
@@ -405,6 +407,7 @@
 asio::awaitable<std::optional<GrantReply>> SidecarProgram::answerHeartbeat(BackendReport report,
                                                                            TimePoint receivedAt)
 {
+    logIfIgnored(report, receivedAt);
     const bool changed = monitor_.onReport(report, receivedAt);
     if (changed) {
         onBackendChange();
@@ -421,6 +424,18 @@
     co_return co_await ranges_.handleHeartbeat(std::move(*report.holding), atOnce, receivedAt);
 }
 
+void SidecarProgram::logIfIgnored(const BackendReport &report, TimePoint now)
+{
+    const ReportStanding standing = monitor_.standingOf(report);
+    const bool ignored = standing == ReportStanding::Ended || standing == ReportStanding::Outdated;
+    if (ignored && ignoredReportLog_.tryTake(now)) {
+        ignoredReportLog_.log({{"reported", report.backend.text()},
+                               {"sequence", report.sequence},
+                               {"current", monitor_.backend().text()},
+                               {"standing", reportStandingName(standing)}});
+    }
+}
+
 asio::awaitable<HttpResponse> SidecarProgram::onReadiness(HttpRequest)
 {
     const bool ready = !stopping_ && view_.routes().version() > 0;
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -101,6 +101,7 @@
     Result<BackendCall> readReport(const HttpRequest &request);
     asio::awaitable<std::optional<GrantReply>> answerHeartbeat(BackendReport report,
                                                                TimePoint receivedAt);
+    void logIfIgnored(const BackendReport &report, TimePoint now);
     asio::awaitable<HttpResponse> onReadiness(HttpRequest request);
     asio::awaitable<HttpResponse> onMetrics(HttpRequest request);
     void registerMetrics();
@@ -139,9 +140,11 @@
     std::shared_ptr<HttpServer> metricsServer_;
     /// Rate-limited, since a client that sends invalid reports may repeat them indefinitely.
     RateLimitedEvent reportLog_{LogEvent::ReportRefused, 1, 10};
-    uint64_t evacuationChanges_ = 0; ///< Of the table that onEvacuations() has seen.
-    bool wasEvacuated_ = false;      ///< The failure domain of this node, when last looked at.
-    BackendIncarnation keptLeaving_; ///< Other nodes keep that it leaves.
+    RateLimitedEvent ignoredReportLog_{LogEvent::ReportIgnored, 1, 10};
+    BackendIncarnation loggedBackend_; ///< Current one when the last change was logged.
+    uint64_t evacuationChanges_ = 0;   ///< Of the table that onEvacuations() has seen.
+    bool wasEvacuated_ = false;        ///< The failure domain of this node, when last looked at.
+    BackendIncarnation keptLeaving_;   ///< Other nodes keep that it leaves.
     bool stopping_ = false;
     bool closing_ = false; ///< Last phase of the shutdown: other nodes send no more requests here.
     TimePoint stopStartedAt_ = NeverTime;
--- a/test/unit/member/backend_monitor_test.cpp
+++ b/test/unit/member/backend_monitor_test.cpp
@@ -60,6 +60,19 @@
     cr_assert(monitor.backend() == "i-2");
 }
 
+// Guards against a log that does not tell why a node ignores the heartbeats of its backend server.
+Test(backend_monitor, reports_without_effect_are_told_apart)
+{
+    BackendMonitor monitor{MonitorLimits{}};
+    cr_assert(monitor.standingOf(makeReport("i-1", 1)) == ReportStanding::Newest);
+    (void)monitor.onReport(makeReport("i-1", 9), Start);
+    cr_assert(monitor.standingOf(makeReport("i-1", 9)) == ReportStanding::Outdated);
+    cr_assert(monitor.standingOf(makeReport("i-1", 10)) == ReportStanding::Newest);
+    cr_assert(monitor.standingOf(makeReport("i-2", 1)) == ReportStanding::OtherIncarnation);
+    (void)monitor.onReport(makeReport("i-2", 1), Start);
+    cr_assert(monitor.standingOf(makeReport("i-1", 10)) == ReportStanding::Ended);
+}
+
 // Guards against a request that reached a backend server 2.2 s after its deregistration had been
 // acknowledged: its node had just restarted, received the deregistration of an incarnation that it
 // did not know yet, and then a late report of this incarnation with the state ready.
