Fix: [Member] The backend server itself says which of its incarnations runs

What callers saw: after all processes had ended and returned, one heartbeat of another incarnation to each node ended the use of its backend server until the node started again: 503 for everything.

Cause: BackendMonitor took any heartbeat with an unknown id, and any answer that named one, for the next incarnation, and the present one for ended; one that has ended never counts again, whatever it reports and answers. Only a process that has seen the former one end knows that id, and after a loss of all none has. Class: one message of unproven origin makes a node discard for good what it knows.

Change: such a message is a claim. The node asks the backend server on a connection of its own (GET /health) and goes on with the current incarnation meanwhile; requests name it, so another one rejects them unrun. The answer decides, also for one that was taken for ended. While that is open no grants are sent, since a grant does not name its incarnation, and an incarnation that the backend server has not named holds nothing. A claim by heartbeat and a 421 that names the same id are taken together without waiting for a slot. A report replaces an incarnation that refuses connections at once, as before. A leaving of a claimed incarnation is acknowledged once it is decided. A 421 without a name no longer ends the current incarnation.

The tests that took a report alone for the next incarnation now also let the backend server name itself; what they check is unchanged.

--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -46,6 +46,8 @@
         {LogEvent::TraceExportBack, "trace-export-back", LogSeverity::Info},
         {LogEvent::RequestEnded, "request-ended", LogSeverity::Info},
         {LogEvent::BackendChanged, "backend-changed", LogSeverity::Info},
+        {LogEvent::BackendDoubted, "backend-doubted", LogSeverity::Warning},
+        {LogEvent::BackendIdentified, "backend-identified", LogSeverity::Info},
         {LogEvent::ReportRefused, "report-refused", LogSeverity::Warning},
         {LogEvent::ReportIgnored, "report-ignored", LogSeverity::Warning},
         {LogEvent::GrantRefused, "grant-refused", LogSeverity::Warning},
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -53,6 +53,8 @@
     TraceExportBack,
     RequestEnded,      ///< A response was sent to the caller; one line per request.
     BackendChanged,    ///< The local backend server's state or incarnation has changed.
+    BackendDoubted,    ///< Another incarnation is named than the current one; names the source.
+    BackendIdentified, ///< The backend server, asked because of a doubt, has named itself.
     ReportRefused,     ///< A heartbeat is malformed or does not identify a usable instance.
     ReportIgnored,     ///< A heartbeat is acknowledged without effect; names both incarnations.
     GrantRefused,      ///< The backend server has seen a higher fencing token.
--- a/src/decision/member/backend_monitor.cpp
+++ b/src/decision/member/backend_monitor.cpp
@@ -48,6 +48,9 @@
 {
     endIncarnation();
     backend_ = backend;
+    confirmed_ = false;
+    ++question_;
+    std::erase_if(claims_, [&](const Claim &claim) { return claim.backend.id == backend.id; });
     sequence_ = 0;
     refusals_ = 0;
     refusing_ = false;
@@ -72,6 +75,69 @@
         return;
     }
     remember(ended_, backend_);
+    if (leaving_) {
+        remember(deregistered_, backend_);
+    }
+}
+
+void BackendMonitor::beginClaimed(const Claim &claim, TimePoint now)
+{
+    beginIncarnation(claim.backend);
+    evidence_ = BackendEvidence::OtherIncarnation;
+    // Only the id is known until the first report.
+    state_ = leaving_ ? BackendState::Draining : BackendState::Absent;
+    heardAt_ = now;
+    if (claim.report) {
+        applyReport(*claim.report, now);
+    }
+}
+
+std::deque<BackendMonitor::Claim>::iterator BackendMonitor::findClaim(const std::string &backend)
+{
+    return std::find_if(claims_.begin(), claims_.end(),
+                        [&](const Claim &claim) { return claim.backend.id == backend; });
+}
+
+void BackendMonitor::addClaim(const BackendIncarnation &backend,
+                              const std::optional<BackendReport> &report, TimePoint now)
+{
+    std::erase_if(claims_, [&](const Claim &claim) { return !isOpen(claim, now); });
+    const auto known = findClaim(backend.id);
+    if (known == claims_.end()) {
+        claims_.push_back({backend, report, now});
+        ++question_;
+        if (claims_.size() > limits_.claims) {
+            claims_.pop_front();
+        }
+        return;
+    }
+    known->madeAt = now;
+    const bool isNewer = report
+                         && (!known->report || known->backend.isBefore(backend)
+                             || known->report->sequence < report->sequence);
+    if (isNewer && !backend.isBefore(known->backend)) {
+        known->backend = backend;
+        known->report = report;
+    }
+}
+
+bool BackendMonitor::isOpen(const Claim &claim, TimePoint now) const
+{
+    return now - claim.madeAt < limits_.claimTime;
+}
+
+bool BackendMonitor::isInDoubt(TimePoint now) const
+{
+    const bool isClaimed = std::any_of(claims_.begin(), claims_.end(),
+                                       [&](const Claim &claim) { return isOpen(claim, now); });
+    return isClaimed || (!backend_.empty() && !confirmed_ && !refusing_);
+}
+
+bool BackendMonitor::isClaimed(const BackendIncarnation &backend, TimePoint now) const
+{
+    return std::any_of(claims_.begin(), claims_.end(), [&](const Claim &claim) {
+        return claim.backend.id == backend.id && isOpen(claim, now);
+    });
 }
 
 void BackendMonitor::remember(std::deque<BackendIncarnation> &incarnations,
@@ -94,9 +160,10 @@
     if (hasEnded(report.backend)) {
         return ReportStanding::Ended;
     }
-    // Of an incarnation that has not reported only the id may be known, from a health check.
-    const bool named = !hasReported() && report.backend.id == backend_.id;
-    if (report.backend != backend_ && !named && !backend_.empty()) {
+    // An answer of the backend server contains the id only, so it can't tell apart incarnations
+    // that have the same one. If the current one refuses connections, nothing is sent to it.
+    const bool isKnown = report.backend.id == backend_.id || backend_.empty();
+    if (!isKnown && !refusesConnections()) {
         return ReportStanding::OtherIncarnation;
     }
     return report.backend == backend_ && report.sequence <= sequence_ ? ReportStanding::Outdated
@@ -109,6 +176,10 @@
     if (standing == ReportStanding::Ended || standing == ReportStanding::Outdated) {
         return false;
     }
+    if (standing == ReportStanding::OtherIncarnation) {
+        addClaim(report.backend, report, now);
+        return false;
+    }
     const bool newIncarnation = report.backend != backend_;
     if (newIncarnation && report.backend.id == backend_.id && !hasReported()) {
         backend_ = report.backend;
@@ -116,6 +187,17 @@
     } else if (newIncarnation) {
         beginIncarnation(report.backend);
     }
+    const BackendState stateBefore = state_;
+    const uint32_t slotsBefore = slots_;
+    const std::string serviceBefore = service_;
+    evidence_ = BackendEvidence::Report;
+    applyReport(report, now);
+    return newIncarnation || state_ != stateBefore || slots_ != slotsBefore
+           || service_ != serviceBefore;
+}
+
+void BackendMonitor::applyReport(const BackendReport &report, TimePoint now)
+{
     if (!hasReported()) {
         reportedBefore_ = report.sequence > 1;
     }
@@ -125,14 +207,9 @@
     refusals_ = 0;
     refusing_ = false;
     leaving_ |= report.state == BackendState::Draining;
-    const BackendState state = leaving_ ? BackendState::Draining : BackendState::Ready;
-    const bool changed = newIncarnation || state != state_ || slots_ != report.slots
-                         || service_ != report.service;
-    evidence_ = BackendEvidence::Report;
-    state_ = state;
+    state_ = leaving_ ? BackendState::Draining : BackendState::Ready;
     slots_ = report.slots;
     service_ = report.service;
-    return changed;
 }
 
 bool BackendMonitor::onDeregister(const BackendIncarnation &backend)
@@ -166,22 +243,40 @@
     return true;
 }
 
-bool BackendMonitor::onOtherIncarnation(const std::string &backend, TimePoint now)
+bool BackendMonitor::onNamed(const std::string &backend, TimePoint now)
 {
-    const auto isNamed = [&backend](const BackendIncarnation &incarnation) {
-        return incarnation.id == backend;
-    };
-    if (isNamed(backend_) || std::any_of(ended_.begin(), ended_.end(), isNamed)) {
+    if (backend.empty() || backend == backend_.id) {
         return false;
     }
-    beginIncarnation(backend);
-    evidence_ = BackendEvidence::OtherIncarnation;
-    // Only the id is known until the first report.
-    state_ = leaving_ ? BackendState::Draining : BackendState::Absent;
-    heardAt_ = now;
+    addClaim(backend, std::nullopt, now);
+    const Claim claim = *findClaim(backend);
+    if (!claim.report) {
+        return false;
+    }
+    beginClaimed(claim, now);
     return true;
 }
 
+bool BackendMonitor::onIdentity(const std::string &backend, uint64_t question, TimePoint now)
+{
+    if (backend.empty() || question != question_) {
+        return false;
+    }
+    const bool isOther = backend != backend_.id;
+    if (isOther) {
+        const auto claim = findClaim(backend);
+        beginClaimed(claim == claims_.end() ? Claim{backend, std::nullopt, now} : Claim(*claim),
+                     now);
+        std::erase_if(ended_, [&](const BackendIncarnation &ended) { return ended.id == backend; });
+    }
+    confirmed_ = true;
+    for (const Claim &claim : claims_) {
+        remember(ended_, claim.backend);
+    }
+    claims_.clear();
+    return onAnswer(now) || isOther;
+}
+
 bool BackendMonitor::onRefusedConnection()
 {
     ++refusedConnections_;
--- a/src/decision/member/backend_monitor.h
+++ b/src/decision/member/backend_monitor.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string_view>
 
 namespace wisteriahoist {
@@ -18,7 +19,7 @@
     Report,
     Deregistration,
     AnnouncedLeaving,   ///< Stated in a response.
-    OtherIncarnation,   ///< Another incarnation answered at its address.
+    OtherIncarnation,   ///< The backend server has named itself as another incarnation.
     RefusedConnections, ///< Several in succession.
     Answer,             ///< Answered a request or control call after it was down.
     NoResponse,
@@ -30,7 +31,7 @@
 enum class ReportStanding {
     Newest,           ///< Of the current incarnation, or of the first one.
     Outdated,         ///< The current incarnation has sent newer ones.
-    OtherIncarnation, ///< Of an incarnation that is not known.
+    OtherIncarnation, ///< Of an unknown incarnation; the backend server is asked whether it is it.
     Ended,            ///< Of an incarnation that has ended.
 };
 
@@ -46,12 +47,23 @@
     /** Number of ended incarnations that are remembered; late reports of older ones are no longer
      *  in transit. */
     size_t endedIncarnations = 16;
+    /** How long it is asked about an incarnation that is named only once. Grants are not renewed
+     *  meanwhile and outlast this. */
+    milliseconds claimTime{3000};
+    size_t claims = 4; ///< Incarnations that it is asked about at the same time.
 };
 
 /**
- * Tracks the local backend server by its reports and by the results of connections to it. Reports
- * may arrive late, even after a crash and after the first report of the next incarnation;
- * therefore an incarnation that has ended never becomes current again.
+ * Tracks the local backend server by its reports and by the results of connections to it.
+ *
+ * Reports may arrive late, even after a crash and after the first report of the next incarnation,
+ * and any process that reaches the port may send one. A report, or an answer that names another
+ * incarnation, is therefore only a claim. The backend server itself decides: it names its
+ * incarnation on a connection that is made for this question. Until then the current incarnation
+ * stays in use; requests name it, so any other one rejects them.
+ *
+ * Invariant: no evidence other than its own answer ends the use of a confirmed incarnation for
+ * good, and its own answer makes any incarnation current, even one that was taken for ended.
  */
 class BackendMonitor
 {
@@ -59,7 +71,8 @@
     explicit BackendMonitor(MonitorLimits limits) : limits_(limits) { }
 
     /**
-     * Ignores reports of earlier incarnations and outdated reports of the current one.
+     * Ignores reports of earlier incarnations and outdated reports of the current one. One of
+     * another incarnation is kept until the backend server has been asked, unless none is in use.
      * @return Whether the state or the incarnation has changed.
      */
     bool onReport(const BackendReport &report, TimePoint now);
@@ -78,9 +91,33 @@
      *  heartbeats do. @return Whether it was not known to leave. */
     bool onAnnouncedLeaving();
 
-    /** Another incarnation answered at its address or was named in a response.
-     *  @return Whether anything changed. */
-    bool onOtherIncarnation(const std::string &backend, TimePoint now);
+    /**
+     * A response named @p backend. If a report of that incarnation has arrived as well, it is
+     * taken for the current one.
+     * @return Whether the state or the incarnation has changed.
+     */
+    bool onNamed(const std::string &backend, TimePoint now);
+
+    /**
+     * The backend server has named itself on a connection that was opened for this question.
+     * @param question The value of question() when the connection was opened; the answer does not
+     *        count if another question has come up since.
+     * @return Whether the state or the incarnation has changed.
+     */
+    bool onIdentity(const std::string &backend, uint64_t question, TimePoint now);
+
+    /** @return Changes whenever the backend server has to be asked for its incarnation. */
+    uint64_t question() const { return question_; }
+
+    /** @return Whether the backend server has to be asked which incarnation it is. It must not be
+     *          granted keys meanwhile. */
+    bool isInDoubt(TimePoint now) const;
+
+    /** @return Whether @p backend waits for the answer of the backend server. */
+    bool isClaimed(const BackendIncarnation &backend, TimePoint now) const;
+
+    /** @return Whether the backend server itself has named the current incarnation. */
+    bool isConfirmed() const { return confirmed_; }
 
     /**
      * A connection to its address was refused: it has ended, or it is alive and has too many
@@ -152,8 +189,22 @@
     uint64_t refusedConnections() const { return refusedConnections_; }
 
 private:
+    /** An incarnation that may be the current one. */
+    struct Claim {
+        BackendIncarnation backend;
+        std::optional<BackendReport> report; ///< The newest one; empty: named in a response.
+        TimePoint madeAt;
+    };
+
     void beginIncarnation(const BackendIncarnation &backend);
+    /** Begins the incarnation of @p claim with what is known of it. */
+    void beginClaimed(const Claim &claim, TimePoint now);
     void endIncarnation();
+    void applyReport(const BackendReport &report, TimePoint now);
+    void addClaim(const BackendIncarnation &backend, const std::optional<BackendReport> &report,
+                  TimePoint now);
+    bool isOpen(const Claim &claim, TimePoint now) const;
+    std::deque<Claim>::iterator findClaim(const std::string &backend);
     void remember(std::deque<BackendIncarnation> &incarnations,
                   const BackendIncarnation &backend) const;
     bool hasEnded(const BackendIncarnation &backend) const;
@@ -176,8 +227,12 @@
     TimePoint coldUntil_ = NeverTime;        ///< As the latest report says.
     TimePoint assumedColdUntil_ = NeverTime; ///< Covers the time until a report can show it.
     std::function<bool()> isWorking_;        ///< Empty: not known.
+    bool confirmed_ = false;                 ///< The backend server itself has named backend_.
+    uint64_t question_ = 0;    ///< Invariant: rises with each new claim and each incarnation.
+    std::deque<Claim> claims_; ///< Invariant: none of the current incarnation.
     std::deque<BackendIncarnation> ended_;
-    std::deque<BackendIncarnation> deregistered_; ///< Deregistered before they were known here.
+    /// Not current when they left: not known yet, or taken for ended.
+    std::deque<BackendIncarnation> deregistered_;
 };
 
 } // namespace wisteriahoist
--- a/src/duty/backend_gate.cpp
+++ b/src/duty/backend_gate.cpp
@@ -503,8 +503,7 @@
     const ResponseKind kind = protocol_.classifyResponse(answer, request.attempt_id());
     if (kind == ResponseKind::WrongIncarnation) {
         fillOutcome(reply, RequestStage::Answered, RequestEnd::BackendRefused);
-        notifyMonitorChange(
-                monitor_.onOtherIncarnation(protocol_.namedBackend(answer), clock_.now()));
+        onWrongIncarnation(protocol_.namedBackend(answer));
     } else if (kind == ResponseKind::NotExecuted) {
         fillOutcome(reply, RequestStage::Answered, RequestEnd::BackendRefused);
         breaker_.onRefused(clock_.now());
@@ -519,6 +518,15 @@
     reply.set_reached_backend(true);
 }
 
+/** The answer may be one to an earlier request, or of no process that runs now. */
+void BackendGate::onWrongIncarnation(const std::string &named)
+{
+    notifyMonitorChange(monitor_.onNamed(named, clock_.now()));
+    if (named != monitor_.backend().id && otherNamed_) {
+        otherNamed_(named);
+    }
+}
+
 RequestEnd BackendGate::fillFromFailure(const Failure &failure, const Call &call,
                                         v1::HopReply &reply)
 {
--- a/src/duty/backend_gate.h
+++ b/src/duty/backend_gate.h
@@ -127,6 +127,13 @@
     /** @param action Called when requests show that the backend server's state has changed. */
     void onMonitorChange(std::function<void()> action) { monitorChanged_ = std::move(action); }
 
+    /** @param action Called with the id that an answer has named, if it is not the current one's;
+     *         empty: a request was rejected without a name. */
+    void onOtherNamed(std::function<void(const std::string &)> action)
+    {
+        otherNamed_ = std::move(action);
+    }
+
     /** @param action Called when a connection to the backend server was refused or lost. */
     void onConnectionFailure(std::function<void()> action)
     {
@@ -195,6 +202,7 @@
                        const BackendIncarnation &backend, TimePoint suspectUntil);
     void reportCrashes(TimePoint now);
     void recordAnswer(const Call &call, TimePoint now);
+    void onWrongIncarnation(const std::string &named);
     void wakeNext();
     /** Ends the wait of those requests for which @p isRejected returns true. */
     void rejectWaiting(const std::function<bool(const Call &)> &isRejected);
@@ -219,6 +227,7 @@
     std::optional<Shutdown> shutdown_; ///< Empty: the process is not stopping.
     std::function<void()> monitorChanged_;
     std::function<void()> connectionFailed_;
+    std::function<void(const std::string &)> otherNamed_;
     std::function<void()> crashReported_;
     std::function<void()> limitChanged_;
     RequestRateLimiter limiter_;
--- a/src/duty/backend_health_checker.cpp
+++ b/src/duty/backend_health_checker.cpp
@@ -31,7 +31,7 @@
     timer_.cancel();
 }
 
-bool BackendHealthChecker::isDue(TimePoint now) const
+bool BackendHealthChecker::isSuspected(TimePoint now) const
 {
     const bool listening
             = monitor_.state() == BackendState::Ready || monitor_.state() == BackendState::Draining;
@@ -41,13 +41,19 @@
     return checkRequested_ || late || monitor_.refusesConnections();
 }
 
+bool BackendHealthChecker::needsIdentity(TimePoint now) const
+{
+    return !monitor_.isConfirmed() || monitor_.refusesConnections() || monitor_.isInDoubt(now);
+}
+
 asio::awaitable<void> BackendHealthChecker::run()
 {
     while (true) {
-        if (isDue(clock_.now())) {
+        if (isSuspected(clock_.now()) || monitor_.isInDoubt(clock_.now())) {
             co_await check();
         }
-        timer_.expires_after(checkRequested_ ? limits_.checkInterval : heartbeat_);
+        const bool again = checkRequested_ || monitor_.isInDoubt(clock_.now());
+        timer_.expires_after(again ? limits_.checkInterval : heartbeat_);
         boost::system::error_code ignored;
         co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
@@ -55,25 +61,35 @@
 
 asio::awaitable<void> BackendHealthChecker::check()
 {
-    const BackendStatus status = co_await backend_.pollOnce(limits_.checkTimeout);
+    const bool suspected = isSuspected(clock_.now());
+    bool asksIdentity = needsIdentity(clock_.now());
     bool changed = false;
+    BackendStatus status;
+    if (!asksIdentity) {
+        status = co_await backend_.pollOnce(limits_.checkTimeout);
+        asksIdentity = !status.backend.empty() && status.backend != monitor_.backend().id;
+        if (asksIdentity) {
+            changed = monitor_.onNamed(status.backend, clock_.now());
+        } else if (status.answered) {
+            changed = monitor_.onAnswer(clock_.now());
+        }
+    }
+    if (asksIdentity) {
+        const milliseconds timeout = suspected ? limits_.checkTimeout : limits_.identityTimeout;
+        changed |= co_await identify(status, timeout);
+    }
     if (status.answered) {
         unanswered_ = 0;
         checkRequested_ = false;
-        if (!status.backend.empty() && status.backend != monitor_.backend().id) {
-            changed = monitor_.onOtherIncarnation(status.backend, clock_.now());
-        } else {
-            changed = monitor_.onAnswer(clock_.now());
-        }
     } else if (status.refusedConnection) {
-        changed = monitor_.onRefusedConnection();
+        changed |= monitor_.onRefusedConnection();
         checkRequested_ = monitor_.state() != BackendState::Down
                           && monitor_.state() != BackendState::Absent;
-    } else {
+    } else if (suspected) {
         checkRequested_ = ++unanswered_ < limits_.maxUnanswered;
         if (!checkRequested_) {
             unanswered_ = 0;
-            changed = monitor_.onNoResponse();
+            changed |= monitor_.onNoResponse();
         }
     }
     if (changed) {
@@ -81,4 +97,23 @@
     }
 }
 
+asio::awaitable<bool> BackendHealthChecker::identify(BackendStatus &status, milliseconds timeout)
+{
+    const uint64_t question = monitor_.question();
+    const std::string before = monitor_.backend().text();
+    const bool inDoubt = monitor_.isInDoubt(clock_.now());
+    status = co_await backend_.identify(timeout);
+    if (!status.answered) {
+        co_return false;
+    }
+    const TimePoint now = clock_.now();
+    const bool changed = status.backend.empty()
+                                 ? monitor_.onAnswer(now)
+                                 : monitor_.onIdentity(status.backend, question, now);
+    if ((inDoubt || changed) && identityLog_.tryTake(now)) {
+        identityLog_.log({{"named", status.backend}, {"before", before}, {"changed", changed}});
+    }
+    co_return changed;
+}
+
 } // namespace wisteriahoist
--- a/src/duty/range_controller.cpp
+++ b/src/duty/range_controller.cpp
@@ -115,6 +115,10 @@
     if (monitor_.backend().empty()) {
         return std::nullopt;
     }
+    // The next process of a node may learn of an ended incarnation first, by a late heartbeat.
+    if (!grantsByHeartbeat() && !monitor_.isConfirmed()) {
+        return std::nullopt;
+    }
     // Ranges are granted only in replies to heartbeats, and the heartbeat also identifies the
     // incarnation.
     if (grantsByHeartbeat() && !monitor_.hasReported()) {
@@ -263,8 +267,9 @@
     }
     // A backend server that refuses connections may have crashed, and its next incarnation must
     // not be granted ranges under the old fences. If it is still running, more calls would take
-    // the connections that it is short of.
-    if (grantsByHeartbeat() || monitor_.refusesConnections()) {
+    // the connections that it is short of. A grant does not name the incarnation that it is for, so
+    // none is sent while it is in doubt which one would get it.
+    if (grantsByHeartbeat() || monitor_.refusesConnections() || monitor_.isInDoubt(now)) {
         return;
     }
     std::vector<HeldKeys> granted;
--- a/src/port/backend_control.h
+++ b/src/port/backend_control.h
@@ -36,6 +36,10 @@
 
     /** Requests the status and id of the backend server; briefly occupies one of its slots. */
     virtual boost::asio::awaitable<BackendStatus> pollOnce(milliseconds timeout) = 0;
+
+    /** The same on a connection that is opened for this call, so that the answer is one of the
+     *  process that accepts connections now. */
+    virtual boost::asio::awaitable<BackendStatus> identify(milliseconds timeout) = 0;
 };
 
 } // namespace wisteriahoist
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -171,6 +171,13 @@
             [this](std::optional<MemberRecord> earlier) { return restore(std::move(earlier)); });
     gate_.onMonitorChange([this]() { onBackendChange(); });
     gate_.onConnectionFailure([this]() { healthChecker_.requestCheck(); });
+    gate_.onOtherNamed([this](const std::string &named) {
+        if (named.empty()) {
+            healthChecker_.requestCheck();
+        } else {
+            onDoubt(named, 0, "response");
+        }
+    });
     sync_.exchangeConfig(peers_);
     router_.setRevisionExchange(sync_);
     ports_.store.onConflict(
@@ -296,8 +303,11 @@
     std::optional<GrantReply> order;
     if (!leaves) {
         order = co_await answerHeartbeat(report, receivedAt);
-    } else if (monitor_.onDeregister(report.backend)) {
-        onBackendChange();
+    } else {
+        if (monitor_.onDeregister(report.backend)) {
+            onBackendChange();
+        }
+        co_await awaitIdentity(report.backend, receivedAt + PredecessorWait);
     }
     if (leaves || report.state == BackendState::Draining) {
         const bool kept = co_await keepLeaving(report.backend);
@@ -314,6 +324,9 @@
 
 asio::awaitable<bool> SidecarProgram::keepLeaving(BackendIncarnation backend)
 {
+    if (monitor_.isClaimed(backend, clock_.now())) {
+        co_return false; // It may be the current one, which is not known yet.
+    }
     const bool isCurrent
             = backend.id == monitor_.backend().id && monitor_.state() == BackendState::Draining;
     if (!isCurrent) {
@@ -408,22 +421,48 @@
                                                                            TimePoint receivedAt)
 {
     logIfIgnored(report, receivedAt);
+    const bool isOther = monitor_.standingOf(report) == ReportStanding::OtherIncarnation;
     const bool changed = monitor_.onReport(report, receivedAt);
     if (changed) {
         onBackendChange();
     }
+    if (isOther) {
+        onDoubt(report.backend.text(), report.sequence, "heartbeat");
+    }
+    if (monitor_.isInDoubt(receivedAt)) {
+        healthChecker_.wake();
+    }
     const TimePoint end = receivedAt + PredecessorWait;
     while (!monitor_.isPredecessorKnown() && clock_.now() < end) {
         co_await sleepFor(StartPollInterval);
     }
+    co_await awaitIdentity(report.backend, end);
     if (!report.holding || !monitor_.isNewest(report) || !ranges_.grantsByHeartbeat()
         || !monitor_.isPredecessorKnown()) {
         co_return std::nullopt;
     }
-    const bool atOnce = changed || monitor_.state() != BackendState::Ready;
+    const bool atOnce = changed || isOther || monitor_.state() != BackendState::Ready;
     co_return co_await ranges_.handleHeartbeat(std::move(*report.holding), atOnce, receivedAt);
 }
 
+asio::awaitable<void> SidecarProgram::awaitIdentity(BackendIncarnation backend, TimePoint end)
+{
+    while (monitor_.isClaimed(backend, clock_.now()) && clock_.now() < end) {
+        co_await sleepFor(StartPollInterval);
+    }
+}
+
+void SidecarProgram::onDoubt(const std::string &named, uint64_t sequence, std::string_view source)
+{
+    if (doubtLog_.tryTake(clock_.now())) {
+        doubtLog_.log({{"named", named},
+                       {"current", monitor_.backend().text()},
+                       {"source", std::string(source)},
+                       {"sequence", sequence}});
+    }
+    healthChecker_.wake();
+}
+
 void SidecarProgram::logIfIgnored(const BackendReport &report, TimePoint now)
 {
     const ReportStanding standing = monitor_.standingOf(report);
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -101,6 +101,11 @@
     Result<BackendCall> readReport(const HttpRequest &request);
     asio::awaitable<std::optional<GrantReply>> answerHeartbeat(BackendReport report,
                                                                TimePoint receivedAt);
+    /** Waits until the backend server has told whether it is @p backend, if that is in doubt. */
+    asio::awaitable<void> awaitIdentity(BackendIncarnation backend, TimePoint end);
+    /** @p named, which is not the current incarnation, may be the one that runs. @param sequence Of
+     *  the heartbeat that says so; 0: none does. */
+    void onDoubt(const std::string &named, uint64_t sequence, std::string_view source);
     void logIfIgnored(const BackendReport &report, TimePoint now);
     asio::awaitable<HttpResponse> onReadiness(HttpRequest request);
     asio::awaitable<HttpResponse> onMetrics(HttpRequest request);
@@ -141,6 +146,7 @@
     /// Rate-limited, since a client that sends invalid reports may repeat them indefinitely.
     RateLimitedEvent reportLog_{LogEvent::ReportRefused, 1, 10};
     RateLimitedEvent ignoredReportLog_{LogEvent::ReportIgnored, 1, 10};
+    RateLimitedEvent doubtLog_{LogEvent::BackendDoubted, 1, 10};
     BackendIncarnation loggedBackend_; ///< Current one when the last change was logged.
     uint64_t evacuationChanges_ = 0;   ///< Of the table that onEvacuations() has seen.
     bool wasEvacuated_ = false;        ///< The failure domain of this node, when last looked at.
--- a/test/restart/late_report_test.cpp
+++ b/test/restart/late_report_test.cpp
@@ -102,10 +102,7 @@
     {
         do {
             co_await sleepFor(ProbePause);
-            missing.clear();
-            for (size_t index = 0; index < fleet_.size() && missing.empty(); ++index) {
-                missing = co_await callers_.probe(index, fleet_.node(index));
-            }
+            missing = co_await callers_.probeAll(fleet_);
         } while (!missing.empty() && clock_.now() < end);
     }
 
--- a/test/support/ownership_fleet.h
+++ b/test/support/ownership_fleet.h
@@ -66,9 +66,20 @@
         BackendStatus sight;
         sight.answered = alive_;
         sight.refusedConnection = !alive_;
+        sight.backend = alive_ ? name_ : "";
         co_return sight;
     }
 
+    asio::awaitable<BackendStatus> identify(milliseconds timeout) override
+    {
+        ++identifications_;
+        return pollOnce(timeout);
+    }
+
+    /** Its answers to health checks name @p backend. */
+    void nameItself(const std::string &backend) { name_ = backend; }
+    int identifications() const { return identifications_; }
+
     void crash()
     {
         alive_ = false;
@@ -113,6 +124,8 @@
 
     const Clock &clock_;
     bool alive_ = true;
+    std::string name_; ///< Empty: its answers name none.
+    int identifications_ = 0;
     int throwing_ = 0;
     Epoch highestFence_;
     uint64_t grants_ = 0;
@@ -137,6 +150,7 @@
         report.slots = 12;
         report.sequence = 1;
         (void)monitor.onReport(report, clock.now());
+        (void)monitor.onIdentity(backendId, monitor.question(), clock.now());
         record.backend = backendId;
         record.state = BackendState::Ready;
         record.peerPort = peers.port();
@@ -270,6 +284,7 @@
         report.slots = 12;
         report.sequence = sequence;
         (void)node.monitor.onReport(report, clock_.now());
+        (void)node.monitor.onIdentity(backend.id, node.monitor.question(), clock_.now());
         return runUntil(context_, node.controller.handleHeartbeat(holding, true, clock_.now()));
     }
 
--- a/test/unit/member/backend_monitor_test.cpp
+++ b/test/unit/member/backend_monitor_test.cpp
@@ -21,6 +21,21 @@
     return report;
 }
 
+/** The backend server names itself on a connection of its own. */
+void identify(BackendMonitor &monitor, const std::string &backend)
+{
+    (void)monitor.onIdentity(backend, monitor.question(), Start);
+}
+
+/** @return A monitor whose current incarnation has reported and named itself. */
+BackendMonitor makeConfirmed(const std::string &backend)
+{
+    BackendMonitor monitor{MonitorLimits{}};
+    (void)monitor.onReport(makeReport(backend, 1), Start);
+    identify(monitor, backend);
+    return monitor;
+}
+
 } // namespace
 
 Test(backend_monitor, reports)
@@ -56,8 +71,134 @@
     BackendMonitor monitor{MonitorLimits{}};
     (void)monitor.onReport(makeReport("i-1", 9), Start);
     (void)monitor.onReport(makeReport("i-2", 1), Start);
+    identify(monitor, "i-2");
     cr_assert(!monitor.onReport(makeReport("i-1", 10), Start));
     cr_assert(monitor.backend() == "i-2");
+    cr_assert(!monitor.isInDoubt(Start), "the backend server is not asked again");
+}
+
+// Guards against a backend server that is not used any more: a late report of its former
+// incarnation, or one of another writer, replaced the one that runs until the node started again.
+Test(backend_monitor, only_the_backend_server_itself_ends_its_incarnation)
+{
+    BackendMonitor monitor = makeConfirmed("i-2");
+    cr_assert(!monitor.onReport(makeReport("i-1", 40), Start));
+    cr_assert(monitor.backend() == "i-2" && monitor.state() == BackendState::Ready);
+    cr_assert(monitor.isInDoubt(Start) && monitor.isClaimed("i-1", Start));
+    SECTION("no answer comes: the doubt ends, and the one in use stays")
+    {
+        const TimePoint later = Start + MonitorLimits().claimTime;
+        cr_assert(!monitor.isInDoubt(later) && !monitor.isClaimed("i-1", later));
+    }
+    SECTION("an answer to a question of before does not count")
+    {
+        const uint64_t question = monitor.question();
+        (void)monitor.onReport(makeReport("i-4", 1), Start);
+        cr_assert(!monitor.onIdentity("i-1", question, Start) && monitor.backend() == "i-2");
+        cr_assert(monitor.isInDoubt(Start));
+    }
+    SECTION("it is still the same: the other ones have no effect from then on")
+    {
+        identify(monitor, "i-2");
+        cr_assert(!monitor.onReport(makeReport("i-1", 41), Start) && !monitor.isInDoubt(Start));
+        cr_assert(!monitor.onReport(makeReport("i-4", 2), Start) && !monitor.isInDoubt(Start));
+        cr_assert(monitor.onReport(makeReport("i-2", 2, BackendState::Draining), Start));
+    }
+}
+
+// Guards against a new incarnation whose first report has no effect.
+Test(backend_monitor, incarnation_that_the_backend_server_names_is_current)
+{
+    SECTION("its report takes effect then")
+    {
+        BackendMonitor monitor = makeConfirmed("i-1");
+        (void)monitor.onReport(makeReport("i-2", 1), Start);
+        identify(monitor, "i-2");
+        cr_assert(monitor.backend() == "i-2" && monitor.state() == BackendState::Ready);
+        cr_assert(monitor.hasReported() && monitor.slots() == 12 && monitor.isConfirmed());
+    }
+    SECTION("its report is still to come")
+    {
+        BackendMonitor monitor = makeConfirmed("i-1");
+        identify(monitor, "i-3");
+        cr_assert(monitor.backend() == "i-3" && monitor.state() == BackendState::Absent);
+        cr_assert(monitor.onReport(makeReport("i-3", 1), Start));
+        cr_assert(monitor.state() == BackendState::Ready);
+    }
+    SECTION("also if it was taken for ended")
+    {
+        BackendMonitor monitor = makeConfirmed("i-1");
+        identify(monitor, "i-2");
+        cr_assert(monitor.standingOf(makeReport("i-1", 2)) == ReportStanding::Ended);
+        identify(monitor, "i-1");
+        cr_assert(monitor.onReport(makeReport("i-1", 2), Start));
+        cr_assert(monitor.backend() == "i-1" && monitor.state() == BackendState::Ready);
+    }
+    SECTION("one that left before still leaves")
+    {
+        BackendMonitor monitor = makeConfirmed("i-1");
+        (void)monitor.onReport(makeReport("i-1", 2, BackendState::Draining), Start);
+        identify(monitor, "i-2");
+        identify(monitor, "i-1");
+        (void)monitor.onReport(makeReport("i-1", 3), Start);
+        cr_assert(monitor.state() == BackendState::Draining);
+    }
+}
+
+// Guards against a node that has just started and is told first of an incarnation that has ended.
+Test(backend_monitor, first_incarnation_is_in_doubt_until_the_backend_server_names_it)
+{
+    BackendMonitor monitor{MonitorLimits{}};
+    (void)monitor.onReport(makeReport("i-1", 40), Start);
+    cr_assert(monitor.state() == BackendState::Ready,
+              "requests name it, so no other one runs them");
+    cr_assert(monitor.isInDoubt(Start) && !monitor.isConfirmed());
+    (void)monitor.onReport(makeReport("i-2", 1), Start);
+    identify(monitor, "i-2");
+    cr_assert(monitor.backend() == "i-2" && monitor.isConfirmed() && !monitor.isInDoubt(Start));
+}
+
+// Guards against late bytes after an answer that name another incarnation.
+Test(backend_monitor, answer_that_names_another_incarnation_is_a_claim)
+{
+    SECTION("it does not end the current one")
+    {
+        BackendMonitor monitor = makeConfirmed("i-1");
+        cr_assert(!monitor.onNamed("i-2", Start) && monitor.backend() == "i-1");
+        cr_assert(monitor.isInDoubt(Start));
+    }
+    SECTION("nor does one without a name")
+    {
+        BackendMonitor monitor = makeConfirmed("i-1");
+        cr_assert(!monitor.onNamed("", Start) && !monitor.isInDoubt(Start));
+        cr_assert(monitor.backend() == "i-1");
+    }
+    SECTION("if that one has reported as well, it is used before a health check gets a slot")
+    {
+        BackendMonitor monitor = makeConfirmed("i-1");
+        (void)monitor.onReport(makeReport("i-2", 1), Start);
+        cr_assert(monitor.onNamed("i-2", Start));
+        cr_assert(monitor.backend() == "i-2" && monitor.state() == BackendState::Ready);
+        cr_assert(monitor.isInDoubt(Start) && !monitor.isConfirmed());
+    }
+    SECTION("the backend server is asked also about one that was taken for ended")
+    {
+        BackendMonitor monitor = makeConfirmed("i-1");
+        identify(monitor, "i-2");
+        (void)monitor.onNamed("i-1", Start);
+        cr_assert(monitor.isInDoubt(Start));
+    }
+}
+
+// Guards against a new incarnation that waits for a health check though the former one has ended.
+Test(backend_monitor, report_replaces_an_incarnation_that_refuses_connections)
+{
+    BackendMonitor monitor = makeConfirmed("i-1");
+    (void)monitor.onRefusedConnection();
+    (void)monitor.onRefusedConnection();
+    cr_assert(monitor.onReport(makeReport("i-2", 1), Start));
+    cr_assert(monitor.backend() == "i-2" && monitor.state() == BackendState::Ready);
+    cr_assert(monitor.isInDoubt(Start), "it is asked, since the report may be another one's");
 }
 
 // Guards against a log that does not tell why a node ignores the heartbeats of its backend server.
@@ -70,6 +211,7 @@
     cr_assert(monitor.standingOf(makeReport("i-1", 10)) == ReportStanding::Newest);
     cr_assert(monitor.standingOf(makeReport("i-2", 1)) == ReportStanding::OtherIncarnation);
     (void)monitor.onReport(makeReport("i-2", 1), Start);
+    identify(monitor, "i-2");
     cr_assert(monitor.standingOf(makeReport("i-1", 10)) == ReportStanding::Ended);
 }
 
@@ -86,7 +228,7 @@
     {
         BackendMonitor polled{MonitorLimits{}};
         (void)polled.onDeregister("i-1");
-        (void)polled.onOtherIncarnation("i-1", Start);
+        identify(polled, "i-1");
         cr_assert(polled.state() == BackendState::Draining);
     }
 }
@@ -159,7 +301,7 @@
             "incarnation")
     {
         BackendMonitor polled{MonitorLimits{}};
-        (void)polled.onOtherIncarnation("i-1", Start);
+        identify(polled, "i-1");
         cr_assert(!polled.hasReported());
         (void)polled.onReport(reportOf(2000, 7), Start);
         cr_assert(polled.backend() == BackendIncarnation("i-1", 2000) && polled.hasReported());
--- a/test/unit/program/leaving_test.cpp
+++ b/test/unit/program/leaving_test.cpp
@@ -35,6 +35,7 @@
         co_return ControlReply();
     }
     asio::awaitable<BackendStatus> pollOnce(milliseconds) override { co_return status; }
+    asio::awaitable<BackendStatus> identify(milliseconds) override { co_return status; }
 
     BackendStatus status; ///< What a health check shows.
 };
@@ -150,9 +151,15 @@
     /** @return Whether the answer to the call begins with @p status, in time. */
     bool call(size_t index, const std::string &action, const std::string &body,
               std::string_view status)
+    {
+        return callAs("i-" + std::to_string(index), index, action, body, status);
+    }
+
+    bool callAs(const std::string &backend, size_t index, const std::string &action,
+                const std::string &body, std::string_view status)
     {
         RawHttpClient client(settings[index].reports.port);
-        client.send("POST /-/instances/i-" + std::to_string(index) + "/" + action
+        client.send("POST /-/instances/" + backend + "/" + action
                     + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size())
                     + "\r\n\r\n" + body);
         return runUntil(
@@ -166,12 +173,14 @@
     bool report(size_t index, uint64_t sequence, const std::string &state = "ready",
                 std::string_view status = Acknowledged)
     {
-        return call(index, "heartbeat",
-                    R"({"service":"one","address":"127.0.0.1:1","zone":"domain","version":"v1",)"
-                    R"("slots":4,"state":")"
-                            + state + R"(","cold_remaining":"0ms","sequence":)"
-                            + std::to_string(sequence) + "}",
-                    status);
+        return call(index, "heartbeat", makeBody(sequence, state), status);
+    }
+
+    static std::string makeBody(uint64_t sequence, const std::string &state)
+    {
+        return R"({"service":"one","address":"127.0.0.1:1","zone":"domain","version":"v1",)"
+               R"("slots":4,"state":")"
+               + state + R"(","cold_remaining":"0ms","sequence":)" + std::to_string(sequence) + "}";
     }
 
     /** @return Why a request of another node is not run there. */
@@ -315,3 +324,29 @@
         cr_assert(reason == "unreachable", "%s", reason.c_str());
     }
 }
+
+// Guards against a leaving that is acknowledged and has no effect, since the node takes another
+// incarnation for the current one.
+Test(leaving, of_an_incarnation_in_doubt_is_acknowledged_once_the_backend_server_has_named_itself)
+{
+    const auto leave = [](Fleet &fleet, std::string_view status) {
+        return fleet.callAs("i-next", 0, "heartbeat", Fleet::makeBody(1, "draining"), status);
+    };
+    Fleet fleet(1);
+    HealthBackend &backend = fleet.processes[0]->backend;
+    cr_assert(leave(fleet, Refused), "it does not answer");
+    cr_assert(fleet.stateOf("n-0") != BackendState::Draining);
+    SECTION("if it is that one, the leaving is recorded before")
+    {
+        backend.status = {true, true, false, "i-next"};
+        cr_assert(leave(fleet, Acknowledged));
+        cr_assert(fleet.stateOf("n-0") == BackendState::Draining);
+    }
+    SECTION("if it is not, nothing changes")
+    {
+        Fleet other(1);
+        other.processes[0]->backend.status = {true, true, false, "i-0"};
+        cr_assert(leave(other, Acknowledged));
+        cr_assert(other.stateOf("n-0") == BackendState::Ready);
+    }
+}
--- a/test/unit/program/sidecar_stop_test.cpp
+++ b/test/unit/program/sidecar_stop_test.cpp
@@ -34,6 +34,7 @@
         co_return ControlReply();
     }
     asio::awaitable<BackendStatus> pollOnce(milliseconds) override { co_return BackendStatus(); }
+    asio::awaitable<BackendStatus> identify(milliseconds) override { co_return BackendStatus(); }
 };
 
 uint16_t findFreePort()
--- a/test/unit/range/ownership_node.cpp
+++ b/test/unit/range/ownership_node.cpp
@@ -131,6 +131,7 @@
     }
 
     asio::awaitable<BackendStatus> pollOnce(milliseconds) override { co_return BackendStatus{}; }
+    asio::awaitable<BackendStatus> identify(milliseconds) override { co_return BackendStatus{}; }
 
 private:
     SimulatedNode &node_;
@@ -238,7 +239,11 @@
 asio::awaitable<void> SimulatedNode::takeReport(BackendReport report, ReportAnswer answer)
 {
     const TimePoint receivedAt = clock_.now();
-    const bool changed = monitor_.onReport(report, receivedAt);
+    bool changed = monitor_.onReport(report, receivedAt);
+    if (monitor_.isInDoubt(receivedAt) && !world_.refuses(index_)) {
+        changed |= monitor_.onIdentity(world_.backends_[index_].life().id, monitor_.question(),
+                                       receivedAt);
+    }
     if (changed) {
         controller_->wake();
     }
@@ -268,13 +273,11 @@
 void SimulatedNode::onLook()
 {
     post([this]() {
-        const std::string &id = world_.backends_[index_].life().id;
         if (world_.refuses(index_)) {
             (void)monitor_.onRefusedConnection();
-        } else if (id != monitor_.backend().id) {
-            (void)monitor_.onOtherIncarnation(id, clock_.now());
         } else {
-            (void)monitor_.onAnswer(clock_.now());
+            (void)monitor_.onIdentity(world_.backends_[index_].life().id, monitor_.question(),
+                                      clock_.now());
         }
         controller_->wake();
     });
@@ -296,7 +299,7 @@
 /** Checks a backend server that refuses connections until it answers, and detects a silent one. */
 void SimulatedNode::checkBackend()
 {
-    if (monitor_.refusesConnections()) {
+    if (monitor_.refusesConnections() || monitor_.isInDoubt(clock_.now())) {
         onLook();
     }
     post([this]() {
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -77,6 +77,7 @@
         report.sequence = sequence;
         report.warmUpLeft = coldTime;
         (void)monitor.onReport(report, clock.now());
+        (void)monitor.onIdentity(incarnation.id, monitor.question(), clock.now());
         gate.onBackendChange();
     }
 
--- a/tool/soak/soak_callers.cpp
+++ b/tool/soak/soak_callers.cpp
@@ -23,7 +23,8 @@
 constexpr uint64_t MegabytesPerBody = 48; ///< Of the largest body.
 constexpr size_t Megabyte = 1024 * 1024;
 constexpr milliseconds LargePause{1500}; ///< Between two large bodies of one caller.
-constexpr uint64_t ProbedKeys = 16;      ///< Spread evenly, so that every holder is asked.
+constexpr milliseconds ProbeStep{50};
+constexpr uint64_t ProbedKeys = 16; ///< Spread evenly, so that every holder is asked.
 
 TimePoint presentTime()
 {
@@ -166,4 +167,25 @@
     co_return std::string();
 }
 
+asio::awaitable<void> SoakCallers::probeOne(size_t index, SoakNode &node,
+                                            std::vector<std::optional<std::string>> &missing)
+{
+    missing[index] = co_await probe(index, node);
+}
+
+asio::awaitable<std::string> SoakCallers::probeAll(SoakFleet &fleet)
+{
+    std::vector<std::optional<std::string>> missing(fleet.size());
+    for (size_t index = 0; index < fleet.size(); ++index) {
+        startTask(context_, probeOne(index, fleet.node(index), missing));
+    }
+    const auto isOpen = [](const auto &result) { return !result.has_value(); };
+    while (std::any_of(missing.begin(), missing.end(), isOpen)) {
+        co_await sleepFor(ProbeStep);
+    }
+    const auto found = std::find_if(missing.begin(), missing.end(),
+                                    [](const auto &result) { return !result->empty(); });
+    co_return found == missing.end() ? std::string() : **found;
+}
+
 } // namespace wisteriahoist::soak
--- a/tool/soak/soak_callers.h
+++ b/tool/soak/soak_callers.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "soak/soak_audit.h"
-#include "soak/soak_node.h"
+#include "soak/soak_fleet.h"
 
 #include <random>
 #include <vector>
@@ -41,7 +41,12 @@
     /** Sends one request for each shape and some keys. @return Empty, or what was not served. */
     asio::awaitable<std::string> probe(size_t index, SoakNode &node);
 
+    /** The same at all nodes of @p fleet at once. */
+    asio::awaitable<std::string> probeAll(SoakFleet &fleet);
+
 private:
+    asio::awaitable<void> probeOne(size_t index, SoakNode &node,
+                                   std::vector<std::optional<std::string>> &missing);
     asio::awaitable<void> callLoop(size_t index, SoakNode &node);
     asio::awaitable<void> crashLoop(size_t index, SoakNode &node);
     asio::awaitable<void> largeLoop(size_t index, SoakNode &node);
--- a/tool/soak/soak_run.cpp
+++ b/tool/soak/soak_run.cpp
@@ -313,7 +313,7 @@
     std::string missing = "nothing was asked";
     while (!missing.empty() && clock_.now() < end) {
         co_await sleepFor(ProbePause);
-        missing = co_await probeAll();
+        missing = co_await callers_.probeAll(fleet_);
     }
     if (!missing.empty()) {
         audit_.onNotRecovered(missing, clock_.now());
@@ -321,27 +321,6 @@
     co_return missing.empty();
 }
 
-asio::awaitable<void> SoakRun::probe(size_t index, std::vector<std::optional<std::string>> &missing)
-{
-    missing[index] = co_await callers_.probe(index, fleet_.node(index));
-}
-
-/** Asks all nodes at once. @return Empty, or something that is not served. */
-asio::awaitable<std::string> SoakRun::probeAll()
-{
-    std::vector<std::optional<std::string>> missing(fleet_.size());
-    for (size_t index = 0; index < fleet_.size(); ++index) {
-        startTask(context_, probe(index, missing));
-    }
-    const auto isOpen = [](const auto &result) { return !result.has_value(); };
-    while (std::any_of(missing.begin(), missing.end(), isOpen)) {
-        co_await sleepFor(Step);
-    }
-    const auto found = std::find_if(missing.begin(), missing.end(),
-                                    [](const auto &result) { return !result->empty(); });
-    co_return found == missing.end() ? std::string() : **found;
-}
-
 void SoakRun::reconfigure()
 {
     const RouteConfig config = configuration_.next();
--- a/tool/soak/soak_run.h
+++ b/tool/soak/soak_run.h
@@ -56,8 +56,6 @@
 
     /** @return Whether every node served everything before @p bound was over. */
     asio::awaitable<bool> waitServed(milliseconds bound);
-    asio::awaitable<std::string> probeAll();
-    asio::awaitable<void> probe(size_t index, std::vector<std::optional<std::string>> &missing);
     void reconfigure();
     void note(const std::string &text) { log_.note(text, clock_.now()); }
 
