Fix: [Member] A heartbeat that describes another backend server is rejected

What callers saw: 503 after one heartbeat of another writer with the id of the running backend server: with 0 slots nothing was admitted, with another service nothing matched, and an empty id left the node without an incarnation; each for good or until a heartbeat with a higher sequence number. One without an address raised the known sequence number, so that draining reports were acknowledged and had no effect.

Cause: address, zone, version, an empty id and 0 slots were not looked at, and the service was only compared with the configuration. The settings name address and service of the one backend server beside a node.

Change: a heartbeat needs all its fields with their types, the address and the service of the settings (as last read), an id, and a positive number of slots; any other one is answered 400 and changes nothing. The bodies of the test of invalid reports now have the new fields, so that each is still rejected for its own reason.

--- a/src/decision/member/member_type.h
+++ b/src/decision/member/member_type.h
@@ -47,6 +47,7 @@
 struct BackendReport {
     BackendIncarnation backend;
     std::string service;
+    std::string address; ///< As `ip:port`.
     BackendState state = BackendState::Ready;
     uint32_t slots = 0;
     milliseconds warmUpLeft{0};            ///< Remaining time of slow responses after its start.
--- a/src/decision/member/report_check.cpp
+++ b/src/decision/member/report_check.cpp
@@ -24,12 +24,20 @@
 } // namespace
 
 std::optional<Failure> checkReport(const BackendReport &report, const BackendIncarnation &present,
-                                   const RouteTable &routes)
+                                   const RouteTable &routes, const LocalBackend &local)
 {
+    if (report.address != local.address) {
+        return Failure{FailureCode::Malformed,
+                       "heartbeat.address: not that of this node's backend server"};
+    }
     if (isOfUnknownService(report, present, routes)) {
         return Failure{FailureCode::Malformed,
                        "heartbeat.service: service is not in the configuration"};
     }
+    if (report.service != local.service) {
+        return Failure{FailureCode::Malformed,
+                       "heartbeat.service: not that of this node's backend server"};
+    }
     if (isMissingStart(report, present)) {
         return Failure{FailureCode::Malformed,
                        "heartbeat.born: missing, but present in earlier heartbeats"};
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -409,8 +409,10 @@
     if (!call || call.assume_value().isDeregistration) {
         return call;
     }
+    const LocalBackend local{settings_.backend.ip + ":" + std::to_string(settings_.backend.port),
+                             lastRead_.service};
     const std::optional<Failure> refusal
-            = checkReport(call.assume_value().report, monitor_.backend(), view_.routes());
+            = checkReport(call.assume_value().report, monitor_.backend(), view_.routes(), local);
     if (refusal) {
         return *refusal;
     }
--- a/test/restart/late_report_test.cpp
+++ b/test/restart/late_report_test.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds UntilReports{3000}; ///< From the return of all processes.
 constexpr milliseconds EffectTime{1000};   ///< In which a heartbeat has taken effect.
 constexpr milliseconds ProbePause{250};
+constexpr uint64_t HighSequence = 1000; ///< Above those of the backend servers themselves.
 
 SoakSettings makeSettings(const std::string &name, uint8_t slot, bool grantsByHeartbeat)
 {
@@ -138,4 +139,22 @@
         });
         cr_expect(missing.empty(), "%s", missing.c_str());
     }
+    SECTION("another writer's heartbeats have the id of the running one, and other fields")
+    {
+        ReturnStory story("odd-report", 73);
+        const std::string missing = story.tell([](BackendServerStandin &backend) {
+            const auto send = [&](const std::string &id, const char *field,
+                                  const boost::json::value &value) {
+                backend.sendForeignReport(id, [&](boost::json::object &body) {
+                    body["sequence"] = HighSequence;
+                    body[field] = value;
+                });
+            };
+            send(backend.id(), "slots", 0);
+            send(backend.id(), "service", "another");
+            send(backend.id(), "address", nullptr);
+            send("", "sequence", HighSequence);
+        });
+        cr_expect(missing.empty(), "%s", missing.c_str());
+    }
 }
--- a/test/unit/platform/decoding_test.cpp
+++ b/test/unit/platform/decoding_test.cpp
@@ -105,7 +105,8 @@
 
 Test(platform_reports, decodes)
 {
-    const std::string beat = R"({"service":"huvo11a","slots":12,"state":"draining",)"
+    const std::string beat = R"({"service":"huvo11a","address":"10.1.0.41:8628","zone":"z",)"
+                             R"("version":"v1","slots":12,"state":"draining",)"
                              R"("cold_remaining":"2.5s","sequence":4})";
     const auto call = decodeReport(makeCall("/-/instances/i-7/heartbeat", beat));
     cr_assert(call.has_value());
@@ -122,7 +123,7 @@
 Test(platform_reports, decodes_held_keys)
 {
     const std::string beat
-            = R"({"service":"s","slots":12,"state":"ready","sequence":4,"born":1700,)"
+            = R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4,"born":1700,)"
               R"("holds":[[4096,5000,9],[0,4095,7]],"released":[[5001,6000,"5c0e"]]})";
     const auto call = decodeReport(makeCall("/-/instances/i-7/heartbeat", beat));
     cr_assert(call.has_value());
@@ -135,7 +136,8 @@
     cr_assert(report.holding == expected);
     SECTION("heartbeats of an unsharded service have no key lists")
     {
-        const std::string plain = R"({"service":"s","slots":12,"state":"ready","sequence":4})";
+        const std::string plain
+                = R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4})";
         const auto other = decodeReport(makeCall("/-/instances/i-7/heartbeat", plain));
         cr_assert(other && !other.assume_value().report.holding);
     }
@@ -176,23 +178,36 @@
             "null",
             "\xff\xfe",
             R"({"service":7,"slots":12,"state":"ready"})",
-            R"({"service":"s","slots":12,"state":"resting","sequence":4})",
-            R"({"service":"s","slots":12,"sequence":4})",
-            R"({"service":"s","slots":"12","state":"ready","sequence":4})",
-            R"({"service":"s","slots":12,"state":"ready","sequence":-4})",
-            R"({"service":"s","slots":12,"state":"ready","sequence":4,"born":"1700"})",
-            R"({"service":"s","slots":12,"state":"ready","sequence":4,"born":17.5})",
-            R"({"service":"s","slots":12,"state":"ready","sequence":4,"born":null})",
-            R"({"service":"s","slots":12,"state":"ready","sequence":4,"holds":[[0,1,2]]})",
-            R"({"service":"s","slots":12,"state":"ready","sequence":4,"holds":[[5,1,2]],"released":[]})",
-            R"({"service":"s","slots":12,"state":"ready","sequence":4,"holds":[[0,65536,2]],"released":[]})",
-            R"({"service":"s","slots":12,"state":"ready","sequence":4,"holds":[[0,1,"2"]],"released":[]})",
-            R"({"service":"s","slots":12,"state":"ready","sequence":4,"holds":7,"released":[]})",
-            R"({"service":"s","slots":12,"state":"ready","sequence":4,"holds":[],"released":[[0,1]]})"};
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"resting","sequence":4})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"sequence":4})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":"12","state":"ready","sequence":4})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":-4})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4,"born":"1700"})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4,"born":17.5})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4,"born":null})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4,"holds":[[0,1,2]]})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4,"holds":[[5,1,2]],"released":[]})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4,"holds":[[0,65536,2]],"released":[]})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4,"holds":[[0,1,"2"]],"released":[]})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4,"holds":7,"released":[]})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4,"holds":[],"released":[[0,1]]})",
+            R"({"service":"s","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":7,"version":"v1","slots":12,"state":"ready","sequence":4})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","slots":12,"state":"ready","sequence":4})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":0,"state":"ready","sequence":4})",
+            R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":1000000000000000000,"state":"ready","sequence":4})"};
     for (const std::string &body : bodies) {
         const auto call = decodeReport(makeCall("/-/instances/i-7/heartbeat", body));
         cr_assert(!call && call.assume_error().code == FailureCode::Malformed, "%s", body.c_str());
     }
+    SECTION("one without an id names none either")
+    {
+        const std::string sound
+                = R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4})";
+        cr_assert(decodeReport(makeCall("/-/instances/i-7/heartbeat", sound)).has_value());
+        cr_assert(!decodeReport(makeCall("/-/instances//heartbeat", sound)).has_value());
+        cr_assert(!decodeReport(makeCall("/-/instances//deregister", "")).has_value());
+    }
 }
 
 Test(platform_headers, request_metadata)
--- a/test/unit/platform/foreign_bytes_test.cpp
+++ b/test/unit/platform/foreign_bytes_test.cpp
@@ -117,7 +117,7 @@
 Test(foreign_bytes, heartbeats)
 {
     const std::string beat
-            = R"({"service":"s","slots":12,"state":"ready","sequence":4,"born":1700,)"
+            = R"({"service":"s","address":"10.1.0.41:8628","zone":"z","version":"v1","slots":12,"state":"ready","sequence":4,"born":1700,)"
               R"("cold_remaining":"0ms","holds":[[0,4095,7]],)"
               R"("released":[[5001,6000,"5c0e"]]})";
     const int read = decodeMutations(beat, [](const std::string &text) {
