Fix: [Test] Ports of the nodes of the leaving tests are not given to others

A run of all unit tests failed once with 'bind: Address already in use' in leaving/acknowledgement_outlasts_the_process_while_the_store_is_down: the test asks the kernel for a free port and uses it later, and a connection of a test beside it can get the same one meanwhile. The ports are now below the range that the kernel gives to connections, and differ by process.

--- a/test/unit/program/leaving_test.cpp
+++ b/test/unit/program/leaving_test.cpp
@@ -11,6 +11,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <unistd.h>
 
 using namespace wisteriahoist;
 using namespace wisteriahoist::testing;
@@ -40,11 +41,24 @@
     BackendStatus status; ///< What a health check shows.
 };
 
+/** Below the ports that the kernel gives to connections, which other tests could get between the
+ *  choice of a port and its use. Each test is a process of its own. */
 uint16_t findFreePort()
 {
+    constexpr uint16_t FirstPort = 20000;
+    constexpr uint16_t Ports = 12000;
+    constexpr uint16_t PortsPerTest = 16;
+    static uint16_t next = static_cast<uint16_t>(getpid() % (Ports / PortsPerTest) * PortsPerTest);
     asio::io_context context;
-    const tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return acceptor.local_endpoint().port();
+    while (true) {
+        const auto port = static_cast<uint16_t>(FirstPort + next++ % Ports);
+        tcp::acceptor acceptor(context, tcp::v4());
+        beast::error_code error;
+        acceptor.bind(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port), error);
+        if (!error) {
+            return port;
+        }
+    }
 }
 
 SidecarSettings makeSettings(const std::string &name)
