Fix: [Member] An incarnation that reports draining is draining, whatever its sequence number

Draining never ends, so the order of the reports says nothing about it.

Change: an outdated report that is draining takes effect; one of an incarnation that was taken for ended is remembered, in case that the backend server names it again. The lists of incarnations hold each one once.

--- a/src/decision/member/backend_monitor.cpp
+++ b/src/decision/member/backend_monitor.cpp
@@ -143,6 +143,9 @@
 void BackendMonitor::remember(std::deque<BackendIncarnation> &incarnations,
                               const BackendIncarnation &backend) const
 {
+    if (std::find(incarnations.begin(), incarnations.end(), backend) != incarnations.end()) {
+        return;
+    }
     incarnations.push_back(backend);
     if (incarnations.size() > limits_.endedIncarnations) {
         incarnations.pop_front();
@@ -173,7 +176,14 @@
 bool BackendMonitor::onReport(const BackendReport &report, TimePoint now)
 {
     const ReportStanding standing = standingOf(report);
-    if (standing == ReportStanding::Ended || standing == ReportStanding::Outdated) {
+    const bool leaves = report.state == BackendState::Draining;
+    if (standing == ReportStanding::Outdated) {
+        return leaves && beginLeaving(BackendEvidence::Report);
+    }
+    if (standing == ReportStanding::Ended) {
+        if (leaves) {
+            remember(deregistered_, report.backend); // It may turn out not to have ended.
+        }
         return false;
     }
     if (standing == ReportStanding::OtherIncarnation) {
@@ -233,12 +243,17 @@
 }
 
 bool BackendMonitor::onAnnouncedLeaving()
+{
+    return beginLeaving(BackendEvidence::AnnouncedLeaving);
+}
+
+bool BackendMonitor::beginLeaving(BackendEvidence evidence)
 {
     if (leaving_) {
         return false;
     }
     leaving_ = true;
-    evidence_ = BackendEvidence::AnnouncedLeaving;
+    evidence_ = evidence;
     state_ = BackendState::Draining;
     return true;
 }
--- a/src/decision/member/backend_monitor.h
+++ b/src/decision/member/backend_monitor.h
@@ -71,8 +71,9 @@
     explicit BackendMonitor(MonitorLimits limits) : limits_(limits) { }
 
     /**
-     * Ignores reports of earlier incarnations and outdated reports of the current one. One of
-     * another incarnation is kept until the backend server has been asked, unless none is in use.
+     * Ignores reports of earlier incarnations and outdated reports of the current one, except that
+     * one which is draining stays so: its reports are acknowledged in any case. A report of another
+     * incarnation is kept until the backend server has been asked, unless none is in use.
      * @return Whether the state or the incarnation has changed.
      */
     bool onReport(const BackendReport &report, TimePoint now);
@@ -200,6 +201,8 @@
     /** Begins the incarnation of @p claim with what is known of it. */
     void beginClaimed(const Claim &claim, TimePoint now);
     void endIncarnation();
+    /** @return Whether the current incarnation was not known to leave. */
+    bool beginLeaving(BackendEvidence evidence);
     void applyReport(const BackendReport &report, TimePoint now);
     void addClaim(const BackendIncarnation &backend, const std::optional<BackendReport> &report,
                   TimePoint now);
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -468,7 +468,9 @@
 void SidecarProgram::logIfIgnored(const BackendReport &report, TimePoint now)
 {
     const ReportStanding standing = monitor_.standingOf(report);
-    const bool ignored = standing == ReportStanding::Ended || standing == ReportStanding::Outdated;
+    const bool leaves = report.state == BackendState::Draining;
+    const bool ignored = standing == ReportStanding::Ended
+                         || (standing == ReportStanding::Outdated && !leaves);
     if (ignored && ignoredReportLog_.tryTake(now)) {
         ignoredReportLog_.log({{"reported", report.backend.text()},
                                {"sequence", report.sequence},
--- a/test/unit/member/backend_monitor_test.cpp
+++ b/test/unit/member/backend_monitor_test.cpp
@@ -63,6 +63,30 @@
     }
 }
 
+// Guards against a draining report that is acknowledged without effect: requests reached the
+// backend server for seconds after the acknowledgement, since another report had a higher sequence
+// number.
+Test(backend_monitor, draining_counts_whatever_its_sequence_number)
+{
+    SECTION("of the current incarnation")
+    {
+        BackendMonitor monitor = makeConfirmed("i-1");
+        (void)monitor.onReport(makeReport("i-1", 1000), Start);
+        cr_assert(!monitor.onReport(makeReport("i-1", 2), Start));
+        cr_assert(monitor.onReport(makeReport("i-1", 3, BackendState::Draining), Start));
+        cr_assert(monitor.state() == BackendState::Draining);
+        cr_assert(!monitor.onReport(makeReport("i-1", 4, BackendState::Draining), Start));
+    }
+    SECTION("of one that was taken for ended and runs after all")
+    {
+        BackendMonitor monitor = makeConfirmed("i-1");
+        identify(monitor, "i-2");
+        (void)monitor.onReport(makeReport("i-1", 2, BackendState::Draining), Start);
+        identify(monitor, "i-1");
+        cr_assert(monitor.state() == BackendState::Draining);
+    }
+}
+
 // The backend server crashes and restarts; a report of the earlier incarnation is delayed by a
 // partition and arrives last. If it were applied, requests would name an incarnation that has ended
 // and all be refused.
