--- a/tool/soak/soak_run.cpp
+++ b/tool/soak/soak_run.cpp
@@ -276,6 +276,10 @@
     co_await sleepFor(SlowStartTime);
     fleet_.delayLinks(milliseconds(0), milliseconds(0));
     note("links are fast again");
+    note("the last heartbeats of former incarnations arrive");
+    for (size_t index = 0; index < fleet_.size(); ++index) {
+        fleet_.node(index).backend().sendLateReport();
+    }
     co_await sleepFor(AfterLossTime);
 }
 
