Fix: [Member] The backend server is asked as soon as an incarnation becomes the current one

An incarnation that is taken up from a 421 and a heartbeat together, or at an address that refuses connections, is not granted keys before the backend server has named itself, and the next health check could take a heartbeat interval (870 ms). Each change of the incarnation now wakes the check.

--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -247,6 +247,9 @@
                                         {"evidence", backendEvidenceName(monitor_.evidence())},
                                         {"slots", monitor_.slots()}});
     loggedBackend_ = monitor_.backend();
+    if (monitor_.isInDoubt(clock_.now())) {
+        healthChecker_.wake();
+    }
     updateColdLimits();
     gate_.onBackendChange();
     publisher_.wake();
@@ -431,9 +434,6 @@
     if (isOther) {
         onDoubt(report.backend.text(), report.sequence, "heartbeat");
     }
-    if (monitor_.isInDoubt(receivedAt)) {
-        healthChecker_.wake();
-    }
     const TimePoint end = receivedAt + PredecessorWait;
     while (!monitor_.isPredecessorKnown() && clock_.now() < end) {
         co_await sleepFor(StartPollInterval);
