Fix: [Member] A leaving is not forgotten when all processes that know of it end

Cause: while the store is down, a leaving is acknowledged once two other nodes keep it, which is memory. When the processes of all nodes end, it is gone. The next process took its predecessor's acknowledgements for known as soon as the store had answered, with a record from before the leaving, and then a late heartbeat for the present state. The backend server, the only one who still knew, was not asked.

Change: a process takes its predecessor's acknowledgements for known only if enough of the nodes that would keep one have run since before the restart; they say how long they run. Otherwise the backend server itself has to show that it stays (LivenessEvidence): by a healthy answer and a heartbeat, two of them if the store did not answer when the process started; or by heartbeats that keep arriving after any that was sent before the start, since health answers may be wrong both ways. Until then it gets no requests. Lines: leaving-uncertain, leaving-ruled-out.

--- a/src/adapter/log/log_type.cpp
+++ b/src/adapter/log/log_type.cpp
@@ -63,6 +63,8 @@
         {LogEvent::MemberPublished, "member-published", LogSeverity::Info},
         {LogEvent::LeavingKept, "leaving-kept", LogSeverity::Info},
         {LogEvent::LeavingRestored, "leaving-restored", LogSeverity::Info},
+        {LogEvent::LeavingUncertain, "leaving-uncertain", LogSeverity::Warning},
+        {LogEvent::LeavingRuledOut, "leaving-ruled-out", LogSeverity::Info},
         {LogEvent::LeavingNotAcknowledged, "leaving-not-acknowledged", LogSeverity::Warning},
         {LogEvent::NodeFailed, "node-failed", LogSeverity::Error},
         {LogEvent::AddressAwaited, "address-awaited", LogSeverity::Warning},
--- a/src/adapter/log/log_type.h
+++ b/src/adapter/log/log_type.h
@@ -72,6 +72,9 @@
     MemberPublished,   ///< This node has written its member record, including the backend server.
     LeavingKept,     ///< Other nodes keep that the backend server leaves; the store doesn't answer.
     LeavingRestored, ///< An earlier process of this node acknowledged that it leaves.
+    LeavingUncertain, ///< Nobody knows whether an earlier process acknowledged that it leaves, so
+                      ///< it gets no requests yet.
+    LeavingRuledOut,  ///< The backend server itself has shown that it stays.
     LeavingNotAcknowledged, ///< Neither the store nor other nodes have recorded that it leaves.
     NodeFailed,     ///< Unhandled error, or a start that is not possible; the process terminates.
     AddressAwaited, ///< An address to listen on is in use; the node waits for it.
--- a/src/program/sidecar_program.cpp
+++ b/src/program/sidecar_program.cpp
@@ -104,8 +104,9 @@
 SidecarProgram::SidecarProgram(asio::io_context &context, const SidecarSettings &settings,
                                const SidecarPorts &ports)
     : context_(context), settings_(settings), lastRead_(settings), ports_(ports),
-      node_(makeNodeId(settings)), requestMemory_(std::make_shared<MemoryBudget>(
-                                           shareOf(settings.memoryBytes, RequestMemoryShare))),
+      node_(makeNodeId(settings)), evidence_(EvidenceLimits{}, settings.heartbeat, clock_.now()),
+      startedAt_(clock_.now()), requestMemory_(std::make_shared<MemoryBudget>(
+                                        shareOf(settings.memoryBytes, RequestMemoryShare))),
       responseMemory_(
               std::make_shared<ResponseBudget>(shareOf(settings.memoryBytes, ResponseMemoryShare))),
       peers_(context, settings.peers.ip, settings.peers.port),
@@ -118,7 +119,7 @@
       router_(context, clock_, ports.protocol, view_, loads_, gate_, peers_, crashes_,
               makeRouterSettings(settings, node_)),
       sync_(context, store_, clock_, view_, ports.configName, ports.decodeConfig),
-      keepers_(context, peers_, view_, node_),
+      keepers_(context, clock_, peers_, view_, node_),
       publisher_(
               context, store_, [this]() { return describe(); },
               [this](const MemberRecord &member, StoreRevision revision) {
@@ -203,8 +204,8 @@
     healthChecker_.start();
     const auto turns = [this]() { return watchForStalls(); };
     startLoop(context_.get_executor(), "stall monitor", turns);
-    const auto ask = [this]() { return askBackendAtStart(); };
-    startLoop(context_.get_executor(), "first health check", ask);
+    const auto ask = [this]() { return ruleOutLeaving(); };
+    startLoop(context_.get_executor(), "evidence of the backend server", ask);
 }
 
 MemberRecord SidecarProgram::describe() const
--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -9,6 +9,7 @@
 #include "adapter/metrics/metric_registry.h"
 #include "adapter/random/mt_random_source.h"
 #include "adapter/signal/process_signals.h"
+#include "decision/member/liveness_evidence.h"
 #include "duty/backend_gate.h"
 #include "duty/backend_health_checker.h"
 #include "duty/member_publisher.h"
@@ -93,11 +94,16 @@
     asio::awaitable<HttpResponse> onReport(HttpRequest request);
     /** Applies what an earlier process of this node has left. */
     asio::awaitable<void> restore(std::optional<MemberRecord> earlier);
-    /** While the store does not answer, the backend server itself tells whether it leaves. */
-    asio::awaitable<void> askBackendAtStart();
+    /** Nobody may know what an earlier process has acknowledged: the backend server itself shows
+     *  whether it leaves. */
+    asio::awaitable<void> ruleOutLeaving();
+    asio::awaitable<void> collectEvidence(TimePoint &nextCheck);
+    void onLeavingUncertain(std::string_view cause, size_t witnesses);
+    void onPredecessorKnown();
     void applyEarlier(const MemberRecord &earlier, std::string_view source);
     /** @return Whether it outlasts this process that @p backend leaves. */
     asio::awaitable<bool> keepLeaving(BackendIncarnation backend);
+    asio::awaitable<bool> awaitStoredLeaving(milliseconds longest);
     Result<BackendCall> readReport(const HttpRequest &request);
     asio::awaitable<std::optional<GrantReply>> answerHeartbeat(BackendReport report,
                                                                TimePoint receivedAt);
@@ -121,6 +127,11 @@
     NodeId node_;
     FleetView view_;
     BackendMonitor monitor_{MonitorLimits{}};
+    LivenessEvidence evidence_;
+    TimePoint startedAt_;
+    bool storeAnswered_ = false; ///< The record of an earlier process has been read.
+    /// What the store and other nodes have may lack what an earlier process has acknowledged.
+    bool leavingUncertain_ = false;
     PeerLoads loads_;
     CrashLedger crashes_;
     std::shared_ptr<MemoryBudget> requestMemory_;
--- a/src/program/sidecar_reports.cpp
+++ b/src/program/sidecar_reports.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds StartStoreWait{300};
 constexpr milliseconds StartHealthTimeout{300};
 constexpr milliseconds StartHealthInterval{500};
+constexpr milliseconds EvidencePollInterval{50};
 
 } // namespace
 
@@ -75,11 +76,7 @@
         co_return true; // It has ended: another one is current.
     }
     const TimePoint end = clock_.now() + AcknowledgementTime;
-    const auto isStored = [this](const MemberRecord &stored) {
-        return stored.backend == monitor_.backend() && stored.state == BackendState::Draining;
-    };
-    if (keptLeaving_ == monitor_.backend()
-        || co_await publisher_.awaitStored(isStored, StoreWriteWait)) {
+    if (keptLeaving_ == monitor_.backend() || co_await awaitStoredLeaving(StoreWriteWait)) {
         co_return true;
     }
     MemberRecord record = describe();
@@ -90,45 +87,94 @@
         co_return true;
     }
     const auto left = std::chrono::duration_cast<milliseconds>(end - clock_.now());
-    co_return co_await publisher_.awaitStored(isStored, std::max(left, milliseconds(0)));
+    co_return co_await awaitStoredLeaving(std::max(left, milliseconds(0)));
+}
+
+asio::awaitable<bool> SidecarProgram::awaitStoredLeaving(milliseconds longest)
+{
+    const auto isStored = [this](const MemberRecord &stored) {
+        return stored.backend == monitor_.backend() && stored.state == BackendState::Draining;
+    };
+    co_return co_await publisher_.awaitStored(isStored, longest);
 }
 
 /**
  * An acknowledgement of an earlier process still binds. Its record may not have reached the store;
- * other nodes have it then.
+ * other nodes have it then, unless they have ended as well.
  */
 asio::awaitable<void> SidecarProgram::restore(std::optional<MemberRecord> earlier)
 {
-    if (earlier) {
-        applyEarlier(*earlier, "store");
-        const TimePoint end = clock_.now() + MembersWait;
-        while (view_.members().empty() && clock_.now() < end) {
-            co_await sleepFor(StartPollInterval);
+    storeAnswered_ = true;
+    if (!earlier) {
+        onPredecessorKnown();
+        co_return;
+    }
+    applyEarlier(*earlier, "store");
+    const TimePoint end = clock_.now() + MembersWait;
+    while (view_.members().empty() && clock_.now() < end) {
+        co_await sleepFor(StartPollInterval);
+    }
+    const KeptRecords kept = co_await keepers_.collect();
+    for (const MemberRecord &record : kept.records) {
+        applyEarlier(record, "node");
+    }
+    if (kept.complete) {
+        onPredecessorKnown();
+    } else {
+        onLeavingUncertain("restarted-nodes", kept.witnesses);
+    }
+}
+
+void SidecarProgram::onPredecessorKnown()
+{
+    if (!monitor_.isPredecessorKnown()) {
+        monitor_.onPredecessorKnown();
+        onBackendChange();
+    }
+}
+
+void SidecarProgram::onLeavingUncertain(std::string_view cause, size_t witnesses)
+{
+    leavingUncertain_ = true;
+    if (!monitor_.isPredecessorKnown()) {
+        logEvent(LogEvent::LeavingUncertain, {{"cause", cause}, {"witnesses", witnesses}});
+    }
+}
+
+asio::awaitable<void> SidecarProgram::ruleOutLeaving()
+{
+    TimePoint nextCheck = NeverTime;
+    while (!monitor_.isPredecessorKnown()) {
+        const bool late = !storeAnswered_ && clock_.now() - startedAt_ >= StartStoreWait;
+        if (late && !evidence_.sawStoreOutage()) {
+            evidence_.onStoreOutage();
+            onLeavingUncertain("store", 0);
         }
-        const std::vector<MemberRecord> kept = co_await keepers_.collect();
-        for (const MemberRecord &record : kept) {
-            applyEarlier(record, "node");
+        if (leavingUncertain_ && monitor_.hasReported()) {
+            co_await collectEvidence(nextCheck);
         }
+        co_await sleepFor(EvidencePollInterval);
     }
-    monitor_.onPredecessorKnown();
-    onBackendChange();
 }
 
-asio::awaitable<void> SidecarProgram::askBackendAtStart()
+asio::awaitable<void> SidecarProgram::collectEvidence(TimePoint &nextCheck)
 {
-    co_await sleepFor(StartStoreWait);
-    while (!monitor_.isPredecessorKnown()) {
-        if (monitor_.hasReported()) {
-            const BackendStatus status = co_await ports_.backend.pollOnce(StartHealthTimeout);
-            const bool isCurrent = status.backend == monitor_.backend().id;
-            if (status.answered && status.healthy && isCurrent && !monitor_.isPredecessorKnown()) {
-                // What the store and other nodes have is still applied when they answer.
-                monitor_.onPredecessorKnown();
-                onBackendChange();
-                co_return;
-            }
+    const bool mayStay = monitor_.state() == BackendState::Absent;
+    if (mayStay && !evidence_.isHealthy(monitor_.backend()) && clock_.now() >= nextCheck) {
+        const BackendStatus status = co_await ports_.backend.pollOnce(StartHealthTimeout);
+        nextCheck = clock_.now() + StartHealthInterval;
+        if (status.answered && status.healthy) {
+            evidence_.onHealthy(status.backend);
         }
-        co_await sleepFor(StartHealthInterval);
+    }
+    if (!monitor_.isPredecessorKnown() && evidence_.suffices(monitor_.backend())) {
+        const auto waited = std::chrono::duration_cast<milliseconds>(clock_.now() - startedAt_);
+        logEvent(LogEvent::LeavingRuledOut, {{"backend", monitor_.backend().text()},
+                                             {"healthy", evidence_.isHealthy(monitor_.backend())},
+                                             {"heartbeats", evidence_.reports()},
+                                             {"after_ms", waited.count()}});
+        // What the store and other nodes have is still applied when they answer.
+        onPredecessorKnown();
     }
 }
 
@@ -170,6 +216,9 @@
     if (changed) {
         onBackendChange();
     }
+    if (monitor_.isNewest(report)) {
+        evidence_.onReport(report, receivedAt);
+    }
     if (isOther) {
         onDoubt(report.backend.text(), report.sequence, "heartbeat");
     }
--- a/test/unit/program/leaving_test.cpp
+++ b/test/unit/program/leaving_test.cpp
@@ -270,6 +270,116 @@
     cr_assert(fleet.stateOf("n-0") == BackendState::Draining);
 }
 
+namespace {
+
+/** A fleet in which the leaving of one backend server is acknowledged while the store is down, and
+ *  all processes end; the store is back once all have started again. */
+struct LostFleet : Fleet {
+    explicit LostFleet(size_t nodes) : Fleet(nodes)
+    {
+        store.setDown(true);
+        cr_assert(deregister(0, Acknowledged));
+        for (size_t index = 0; index < nodes; ++index) {
+            kill(index);
+        }
+        for (size_t index = 0; index < nodes; ++index) {
+            start(index);
+        }
+        (void)runFor(milliseconds(500)); // Until the outage is seen.
+    }
+
+    void setHealth(size_t index, bool healthy)
+    {
+        processes[index]->backend.status = {true, healthy, false, "i-" + std::to_string(index)};
+    }
+
+    /** @return Whether requests of other nodes are run at the node @p index, once the store is
+     *          back and the node has written its record. */
+    bool isUsed(size_t index)
+    {
+        store.setDown(false);
+        (void)runFor(milliseconds(2500));
+        const std::string reason = askForRequest(index);
+        const bool used = reason != "no-backend";
+        cr_assert_eq(used, stateOf(settings[index].name) == BackendState::Ready);
+        return used;
+    }
+};
+
+} // namespace
+
+// Guards against a leaving that is acknowledged while the store is down and forgotten when the
+// processes of all nodes end: after a late report, requests reached the backend server.
+Test(leaving, acknowledgement_outlasts_the_processes_of_all_nodes)
+{
+    SECTION("the backend server says that it leaves")
+    {
+        LostFleet fleet(3);
+        fleet.setHealth(0, false);
+        cr_assert(fleet.report(0, 2), "a report that was sent before");
+        cr_assert(!fleet.isUsed(0));
+    }
+    SECTION("its health answers are wrong")
+    {
+        LostFleet fleet(3);
+        fleet.setHealth(0, true);
+        cr_assert(fleet.report(0, 2), "a report that was sent before");
+        cr_assert(!fleet.isUsed(0));
+    }
+    SECTION("it does not answer health checks")
+    {
+        LostFleet fleet(3);
+        cr_assert(fleet.report(0, 2), "a report that was sent before");
+        cr_assert(!fleet.isUsed(0));
+    }
+    SECTION("the processes end once more")
+    {
+        LostFleet fleet(3);
+        fleet.kill(0);
+        fleet.kill(1);
+        fleet.start(0);
+        fleet.start(1);
+        fleet.setHealth(0, false);
+        cr_assert(fleet.report(0, 2), "a report that was sent before");
+        cr_assert(!fleet.isUsed(0));
+    }
+    SECTION("one that stays is used")
+    {
+        LostFleet fleet(3);
+        fleet.setHealth(1, true);
+        cr_assert(fleet.report(1, 2));
+        (void)fleet.runFor(milliseconds(700));
+        cr_assert(fleet.report(1, 3));
+        cr_assert(fleet.isUsed(1));
+    }
+}
+
+// Guards against the same if the store is back before the processes are.
+Test(leaving, acknowledgement_outlasts_the_processes_of_all_nodes_and_the_outage)
+{
+    const auto lose = [](Fleet &fleet) {
+        fleet.store.setDown(true);
+        cr_assert(fleet.deregister(0, Acknowledged));
+        for (size_t index = 0; index < fleet.settings.size(); ++index) {
+            fleet.kill(index);
+        }
+        fleet.store.setDown(false);
+        for (size_t index = 0; index < fleet.settings.size(); ++index) {
+            fleet.start(index);
+            fleet.processes[index]->backend.status
+                    = {true, index != 0, false, "i-" + std::to_string(index)};
+        }
+        (void)fleet.runFor(milliseconds(500));
+    };
+    Fleet fleet(3);
+    lose(fleet);
+    cr_assert(fleet.report(0, 2), "a report that was sent before");
+    cr_assert(fleet.report(1, 2));
+    (void)fleet.runFor(milliseconds(2000));
+    cr_assert(fleet.askForRequest(0) == "no-backend");
+    cr_assert(fleet.askForRequest(1) != "no-backend", "its backend server stays");
+}
+
 // Guards against an acknowledgement that nothing but the process knows of.
 Test(leaving, is_not_acknowledged_if_nothing_records_it)
 {
