Fix: [Member] Nodes that keep a leaving are given it again until the store has it

Cause: the record of a leaving that was acknowledged while the store is down was given to other nodes once. If these are restarted one after the other during the outage, as in a rolling restart, and then the node itself, nobody has it any more.

Change: the node gives it to them again every second until the store has it.

Result: leaving/acknowledgement_outlasts_nodes_that_keep_it_one_after_the_other fails on the code before and passes.

--- a/src/program/sidecar_program.h
+++ b/src/program/sidecar_program.h
@@ -103,6 +103,9 @@
     void applyEarlier(const MemberRecord &earlier, std::string_view source);
     /** @return Whether it outlasts this process that @p backend leaves. */
     asio::awaitable<bool> keepLeaving(BackendIncarnation backend);
+    /** Nodes that keep that it leaves may end as well: gives them the record again until the store
+     *  has it. */
+    asio::awaitable<void> renewKeptLeaving();
     asio::awaitable<bool> awaitStoredLeaving(milliseconds longest);
     Result<BackendCall> readReport(const HttpRequest &request);
     asio::awaitable<std::optional<GrantReply>> answerHeartbeat(BackendReport report,
--- a/src/program/sidecar_reports.cpp
+++ b/src/program/sidecar_reports.cpp
@@ -2,9 +2,12 @@
 
 #include "adapter/clock/sleep_func.h"
 #include "adapter/log/event_log.h"
+#include "adapter/task/background_task.h"
 #include "decision/member/report_check.h"
 #include "program/sidecar_program.h"
 
+#include <boost/asio/co_spawn.hpp>
+
 namespace wisteriahoist {
 
 namespace {
@@ -14,6 +17,7 @@
 constexpr milliseconds AcknowledgementTime{850};
 constexpr milliseconds StoreWriteWait{250};
 constexpr milliseconds RetryAfterNotKept{1000};
+constexpr milliseconds KeepRenewInterval{1000};
 /** A process that starts waits so long to learn of other nodes, after the store has answered. */
 constexpr milliseconds MembersWait{1000};
 /** A heartbeat waits so long for what an earlier process has left. */
@@ -84,6 +88,8 @@
     if (kept) {
         keptLeaving_ = record.backend;
         logEvent(LogEvent::LeavingKept, {{"backend", record.backend.text()}});
+        asio::co_spawn(
+                context_, [this]() { return renewKeptLeaving(); }, logFailureOf("kept leaving"));
         co_return true;
     }
     const auto left = std::chrono::duration_cast<milliseconds>(end - clock_.now());
@@ -98,6 +104,14 @@
     co_return co_await publisher_.awaitStored(isStored, longest);
 }
 
+asio::awaitable<void> SidecarProgram::renewKeptLeaving()
+{
+    const BackendIncarnation backend = keptLeaving_;
+    while (backend == monitor_.backend() && !co_await awaitStoredLeaving(KeepRenewInterval)) {
+        (void)co_await keepers_.deposit(describe());
+    }
+}
+
 /**
  * An acknowledgement of an earlier process still binds. Its record may not have reached the store;
  * other nodes have it then, unless they have ended as well.
--- a/test/unit/program/leaving_test.cpp
+++ b/test/unit/program/leaving_test.cpp
@@ -380,6 +380,25 @@
     cr_assert(fleet.askForRequest(1) != "no-backend", "its backend server stays");
 }
 
+// Guards against an acknowledgement that is lost since the nodes that keep it end one after the
+// other while the store is down.
+Test(leaving, acknowledgement_outlasts_nodes_that_keep_it_one_after_the_other)
+{
+    Fleet fleet(3);
+    fleet.store.setDown(true);
+    cr_assert(fleet.deregister(0, Acknowledged));
+    for (const size_t keeper : {1U, 2U}) {
+        fleet.kill(keeper);
+        fleet.start(keeper);
+        (void)fleet.runFor(milliseconds(2500));
+    }
+    fleet.kill(0);
+    fleet.start(0);
+    cr_assert(fleet.report(0, 2), "a report that was sent before");
+    fleet.store.setDown(false);
+    cr_assert(fleet.runUntil([&]() { return fleet.stateOf("n-0") == BackendState::Draining; }));
+}
+
 // Guards against an acknowledgement that nothing but the process knows of.
 Test(leaving, is_not_acknowledged_if_nothing_records_it)
 {
