Fix: [Member] The leaving of an incarnation that is not the current one waits for the backend server

Cause: a deregistration, or a draining heartbeat, of an incarnation that the node did not take for the current one was acknowledged at once and kept by the process alone. The node may have been wrong: the next incarnation that has not reported yet, or one that was taken for ended. After the end of the process, or until the backend server was asked for another reason, requests reached it.

Change: such a message is a claim. The backend server is asked which incarnation it is; until it has answered, the leaving is not acknowledged. If it is the one that leaves, its record is written before, as for any other.

Result: leaving/deregistration_of_another_incarnation_* fails on the code before and passes; so do backend_monitor/*, backend_health_checker/*, leaving/* and sidecar_stop/*.

--- a/src/decision/member/backend_monitor.cpp
+++ b/src/decision/member/backend_monitor.cpp
@@ -182,7 +182,7 @@
     }
     if (standing == ReportStanding::Ended) {
         if (leaves) {
-            remember(deregistered_, report.backend); // It may turn out not to have ended.
+            rememberLeaving(report.backend, now);
         }
         return false;
     }
@@ -222,12 +222,21 @@
     service_ = report.service;
 }
 
-bool BackendMonitor::onDeregister(const BackendIncarnation &backend)
+/** It may turn out to be the one that runs. */
+void BackendMonitor::rememberLeaving(const BackendIncarnation &backend, TimePoint now)
+{
+    remember(deregistered_, backend);
+    if (!backend_.empty() && backend.id != backend_.id) {
+        addClaim(backend, std::nullopt, now);
+    }
+}
+
+bool BackendMonitor::onDeregister(const BackendIncarnation &backend, TimePoint now)
 {
     const bool otherIncarnation
             = backend.born != 0 && backend_.born != 0 && backend.born != backend_.born;
     if (backend.id != backend_.id || otherIncarnation) {
-        remember(deregistered_, backend);
+        rememberLeaving(backend, now);
         if (!backend_.empty()) {
             return false;
         }
--- a/src/decision/member/backend_monitor.h
+++ b/src/decision/member/backend_monitor.h
@@ -82,11 +82,12 @@
 
     /**
      * The backend server has announced its shutdown. If none is known yet (because this node has
-     * just started), it is the current one from now on. Another incarnation that is not known is
-     * remembered as leaving, since no request may reach it after the acknowledgement.
+     * just started), it is the current one from now on. Another incarnation is remembered as
+     * leaving, since no request may reach it after the acknowledgement, and the backend server is
+     * asked whether it is that one.
      * @return Whether anything changed.
      */
-    bool onDeregister(const BackendIncarnation &backend);
+    bool onDeregister(const BackendIncarnation &backend, TimePoint now);
 
     /** The current incarnation has said in a response that it leaves, which may be before its
      *  heartbeats do. @return Whether it was not known to leave. */
@@ -206,6 +207,7 @@
     void applyReport(const BackendReport &report, TimePoint now);
     void addClaim(const BackendIncarnation &backend, const std::optional<BackendReport> &report,
                   TimePoint now);
+    void rememberLeaving(const BackendIncarnation &backend, TimePoint now);
     bool isOpen(const Claim &claim, TimePoint now) const;
     std::deque<Claim>::iterator findClaim(const std::string &backend);
     void remember(std::deque<BackendIncarnation> &incarnations,
--- a/src/program/sidecar_reports.cpp
+++ b/src/program/sidecar_reports.cpp
@@ -51,9 +51,12 @@
     if (!leaves) {
         order = co_await answerHeartbeat(report, receivedAt);
     } else {
-        if (monitor_.onDeregister(report.backend)) {
+        if (monitor_.onDeregister(report.backend, receivedAt)) {
             onBackendChange();
         }
+        if (monitor_.isClaimed(report.backend, receivedAt)) {
+            onDoubt(report.backend.text(), 0, "deregistration");
+        }
         co_await awaitIdentity(report.backend, receivedAt + PredecessorWait);
     }
     if (leaves || report.state == BackendState::Draining) {
@@ -77,7 +80,8 @@
     const bool isCurrent
             = backend.id == monitor_.backend().id && monitor_.state() == BackendState::Draining;
     if (!isCurrent) {
-        co_return true; // It has ended: another one is current.
+        // Another one is current; the backend server itself has to say so.
+        co_return !monitor_.isInDoubt(clock_.now());
     }
     const TimePoint end = clock_.now() + AcknowledgementTime;
     if (keptLeaving_ == monitor_.backend() || co_await awaitStoredLeaving(StoreWriteWait)) {
@@ -198,10 +202,15 @@
     if (earlier.requestLimit) {
         gate_.adoptLimit(earlier.backend, *earlier.requestLimit);
     }
-    if (earlier.state == BackendState::Draining && monitor_.onDeregister(earlier.backend)) {
+    if (earlier.state != BackendState::Draining) {
+        return;
+    }
+    if (monitor_.onDeregister(earlier.backend, clock_.now())) {
         logEvent(LogEvent::LeavingRestored,
                  {{"backend", earlier.backend.text()}, {"source", std::string(source)}});
         onBackendChange();
+    } else {
+        healthChecker_.wake();
     }
 }
 
@@ -233,7 +242,7 @@
     if (monitor_.isNewest(report)) {
         evidence_.onReport(report, receivedAt);
     }
-    if (isOther) {
+    if (isOther || monitor_.isClaimed(report.backend, receivedAt)) {
         onDoubt(report.backend.text(), report.sequence, "heartbeat");
     }
     const TimePoint end = receivedAt + PredecessorWait;
--- a/test/unit/member/backend_monitor_test.cpp
+++ b/test/unit/member/backend_monitor_test.cpp
@@ -58,7 +58,7 @@
     {
         BackendMonitor notDraining{MonitorLimits{}};
         (void)notDraining.onReport(makeReport("i-1", 1), Start);
-        cr_assert(notDraining.onDeregister("i-1"));
+        cr_assert(notDraining.onDeregister("i-1", Start));
         cr_assert(notDraining.state() == BackendState::Draining);
     }
 }
@@ -245,13 +245,13 @@
 Test(backend_monitor, deregistration_before_the_first_report_is_kept)
 {
     BackendMonitor monitor{MonitorLimits{}};
-    (void)monitor.onDeregister("i-1");
+    (void)monitor.onDeregister("i-1", Start);
     (void)monitor.onReport(makeReport("i-1", 7), Start);
     cr_assert(monitor.state() == BackendState::Draining);
     SECTION("also if the incarnation becomes known by a health check")
     {
         BackendMonitor polled{MonitorLimits{}};
-        (void)polled.onDeregister("i-1");
+        (void)polled.onDeregister("i-1", Start);
         identify(polled, "i-1");
         cr_assert(polled.state() == BackendState::Draining);
     }
@@ -317,9 +317,9 @@
     }
     SECTION("a deregistration of the earlier incarnation does not affect the current one")
     {
-        cr_assert(!monitor.onDeregister({"i-1", 1000}));
+        cr_assert(!monitor.onDeregister({"i-1", 1000}, Start));
         cr_assert(monitor.state() == BackendState::Ready);
-        cr_assert(monitor.onDeregister({"i-1", 2000}));
+        cr_assert(monitor.onDeregister({"i-1", 2000}, Start));
     }
     SECTION("a health check returns only the id; the first heartbeat completes the same "
             "incarnation")
--- a/test/unit/program/leaving_test.cpp
+++ b/test/unit/program/leaving_test.cpp
@@ -493,3 +493,40 @@
         cr_assert(other.stateOf("n-0") == BackendState::Ready);
     }
 }
+
+// Guards against a deregistration that is acknowledged, but kept by the process alone, since the
+// node takes another incarnation for the current one.
+Test(leaving,
+     deregistration_of_another_incarnation_is_acknowledged_once_the_backend_server_is_asked)
+{
+    const auto deregister = [](Fleet &fleet, std::string_view status) {
+        return fleet.callAs("i-next", 0, "deregister", "", status);
+    };
+    Fleet fleet(1);
+    HealthBackend &backend = fleet.processes[0]->backend;
+    cr_assert(deregister(fleet, Refused), "it does not answer");
+    SECTION("if it is that one, the leaving is recorded before")
+    {
+        backend.status = {true, true, false, "i-next"};
+        cr_assert(deregister(fleet, Acknowledged));
+        cr_assert(fleet.stateOf("n-0") == BackendState::Draining);
+    }
+    SECTION("if it is not, nothing changes")
+    {
+        Fleet other(1);
+        other.processes[0]->backend.status = {true, true, false, "i-0"};
+        cr_assert(deregister(other, Acknowledged));
+        cr_assert(other.stateOf("n-0") == BackendState::Ready);
+    }
+    SECTION("also if that one was taken for ended")
+    {
+        Fleet taken(1);
+        HealthBackend &server = taken.processes[0]->backend;
+        server.status = {true, true, false, "i-0"};
+        cr_assert(
+                taken.callAs("i-next", 0, "heartbeat", Fleet::makeBody(1, "ready"), Acknowledged));
+        server.status = {true, true, false, "i-next"};
+        cr_assert(deregister(taken, Acknowledged));
+        cr_assert(taken.stateOf("n-0") == BackendState::Draining);
+    }
+}
--- a/test/unit/range/ownership_node.cpp
+++ b/test/unit/range/ownership_node.cpp
@@ -286,7 +286,7 @@
 void SimulatedNode::onDeregister()
 {
     post([this]() {
-        (void)monitor_.onDeregister(world_.backends_[index_].life());
+        (void)monitor_.onDeregister(world_.backends_[index_].life(), clock_.now());
         controller_->wake();
     });
 }
--- a/test/unit/range/range_controller_log_test.cpp
+++ b/test/unit/range/range_controller_log_test.cpp
@@ -86,7 +86,7 @@
 /** The backend server of @p node leaves, and all its keys move. */
 void leaveWithAllKeys(OwnershipFleet &fleet, OwnershipNode &node)
 {
-    (void)node.monitor.onDeregister(node.record.backend.text());
+    (void)node.monitor.onDeregister(node.record.backend.text(), fleet.clock().now());
     node.controller.wake();
     cr_assert(fleet.reaches([&]() { return hasMovedAllKeys(node); }, Patience));
 }
@@ -152,7 +152,7 @@
     cr_assert(sendHeartbeat(holding));
     const uint64_t listedIn = sequence;
     const Lines lines = logged(LogEvent::RangeGivenOn, [&]() {
-        (void)first.monitor.onDeregister("b-1");
+        (void)first.monitor.onDeregister("b-1", fleet.clock().now());
         first.controller.wake();
         cr_assert(fleet.reaches(
                 [&]() {
--- a/test/unit/range/range_controller_test.cpp
+++ b/test/unit/range/range_controller_test.cpp
@@ -153,7 +153,7 @@
         return countKeys(first.view.findTable("s")->table, NodeId(node));
     };
     fleet.holdMembers(true);
-    (void)second.monitor.onDeregister("b-2");
+    (void)second.monitor.onDeregister("b-2", fleet.clock().now());
     second.controller.wake();
     cr_assert(fleet.reaches([&]() { return keysOf(2) == 0; }, Patience));
     // The load report in the answer to any request between the two nodes.
@@ -161,7 +161,7 @@
     answer.mutable_load()->set_leaving(second.controller.isLeaving());
     first.loads.onSent(NodeId(2));
     first.loads.onReply(NodeId(2), answer, true, fleet.clock().now());
-    (void)first.monitor.onDeregister("b-1");
+    (void)first.monitor.onDeregister("b-1", fleet.clock().now());
     first.controller.wake();
     uint32_t given = 0; // Keys given to the leaving backend server.
     cr_assert(fleet.reaches(
@@ -183,7 +183,7 @@
     fleet.add(2, "b-2");
     const auto all = [&]() { return isServedByOne(fleet, Low) && isServedByOne(fleet, High); };
     cr_assert(fleet.reaches(all, Patience));
-    (void)first.monitor.onDeregister("b-1");
+    (void)first.monitor.onDeregister("b-1", fleet.clock().now());
     first.controller.wake();
     cr_assert(fleet.reaches([&]() { return fleet.admitting(Low) == std::vector<uint64_t>{2}; },
                             Patience));
@@ -239,7 +239,7 @@
     const auto all = [&]() { return isServedByOne(fleet, Low) && isServedByOne(fleet, High); };
     cr_assert(fleet.reaches(all, Patience));
     fleet.holdUpdates(true);
-    (void)first.monitor.onDeregister("b-1");
+    (void)first.monitor.onDeregister("b-1", fleet.clock().now());
     first.controller.wake();
     cr_assert(fleet.reaches([&]() { return fleet.admitting(Low) == std::vector<uint64_t>{2}; },
                             Patience));
@@ -464,7 +464,7 @@
         }
         known = written;
     });
-    (void)leaving.monitor.onDeregister("b-1");
+    (void)leaving.monitor.onDeregister("b-1", fleet.clock().now());
     leaving.controller.wake();
     cr_assert(
             fleet.reaches([&]() { return countKeys(known, leaving.record.node) == 0; }, Patience));
--- a/test/unit/request/request_router_test.cpp
+++ b/test/unit/request/request_router_test.cpp
@@ -519,7 +519,9 @@
     {
         Fixture fixture({{"", milliseconds(50), true}});
         asio::steady_timer timer(fixture.context, milliseconds(20));
-        timer.async_wait([&](boost::system::error_code) { fixture.monitor.onDeregister("b-1"); });
+        timer.async_wait([&](boost::system::error_code) {
+            fixture.monitor.onDeregister("b-1", fixture.clock.now());
+        });
         (void)fixture.ask();
         cr_assert_eq(fixture.backend->requests().size(), 1U);
         fixture.startNextIncarnation();
