Add: [Soak] The processes of all nodes end after a leaving that was acknowledged without the store

Cause: the soak killed only the node whose backend server leaves, and a stand-in that deregisters without a drain said in its answers that it leaves, so its node learned of it again with the first request.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -72,5 +72,7 @@
 soak soak-endless-answers 9003 --endless_answers
 # Guards against rejections that are answered twice, and acknowledgements that end with the process.
 soak soak-second-answers 5001 --second_answers --late_reports
+# Guards against acknowledgements that end with the processes of all nodes.
+soak soak-all-lost 6101 --late_reports --all_lost
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
--- a/tool/soak/soak_main.cpp
+++ b/tool/soak/soak_main.cpp
@@ -40,6 +40,8 @@
 ABSL_FLAG(bool, late_reports, false,
           "backend servers leave while the store is down, their nodes are killed right after it, "
           "and a heartbeat of before arrives late");
+ABSL_FLAG(bool, all_lost, false,
+          "with --late_reports: the processes of all nodes are killed, not only that one");
 ABSL_FLAG(uint32_t, memory_mb, 0, "memory that a node may use; 0: not checked");
 ABSL_FLAG(bool, power_loss, false,
           "after the other faults all nodes and backend servers are lost at once, right after a "
@@ -110,6 +112,7 @@
             settings.secondAnswers = absl::GetFlag(FLAGS_second_answers);
             settings.largeBodies = absl::GetFlag(FLAGS_large_bodies);
             settings.lateReports = absl::GetFlag(FLAGS_late_reports);
+            settings.allLost = absl::GetFlag(FLAGS_all_lost);
             settings.memoryBound = absl::GetFlag(FLAGS_memory_mb) * BytesPerMegabyte;
             settings.powerLoss = absl::GetFlag(FLAGS_power_loss);
             settings.callersPerNode = absl::GetFlag(FLAGS_callers);
--- a/tool/soak/soak_node.h
+++ b/tool/soak/soak_node.h
@@ -31,6 +31,7 @@
     bool secondAnswers = false;     ///< Some backend servers reject requests and answer twice.
     bool largeBodies = false;       ///< Some callers send bodies of many megabytes.
     bool lateReports = false;       ///< Backend servers leave while the store is down.
+    bool allLost = false;           ///< With lateReports: the processes of all nodes end then.
     uint64_t memoryBound = 0;       ///< Bytes that a node may use; 0: not checked.
     bool powerLoss = false;         ///< At the end all nodes and backend servers are lost at once.
     size_t callersPerNode = 3;
--- a/tool/soak/soak_run.cpp
+++ b/tool/soak/soak_run.cpp
@@ -235,8 +235,12 @@
         note(fleet_.node(index).backend().id() + " deregisters and goes on serving");
         fleet_.node(index).backend().leaveAtOnce();
         co_await sleepFor(TimeToKill);
-        startTask(context_, driver_.carryOutAnother(
-                                    {FaultKind::NodeKill, index, milliseconds(0), TimeToRestart}));
+        for (size_t killed = 0; killed < fleet_.size(); ++killed) {
+            if (killed == index || settings_.allLost) {
+                startTask(context_, driver_.carryOutAnother({FaultKind::NodeKill, killed,
+                                                             milliseconds(0), TimeToRestart}));
+            }
+        }
         co_await waitUnlessHealed(LeavingTime);
         fleet_.startBackend(index);
     }
