Codechange: [Test] The tests of lost leavings don't depend on how long a start takes

On a slow machine the record of before the outage was still in the store when the test looked, or a start counted as an outage. What is checked stays.

--- a/test/unit/program/leaving_test.cpp
+++ b/test/unit/program/leaving_test.cpp
@@ -299,9 +299,10 @@
     {
         store.setDown(false);
         (void)runFor(milliseconds(2500));
-        const std::string reason = askForRequest(index);
-        const bool used = reason != "no-backend";
-        cr_assert_eq(used, stateOf(settings[index].name) == BackendState::Ready);
+        const bool used = askForRequest(index) != "no-backend";
+        const auto isTold
+                = [&]() { return used == (stateOf(settings[index].name) == BackendState::Ready); };
+        cr_assert(runUntil(isTold), "the record in the store says the same");
         return used;
     }
 };
@@ -374,8 +375,10 @@
     Fleet fleet(3);
     lose(fleet);
     cr_assert(fleet.report(0, 2), "a report that was sent before");
-    cr_assert(fleet.report(1, 2));
-    (void)fleet.runFor(milliseconds(2000));
+    for (const uint64_t sequence : {2U, 3U}) {
+        cr_assert(fleet.report(1, sequence));
+        (void)fleet.runFor(milliseconds(1000));
+    }
     cr_assert(fleet.askForRequest(0) == "no-backend");
     cr_assert(fleet.askForRequest(1) != "no-backend", "its backend server stays");
 }
